Serve the whole path: callers, groups, plans, on embedded stand-ins

Cause: an empty repository. The first need is one request served end to end, with an operator's declaration, plan and confirmation behind it.

Change: core decides (leases, groups, placement, plans, contact, presence, routing, admission, idempotency), io speaks to each peer, daemon joins both, lab holds the stand-ins and the demo.

--- /dev/null
+++ b/cmd/headcourse/main.go
@@ -0,0 +1,12 @@
+// Command headcourse is the daemon and the operator's command line.
+package main
+
+import (
+	"os"
+
+	"headcourse/command"
+)
+
+func main() {
+	os.Exit(command.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/command/check.go
@@ -0,0 +1,28 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"headcourse/core/declaration"
+)
+
+// CheckCommand checks declaration files.
+type CheckCommand struct {
+	Files []string `arg:"" help:"Declaration files; - is standard input."`
+}
+
+// Run reports every mistake with its file, line and field.
+func (c *CheckCommand) Run(streams *Streams) error {
+	files, err := readFiles(c.Files, streams.In)
+	if err != nil {
+		return err
+	}
+	declared, err := declaration.Parse(files)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(streams.Out, "%s: %d zones, %d organisations, %d models, %d services\n", declared.Deployment, len(declared.Zones), len(declared.Organisations), len(declared.Models), len(declared.Services))
+	return errors.Wrap(err, "write output")
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,115 @@
+// Package command is the command line of headcourse: one file for each
+// command, in the order usage, fields, run, and one row for each in CLI.
+//
+// Commands that change or show the fleet talk to any one daemon. Output is
+// written as a table or as JSON. The exit code tells the three outcomes apart:
+//
+//	0  done
+//	1  refused, or failed with nothing changed
+//	2  the command line or a setting is wrong
+//	3  stored, but not accepted by a majority of the daemons yet
+//	4  not known whether it was done; look again
+package command
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"headcourse/core/table"
+	"headcourse/io/operator"
+)
+
+// Exit codes.
+const (
+	ExitDone        = 0
+	ExitRefused     = 1
+	ExitUsage       = 2
+	ExitNotAccepted = 3
+	ExitUnknown     = 4
+)
+
+// CLI is the lookup table of commands. Adding one is a file and a row here.
+type CLI struct {
+	Serve    ServeCommand    `cmd:"" help:"Run a daemon."`
+	Check    CheckCommand    `cmd:"" help:"Check declaration files without a daemon."`
+	Apply    ApplyCommand    `cmd:"" help:"Make declaration files the next revision of the configuration."`
+	Diff     DiffCommand     `cmd:"" help:"Show in what declaration files differ from the revision in force."`
+	Plan     PlanCommand     `cmd:"" help:"State an intent; show, pause, resume or abandon plans."`
+	Confirm  ConfirmCommand  `cmd:"" help:"Confirm a plan that was reviewed."`
+	Status   StatusCommand   `cmd:"" help:"Show daemons, leases and zones."`
+	Groups   GroupsCommand   `cmd:"" help:"Show the serving groups."`
+	Counters CountersCommand `cmd:"" help:"Show a daemon's counters, or with --list every counter there is."`
+	HashKey  HashKeyCommand  `cmd:"" help:"Read a key from standard input and print the hash that declarations hold."`
+}
+
+// Streams are where a command reads and writes.
+type Streams struct {
+	In  io.Reader
+	Out io.Writer
+	Err io.Writer
+}
+
+// ErrNotAccepted reports that a change is stored but not held by a majority.
+var ErrNotAccepted = errors.New("not accepted yet")
+
+// Main parses arguments, runs the command, and returns the exit code.
+func Main(arguments []string, in io.Reader, out, errOut io.Writer) int {
+	streams := &Streams{
+		In:  in,
+		Out: out,
+		Err: errOut,
+	}
+	var cli CLI
+	exited, exitCode := false, 0
+	parser, err := kong.New(&cli,
+		kong.Name("headcourse"),
+		kong.Description("Serves models whose replicas span several VMs. A daemon runs on each entry VM; operators state intents, review plans and confirm them."),
+		kong.Writers(out, errOut),
+		kong.Exit(func(code int) {
+			exited, exitCode = true, code
+		}),
+		kong.ConfigureHelp(kong.HelpOptions{
+			Compact: true,
+		}),
+	)
+	if err != nil {
+		return fail(errOut, err, ExitUsage)
+	}
+	context, err := parser.Parse(arguments)
+	if exited {
+		return exitCode
+	}
+	if err != nil {
+		return fail(errOut, err, ExitUsage)
+	}
+	if err = context.Run(streams); err != nil {
+		return fail(errOut, err, codeOf(err))
+	}
+	return ExitDone
+}
+
+// ErrUsage marks errors of the command line and of settings.
+var ErrUsage = errors.New("usage")
+
+// fail writes an error and returns the code.
+func fail(errOut io.Writer, err error, code int) int {
+	_, _ = fmt.Fprintf(errOut, "headcourse: %s\n", err)
+	return code
+}
+
+// codeOf returns the exit code of an error.
+func codeOf(err error) int {
+	switch {
+	case errors.Is(err, ErrUsage):
+		return ExitUsage
+	case errors.Is(err, ErrNotAccepted):
+		return ExitNotAccepted
+	case errors.Is(err, table.ErrUnknown), errors.Is(err, operator.ErrUnreachable):
+		return ExitUnknown
+	default:
+		return ExitRefused
+	}
+}
--- /dev/null
+++ b/command/counters.go
@@ -0,0 +1,48 @@
+package command
+
+import (
+	"io"
+	"sort"
+
+	"headcourse/core/outcome"
+)
+
+// CountersCommand shows counters.
+type CountersCommand struct {
+	Daemon string `name:"daemon" env:"HEADCOURSE_DAEMON" default:"127.0.0.1:8081" help:"IP:port for operators of the daemon."`
+	Key    string `name:"key" env:"HEADCOURSE_KEY" help:"The operator's key; prefer the variable."`
+	Output string `name:"output" env:"HEADCOURSE_OUTPUT" default:"table" enum:"table,json" help:"Form of the output: ${enum}."`
+	List   bool   `name:"list" help:"List every reason that is counted, with what it means."`
+}
+
+// Run shows the daemon's counters, or the list.
+func (c *CountersCommand) Run(streams *Streams) error {
+	connection := Connection{
+		Daemon: c.Daemon,
+		Key:    c.Key,
+		Output: c.Output,
+	}
+	if c.List {
+		return connection.print(streams.Out, outcome.Reasons, func(table io.Writer) {
+			row(table, "REASON", "MEANING")
+			for _, known := range outcome.Reasons {
+				row(table, known.Reason, known.Meaning)
+			}
+		})
+	}
+	counters, err := connection.client().Counters()
+	if err != nil {
+		return err
+	}
+	return connection.print(streams.Out, counters, func(table io.Writer) {
+		names := make([]string, 0, len(counters))
+		for name := range counters {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		row(table, "COUNTER", "VALUE")
+		for _, name := range names {
+			row(table, name, counters[name])
+		}
+	})
+}
--- /dev/null
+++ b/command/serve.go
@@ -0,0 +1,49 @@
+package command
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"headcourse/daemon"
+)
+
+// ServeCommand runs a daemon until SIGTERM or SIGINT.
+type ServeCommand struct {
+	daemon.Settings `embed:""`
+}
+
+// Run runs the daemon. On a signal it becomes unready at once, finishes what
+// is in flight, and returns nil if nothing was cut off.
+func (s *ServeCommand) Run(streams *Streams) error {
+	if err := s.Check(); err != nil {
+		return errors.Wrap(ErrUsage, err.Error())
+	}
+	log, err := newLog(s.LogLevel, zapcore.AddSync(streams.Err))
+	if err != nil {
+		return errors.Wrap(ErrUsage, err.Error())
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	node, err := daemon.StartNode(s.Settings, log)
+	if err != nil {
+		return err
+	}
+	<-signals
+	return node.Stop()
+}
+
+// newLog returns the structured log, as JSON lines.
+func newLog(level string, out zapcore.WriteSyncer) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "--log-level (HEADCOURSE_LOG_LEVEL)")
+	}
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(out), parsed)), nil
+}
--- /dev/null
+++ b/core/control/watch.go
@@ -0,0 +1,135 @@
+package control
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"headcourse/core/group"
+	"headcourse/core/lease"
+	"headcourse/core/presence"
+	"headcourse/core/vm"
+)
+
+// Watchers is the number of daemons that probe the members of each group. Any
+// one of them is enough for the group to serve; none needs a lease.
+const Watchers = 2
+
+// Targets returns the VMs that this daemon probes: members of the groups that
+// it watches or controls, and servers of plain services that it watches.
+func (c *Controller) Targets() []vm.VM {
+	c.rebuild()
+	var targets []vm.VM
+	for _, record := range c.world.Groups {
+		if !c.watches(record.Name) && !c.controls(record.Name) {
+			continue
+		}
+		for _, member := range record.Members {
+			targets = append(targets, c.memberVM(member))
+		}
+	}
+	for _, listed := range c.world.VMs {
+		if listed.Service != "" && c.watches(ServerEvidence(listed.ID)) {
+			targets = append(targets, listed)
+		}
+	}
+	return targets
+}
+
+// memberVM returns the VM of a member, also where the list lacks it.
+func (c *Controller) memberVM(member group.Member) vm.VM {
+	if listed, ok := c.vms[member.VM]; ok {
+		return listed
+	}
+	return vm.VM{
+		ID:      member.VM,
+		Address: member.Address,
+	}
+}
+
+// watches tells whether this daemon is among the watchers of a group.
+func (c *Controller) watches(name string) bool {
+	rank := c.roster.Rank("watch/"+name, c.self.ID)
+	return rank >= 0 && rank < Watchers
+}
+
+// controls tells whether this daemon holds the lease on a group's shard.
+func (c *Controller) controls(name string) bool {
+	held, ok := c.held[ShardOf(name)]
+	return ok && held.Check(0) == nil
+}
+
+// ShardOf returns the shard of control that a group or plan belongs to.
+func ShardOf(name string) int {
+	return int(xxhash.Sum64String(name) % lease.Shards)
+}
+
+// shardName names a shard as work to be ranked.
+func shardName(shard int) string {
+	return "shard/" + strconv.Itoa(shard)
+}
+
+// judge derives evidence from the probes after one about a VM changed.
+func (c *Controller) judge(id string) {
+	c.rebuild()
+	if listed, ok := c.vms[id]; ok && listed.Service != "" {
+		c.judgeServer(id)
+		return
+	}
+	for _, record := range c.world.Groups {
+		if record.Has(id) {
+			c.judgeGroup(record)
+		}
+	}
+}
+
+// judgeServer derives evidence of a plain service's VM.
+func (c *Controller) judgeServer(id string) {
+	known := c.probes[id]
+	at := known.answeredAt
+	if known.refused {
+		at = time.Now()
+	}
+	c.book = c.book.WithEvidence(presence.Evidence{
+		Group: ServerEvidence(id),
+		Whole: !known.refused && !known.answeredAt.IsZero() && !known.state.Leaving,
+		At:    at,
+	})
+}
+
+// judgeGroup derives evidence of a group: whole as of its oldest answer, or
+// not whole as of the newest word against it.
+func (c *Controller) judgeGroup(record group.Record) {
+	evidence := presence.Evidence{
+		Group:      record.Name,
+		Generation: record.Generation,
+		Whole:      len(record.Members) > 0,
+	}
+	var against time.Time
+	for i, member := range record.Members {
+		known := c.probes[member.VM]
+		isPart := known.state.Group == record.Name && known.state.Generation == record.Generation && known.state.Loaded
+		switch {
+		case known.refused:
+			against = time.Now()
+		case known.answeredAt.IsZero():
+			evidence.Whole = false
+		case !isPart && known.answeredAt.After(against):
+			against = known.answeredAt
+		}
+		if i == 0 {
+			evidence.InFlight = known.state.InFlight
+			evidence.Slots = known.state.Slots
+			evidence.At = known.answeredAt
+		}
+		if known.answeredAt.Before(evidence.At) {
+			evidence.At = known.answeredAt
+		}
+	}
+	if !against.IsZero() {
+		evidence.Whole = false
+		evidence.At = against
+	}
+	c.book = c.book.WithEvidence(evidence)
+}
--- /dev/null
+++ b/daemon/loop.go
@@ -0,0 +1,361 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"headcourse/core/catalog"
+	"headcourse/core/control"
+	"headcourse/core/lease"
+	"headcourse/core/roster"
+	"headcourse/core/table"
+	"headcourse/core/vm"
+	"headcourse/io/peer"
+)
+
+// vmEntry is a VM to probe.
+type vmEntry = vm.VM
+
+// Times of the daemon's rounds. Each wait is jittered by a quarter, so that
+// daemons started together drift apart.
+const (
+	pollEvery   = 2500 * time.Millisecond
+	vmListEvery = 2 * time.Second
+	probeEvery  = 600 * time.Millisecond
+	pullEvery   = 500 * time.Millisecond
+	// commitTimeout bounds a commit, settling included.
+	commitTimeout = 6 * time.Second
+)
+
+// Bounds of the daemon's rounds.
+const (
+	// scanLimit is how many rows one read of the store returns.
+	scanLimit = 2000
+	// pullLimit is how many rows one pull returns.
+	pullLimit = 2000
+	// parallelProbes is how many probes are under way at once.
+	parallelProbes = 64
+)
+
+// run starts the control goroutine and the rounds around it.
+func (d *Daemon) run() {
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	d.tasks.Go(func() {
+		d.control(ctx)
+	})
+	d.tasks.Go(func() {
+		d.pollStore(ctx)
+	})
+	d.tasks.Go(func() {
+		every(ctx, vmListEvery, d.pollVMs)
+	})
+	d.tasks.Go(func() {
+		every(ctx, probeEvery, d.probeAll)
+	})
+	d.tasks.Go(func() {
+		every(ctx, pullEvery, newPuller(d).round)
+	})
+}
+
+// jittered returns d, shortened or lengthened by up to a quarter.
+func jittered(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2)
+}
+
+// every runs a round at once and then again and again until ctx ends.
+func every(ctx context.Context, period time.Duration, round func(ctx context.Context)) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		round(ctx)
+		rest := jittered(period) - time.Since(began)
+		if rest <= 0 {
+			continue
+		}
+		select {
+		case <-time.After(rest):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// control owns the controller: it takes in news, steps, carries out what the
+// step asks for, and publishes a snapshot.
+func (d *Daemon) control(ctx context.Context) {
+	controller := control.New(d.self)
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case news := <-d.inbox:
+			news(controller)
+			d.takeWaiting(controller)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		d.act(ctx, controller.Step())
+		d.publish(controller)
+	}
+}
+
+// takeWaiting takes in the news that is waiting already, so that a burst costs
+// one step.
+func (d *Daemon) takeWaiting(controller *control.Controller) {
+	for range inboxSize {
+		select {
+		case news := <-d.inbox:
+			news(controller)
+		default:
+			return
+		}
+	}
+}
+
+// publish makes a new snapshot and tells those who wait for one.
+func (d *Daemon) publish(controller *control.Controller) {
+	snapshot := controller.Snapshot()
+	d.snapshot.Store(&snapshot)
+	targets := controller.Targets()
+	d.targets.Store(&targets)
+	sources := controller.Roster().Sources(d.self)
+	d.sources.Store(&sources)
+	for _, changed := range d.onChange {
+		changed()
+	}
+}
+
+// act carries out what a step asks for, without waiting for the outcomes.
+func (d *Daemon) act(ctx context.Context, actions control.Actions) {
+	if actions.Refresh {
+		select {
+		case d.refresh <- struct{}{}:
+		default:
+		}
+	}
+	for _, commit := range actions.Commits {
+		d.tasks.Go(func() {
+			d.commit(ctx, commit)
+		})
+	}
+	for _, send := range actions.Sends {
+		d.tasks.Go(func() {
+			d.send(send)
+		})
+	}
+}
+
+// commit commits a transaction and tells the controller what became of it.
+func (d *Daemon) commit(ctx context.Context, commit control.Commit) {
+	bounded, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	version, err := d.store.Commit(bounded, commit.Transaction)
+	if err != nil {
+		d.log.Debug("control: commit failed", zap.String("about", commit.About), zap.Error(err))
+	}
+	d.tell(ctx, func(c *control.Controller) {
+		c.Committed(commit, version, err)
+	})
+}
+
+// send sends an order if the lease that it was decided under still holds long
+// enough for the order to arrive.
+func (d *Daemon) send(send control.Send) {
+	if err := send.Lease.Check(lease.OrderMargin); err != nil {
+		d.log.Warn("control: order not sent", zap.String("vm", send.VM), zap.Error(err))
+		return
+	}
+	if err := d.engines.Order(send.Address, send.Order); err != nil {
+		d.log.Warn("control: order failed", zap.String("vm", send.VM), zap.Error(err))
+	}
+}
+
+// ----------------------------------------------------------------------------
+// The platform
+
+// pollStore reads what changed in the table, slowly, and at once when control
+// asks for it or more is waiting.
+func (d *Daemon) pollStore(ctx context.Context) {
+	after := uint64(0)
+	for ctx.Err() == nil {
+		began := time.Now()
+		result, err := d.store.Scan(ctx, table.ScanRequest{
+			Prefix: catalog.Prefix,
+			After:  after,
+			Limit:  scanLimit,
+		})
+		if err != nil {
+			d.log.Warn("store: poll failed", zap.Error(err))
+		} else {
+			after = result.Version
+			d.tell(ctx, func(c *control.Controller) {
+				if result.More {
+					c.LearnRows(result.Rows)
+					return
+				}
+				c.LearnStore(result.Rows, result.Version, began)
+			})
+		}
+		if err == nil && result.More {
+			continue
+		}
+		select {
+		case <-time.After(jittered(pollEvery)):
+		case <-d.refresh:
+			// A short wait lets what was refused become visible, and bounds
+			// how often conflicts can cause reads.
+			time.Sleep(jittered(stepEvery))
+		case <-ctx.Done():
+		}
+	}
+}
+
+// pollVMs reads the VM list.
+func (d *Daemon) pollVMs(ctx context.Context) {
+	listed, err := d.vms.VMs()
+	if err != nil {
+		d.log.Warn("vm list: poll failed", zap.Error(err))
+		return
+	}
+	d.tell(ctx, func(c *control.Controller) {
+		c.LearnVMs(listed)
+	})
+}
+
+// ----------------------------------------------------------------------------
+// Backend servers
+
+// probeAll probes all targets once.
+func (d *Daemon) probeAll(ctx context.Context) {
+	probes := pool.New().WithMaxGoroutines(parallelProbes)
+	for _, target := range *d.targets.Load() {
+		probes.Go(func() {
+			d.probe(ctx, target)
+		})
+	}
+	probes.Wait()
+}
+
+// probe probes one backend server.
+func (d *Daemon) probe(ctx context.Context, target vm.VM) {
+	began := time.Now()
+	state, isRefused, err := d.engines.Probe(target.Address)
+	d.tell(ctx, func(c *control.Controller) {
+		if err != nil {
+			c.LearnSilence(target.ID, began, isRefused)
+			return
+		}
+		c.LearnProbe(target.ID, began, state)
+	})
+}
+
+// ----------------------------------------------------------------------------
+// Other daemons
+
+// puller remembers how far each daemon's log was read.
+type puller struct {
+	daemon    *Daemon
+	positions map[string]peer.PullRequest
+}
+
+// newPuller returns a puller that has read nothing.
+func newPuller(d *Daemon) *puller {
+	return &puller{
+		daemon:    d,
+		positions: map[string]peer.PullRequest{},
+	}
+}
+
+// pulled is one daemon's reply.
+type pulled struct {
+	address string
+	asked   time.Time
+	reply   peer.PullReply
+	err     error
+}
+
+// round pulls from all sources once, side by side.
+func (p *puller) round(ctx context.Context) {
+	results := pool.NewWithResults[pulled]()
+	for _, address := range p.addresses() {
+		request := p.positions[address]
+		results.Go(func() pulled {
+			asked := time.Now()
+			reply, err := p.daemon.peers.Pull(ctx, address, request)
+			return pulled{
+				address: address,
+				asked:   asked,
+				reply:   reply,
+				err:     err,
+			}
+		})
+	}
+	for _, result := range results.Wait() {
+		p.take(ctx, result)
+	}
+}
+
+// addresses returns whom to ask: the sources, or the seeds while none is known.
+func (p *puller) addresses() []string {
+	sources := *p.daemon.sources.Load()
+	if len(sources) == 0 {
+		return p.daemon.settings.Seeds
+	}
+	addresses := make([]string, len(sources))
+	for i, source := range sources {
+		addresses[i] = source.Peer
+	}
+	return addresses
+}
+
+// take hands a reply to control. Reports count only with a reply that holds
+// all rows of the daemon that was asked.
+func (p *puller) take(ctx context.Context, result pulled) {
+	if result.err != nil {
+		p.daemon.log.Debug("peer: pull failed", zap.Error(result.err))
+		return
+	}
+	p.positions[result.address] = peer.PullRequest{
+		Incarnation: result.reply.Incarnation,
+		Position:    result.reply.Position,
+	}
+	p.daemon.tell(ctx, func(c *control.Controller) {
+		c.LearnRows(result.reply.Rows)
+		if !result.reply.More {
+			c.LearnReports(result.reply.ReportsAt(result.asked), result.reply.EvidenceAt(result.asked))
+		}
+	})
+}
+
+// AnswerPull answers another daemon's pull.
+func (d *Daemon) AnswerPull(_ context.Context, request peer.PullRequest) (peer.PullReply, error) {
+	reply := peer.PullReply{
+		Incarnation: d.self.ID,
+	}
+	if request.Incarnation != d.self.ID {
+		request.Position = 0
+	}
+	isAnswered := d.ask(func(c *control.Controller) {
+		now := time.Now()
+		reply.Rows, reply.Position, reply.More = c.Changes(request.Position, pullLimit)
+		reports := append(c.Contact().Reports(), c.OwnReport())
+		reply.Reports, reply.Evidence = peer.Describe(reports, c.Book().All(), now)
+	})
+	if !isAnswered {
+		return reply, ErrStopped
+	}
+	return reply, nil
+}
+
+// Roster returns the daemons as control sees them.
+func (d *Daemon) Roster() roster.Roster {
+	var listed roster.Roster
+	d.ask(func(c *control.Controller) {
+		listed = c.Roster()
+	})
+	return listed
+}
--- /dev/null
+++ b/labcommand/demo.go
@@ -0,0 +1,42 @@
+package labcommand
+
+import (
+	"context"
+	"time"
+
+	"headcourse/lab/demo"
+	"headcourse/lab/examples"
+)
+
+// DemoCommand plays the demo.
+type DemoCommand struct {
+	Deployment []string      `name:"deployment" help:"Deployments to play; all where none is named."`
+	Rate       float64       `name:"rate" default:"60" help:"Callers' requests a second."`
+	Duration   time.Duration `name:"duration" default:"55s" help:"How long callers send."`
+	Seed       uint64        `name:"seed" default:"1" help:"Seed of the load."`
+	LogLevel   string        `name:"log-level" default:"error" help:"Least level that daemons log: debug, info, warn, error."`
+}
+
+// Run plays each deployment.
+func (d *DemoCommand) Run(streams *Streams) error {
+	log, err := newLog(d.LogLevel, streams.Err)
+	if err != nil {
+		return err
+	}
+	names := d.Deployment
+	if len(names) == 0 {
+		names = examples.Names()
+	}
+	for _, name := range names {
+		err = demo.Play(context.Background(), name, demo.Settings{
+			Rate:     d.Rate,
+			Duration: d.Duration,
+			Seed:     d.Seed,
+			Log:      log,
+		}, streams.Out)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/labcommand/platform.go
@@ -0,0 +1,75 @@
+package labcommand
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"headcourse/lab/examples"
+	"headcourse/lab/platform"
+)
+
+// PlatformCommand runs the stand-ins of one deployment.
+type PlatformCommand struct {
+	Deployment  string        `name:"deployment" default:"caudal-andino" help:"Deployment whose VMs are there."`
+	Host        string        `name:"host" default:"127.0.0.1" help:"IP number to listen on."`
+	Port        int           `name:"port" default:"9000" help:"Port of the table service; the VM list and the VMs follow."`
+	LoadTime    time.Duration `name:"load-time" default:"1500ms" help:"Time that an engine loads a model."`
+	FirstToken  time.Duration `name:"first-token" default:"60ms" help:"Time to an answer's first token."`
+	EachToken   time.Duration `name:"each-token" default:"15ms" help:"Time between tokens."`
+	Slots       int           `name:"slots" default:"32" help:"Requests that a group runs at once."`
+	ServiceTime time.Duration `name:"service-time" default:"5ms" help:"Time that plain services take."`
+	ListLag     time.Duration `name:"list-lag" default:"1s" help:"How late the VM list shows changes."`
+	Loads       float64       `name:"loads-per-second" default:"20" help:"Rate of the weight store."`
+}
+
+// Run runs the stand-ins until SIGTERM or SIGINT.
+func (p *PlatformCommand) Run(streams *Streams) error {
+	if net.ParseIP(p.Host) == nil {
+		return errors.Errorf("--host: %q is not an IP number", p.Host)
+	}
+	deployment, err := examples.Load(p.Deployment)
+	if err != nil {
+		return errors.Wrap(err, "--deployment")
+	}
+	vms := deployment.VMs()
+	for i := range vms {
+		vms[i].Address = p.address(2 + i)
+	}
+	running, err := platform.Start(platform.Settings{
+		VMs:            vms,
+		TableAddress:   p.address(0),
+		VMListAddress:  p.address(1),
+		ListLag:        p.ListLag,
+		Slots:          p.Slots,
+		LoadTime:       p.LoadTime,
+		FirstToken:     p.FirstToken,
+		EachToken:      p.EachToken,
+		ServiceTime:    p.ServiceTime,
+		LoadsPerSecond: p.Loads,
+		LoadBurst:      2 * int(p.Loads),
+	})
+	if err != nil {
+		return err
+	}
+	defer running.Stop()
+	_, err = fmt.Fprintf(streams.Out, "table service %s\nVM list %s\n%d VMs from %s on\nfaults of any: POST {\"down\":true} to /lab/faults\n", running.TableAddress(), running.VMListAddress(), len(running.VMs), running.VMs[0].Address)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	return nil
+}
+
+// address returns IP:port with the port at an offset.
+func (p *PlatformCommand) address(offset int) string {
+	return net.JoinHostPort(p.Host, strconv.Itoa(p.Port+offset))
+}
