--- a/core/control/controller.go
+++ b/core/control/controller.go
@@ -88,6 +88,7 @@
 	logged  int
 	pruned  time.Time
 	world   plan.World
+	reader  plan.Reader
 	isStale bool
 	roster  roster.Roster
 
@@ -98,6 +99,7 @@
 	held    map[int]lease.Held
 	// releasing holds the epochs of leases being given up, by shard.
 	releasing map[int]uint64
+	granted   [lease.Shards]granted
 	seen      map[string]sighting
 	suspects  map[string]time.Time
 	ordered   map[string]time.Time
@@ -300,7 +302,7 @@
 	for _, entry := range c.vms {
 		listed = append(listed, entry)
 	}
-	world, err := plan.WorldOf(c.rows, listed)
+	world, err := c.reader.World(c.rows, listed)
 	if err != nil {
 		// A row that cannot be read is left for a daemon that can read it.
 		return
--- a/core/control/groups.go
+++ b/core/control/groups.go
@@ -26,7 +26,7 @@
 
 // stepGroups takes the next step of every group whose shard is held.
 func (c *Controller) stepGroups(actions *Actions, now time.Time) {
-	for _, held := range c.usable() {
+	for _, held := range c.Usable() {
 		for _, record := range c.world.Groups {
 			if ShardOf(record.Name) == held.Shard && !c.pending[aboutGroup+record.Name] {
 				c.stepGroup(actions, held, record, now)
@@ -52,6 +52,9 @@
 	case group.Reload:
 		again := record.WithMembers(record.Members, record.Zone, record.Domain, c.world.Floor(record.Members))
 		c.commitGroup(actions, held, record, again)
+	case group.Vacate:
+		next := record.WithoutMembers()
+		c.commitGroup(actions, held, record, record.WithDraining(&next))
 	case group.Dissolve:
 		c.dissolve(actions, held, record)
 	case group.Rest:
@@ -142,7 +145,7 @@
 		if !to.Has(member.VM) {
 			claim := c.world.Claims[member.VM]
 			claim.Group = ""
-			claim.Plan = from.Plan
+			claim.Plan = reservedBy(from, to)
 			change = c.claim(change, member.VM, claim)
 		}
 	}
@@ -155,6 +158,17 @@
 	return change
 }
 
+// reservedBy returns the plan that VMs given up are kept for: a group that a
+// plan dissolves leaves its VMs to the plan's later steps, while one that lost
+// members must be able to use the others again itself.
+func reservedBy(from, to group.Record) string {
+	isDissolved := from.Phase == group.Draining && from.Next == nil && len(to.Members) == 0
+	if isDissolved {
+		return from.Plan
+	}
+	return ""
+}
+
 // claim adds the write of a claim, conditional on the claim's row.
 func (c *Controller) claim(change table.Transaction, id string, claim vm.Claim) table.Transaction {
 	key := vm.Key(id)
@@ -221,7 +235,7 @@
 	views := c.views(record, now)
 	for _, index := range lost {
 		isLost[record.Members[index].VM] = true
-		if !views[index].Listed || views[index].Leaving {
+		if !views[index].Listed {
 			unseen = -1
 		}
 		if unseen >= 0 {
@@ -260,6 +274,12 @@
 
 // dissolve frees the VMs of a drained group, or forms what comes next of it.
 func (c *Controller) dissolve(actions *Actions, held lease.Held, record group.Record) {
+	if record.Next != nil && len(record.Next.Members) == 0 {
+		next := record.WithoutMembers()
+		next.Next = nil
+		c.commitGroup(actions, held, record, next)
+		return
+	}
 	if record.Next != nil {
 		next := record.Next.WithMembers(record.Next.Members, record.Next.Zone, record.Next.Domain, c.world.Floor(record.Next.Members))
 		next.Generation = max(next.Generation, record.Generation+1)
--- a/core/control/leases.go
+++ b/core/control/leases.go
@@ -56,7 +56,7 @@
 		c.commit(actions, aboutJoin, join)
 		return
 	}
-	if held, ok := c.held[0]; ok && held.Check(0) == nil {
+	if held, ok := c.held[0]; ok && held.Holds(0) {
 		c.removeSilent(actions, held, now)
 	}
 }
@@ -110,8 +110,8 @@
 func (c *Controller) stepLeases(actions *Actions, now time.Time) {
 	c.adoptAndDrop()
 	if c.leaving {
-		for shard := range c.held {
-			c.release(actions, shard)
+		for _, held := range c.Held() {
+			c.release(actions, held.Shard)
 		}
 		return
 	}
@@ -139,8 +139,7 @@
 func (c *Controller) adoptAndDrop() {
 	for shard := range lease.Shards {
 		row := c.rows.Row(lease.Key(shard))
-		var grant lease.Grant
-		isMine := row.Version != 0 && row.Decode(&grant) == nil && grant.Holder == c.self.ID
+		isMine := row.Version != 0 && c.holderOf(shard, row) == c.self.ID
 		held, ok := c.held[shard]
 		switch {
 		case !isMine:
@@ -154,6 +153,29 @@
 	}
 }
 
+// granted is a lease row that was read.
+type granted struct {
+	version uint64
+	holder  string
+}
+
+// holderOf returns who holds a shard by its row; empty where nobody does. A row
+// is decoded once.
+func (c *Controller) holderOf(shard int, row table.Row) string {
+	if known := c.granted[shard]; known.version == row.Version {
+		return known.holder
+	}
+	var grant lease.Grant
+	if err := row.Decode(&grant); err != nil {
+		return ""
+	}
+	c.granted[shard] = granted{
+		version: row.Version,
+		holder:  grant.Holder,
+	}
+	return grant.Holder
+}
+
 // renew asks for one renewal of all leases, conditional on holding each.
 func (c *Controller) renew(actions *Actions, now time.Time) {
 	isDue, kept := false, 0
@@ -206,13 +228,13 @@
 	since := c.started
 	patience := time.Duration(c.roster.Rank(shardName(shard), c.self.ID)) * rankDelay
 	if row.Version != 0 {
-		var former lease.Grant
-		if row.Decode(&former) != nil || former.Holder == c.self.ID {
+		former := c.holderOf(shard, row)
+		if former == c.self.ID {
 			return
 		}
 		since = c.seen[row.Key].since
-		if former.Holder != "" {
-			renewal := c.rows.Row(lease.RenewalKey(former.Holder))
+		if former != "" {
+			renewal := c.rows.Row(lease.RenewalKey(former))
 			grant = grant.WithCondition(renewal.Key, renewal.Version)
 			patience += lease.Term + lease.Margin
 			if seen := c.seen[renewal.Key]; seen.since.After(since) {
@@ -248,14 +270,17 @@
 	}
 }
 
-// release asks to make a shard free, again and again until the row shows it.
-// From the first time on the lease is neither used nor renewed: a release
-// whose answer was lost may still land at any time.
+// release gives a shard up. From now on the lease is neither used nor renewed.
+// Its row is freed only once the term has run out: an order decided before may
+// still be on its way until then, and a freed shard is taken at once. The
+// write is asked for again until the row shows it, since one whose answer was
+// lost may still land at any time.
 func (c *Controller) release(actions *Actions, shard int) {
 	held := c.held[shard]
-	held.Expires = time.Time{}
-	c.held[shard] = held
 	c.releasing[shard] = held.Epoch
+	if held.Holds(0) {
+		return
+	}
 	release := held.Fence(table.Transaction{})
 	release = release.WithWrite(table.Put(lease.Key(shard), lease.Grant{}))
 	c.commit(actions, aboutLease+lease.Key(shard), release)
@@ -266,12 +291,12 @@
 	return c.releasing[held.Shard] == held.Epoch
 }
 
-// usable returns the held leases that orders and writes may be made under, in
+// Usable returns the held leases that orders and writes may be made under, in
 // the order of their shards.
-func (c *Controller) usable() []lease.Held {
+func (c *Controller) Usable() []lease.Held {
 	var usable []lease.Held
 	for _, held := range c.held {
-		if !c.isReleasing(held) && held.Check(lease.OrderMargin) == nil {
+		if !c.isReleasing(held) && held.Holds(lease.OrderMargin) {
 			usable = append(usable, held)
 		}
 	}
--- a/core/control/plans.go
+++ b/core/control/plans.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"headcourse/core/group"
 	"headcourse/core/lease"
@@ -15,13 +17,11 @@
 // been done already is read off the groups, never remembered, so that another
 // daemon can go on with a plan at any point.
 func (c *Controller) stepPlans(actions *Actions) {
-	for _, held := range c.usable() {
-		for _, row := range c.rows.Under(plan.KeyPrefix) {
-			var current plan.Plan
-			if row.Decode(&current) != nil || ShardOf(current.ID) != held.Shard || c.pending[aboutPlan+current.ID] {
-				continue
+	for _, held := range c.Usable() {
+		for _, current := range c.world.Plans {
+			if ShardOf(current.ID) == held.Shard && !c.pending[aboutPlan+current.ID] {
+				c.stepPlan(actions, held, current)
 			}
-			c.stepPlan(actions, held, current)
 		}
 	}
 }
@@ -143,7 +143,7 @@
 	if record.Plan != current.ID {
 		return change, false, fmt.Sprintf("group %q is not the plan's to change", step.Group)
 	}
-	if record.Phase == group.Draining {
+	if record.Phase == group.Draining && record.Next == nil {
 		return change, false, ""
 	}
 	return c.rewrite(record, record.WithDraining(nil)), false, ""
@@ -212,7 +212,8 @@
 		change = change.WithCondition(key, c.rows.Row(key).Version)
 		change = change.WithWrite(table.Put(key, next))
 	}
-	for id, claim := range c.world.Claims {
+	for _, id := range slices.Sorted(maps.Keys(c.world.Claims)) {
+		claim := c.world.Claims[id]
 		if claim.Plan != current.ID || len(change.Writes) >= tidyBatch {
 			continue
 		}
--- a/core/control/watch.go
+++ b/core/control/watch.go
@@ -57,7 +57,7 @@
 // controls tells whether this daemon holds the lease on a group's shard.
 func (c *Controller) controls(name string) bool {
 	held, ok := c.held[ShardOf(name)]
-	return ok && held.Check(0) == nil
+	return ok && held.Holds(0)
 }
 
 // ShardOf returns the shard of control that a group or plan belongs to.
--- a/core/group/decide.go
+++ b/core/group/decide.go
@@ -50,6 +50,8 @@
 	// Reload: all members are there but some have lost their state; form the
 	// group anew of the same members.
 	Reload Verb = "reload"
+	// Vacate: a member is leaving; drain the group, to be placed anew.
+	Vacate Verb = "vacate"
 	// SendUnload: order the members in Decision.Members to unload.
 	SendUnload Verb = "send_unload"
 	// Dissolve: free the VMs and delete the group.
@@ -126,38 +128,22 @@
 			Members: lost,
 		}
 	}
-	var leaving []int
-	emptied, fresh := false, 0
-	for i, view := range views {
-		if view.Leaving {
-			leaving = append(leaving, i)
-		}
+	isLeaving, emptied, fresh := false, false, 0
+	for _, view := range views {
+		isLeaving = isLeaving || view.Leaving
 		if view.Fresh {
 			fresh++
 			emptied = emptied || !r.isMine(view.State)
 		}
 	}
-	if len(leaving) > 0 {
-		return r.decideLeaving(views, leaving)
-	}
-	if emptied && fresh == len(views) {
+	if isLeaving {
 		return Decision{
-			Verb: Reload,
+			Verb: Vacate,
 		}
 	}
-	return Decision{
-		Verb: Rest,
-	}
-}
-
-// decideLeaving waits until the group's last answer is whole before it treats
-// the leaving members as lost.
-func (r Record) decideLeaving(views []View, leaving []int) Decision {
-	leader := views[0]
-	if leader.Fresh && r.isMine(leader.State) && leader.State.InFlight == 0 {
+	if emptied && fresh == len(views) {
 		return Decision{
-			Verb:    Repair,
-			Members: leaving,
+			Verb: Reload,
 		}
 	}
 	return Decision{
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -47,9 +47,17 @@
 	RenewalPrefix = catalog.Prefix + "renewal/"
 )
 
+// keys are the keys of the lease rows.
+var keys = func() (all [Shards]string) {
+	for shard := range all {
+		all[shard] = fmt.Sprintf("%s%02d", KeyPrefix, shard)
+	}
+	return all
+}()
+
 // Key returns the key of a shard's lease row.
 func Key(shard int) string {
-	return fmt.Sprintf("%s%02d", KeyPrefix, shard)
+	return keys[shard]
 }
 
 // RenewalKey returns the key of a daemon's renewal row.
@@ -74,9 +82,14 @@
 	Expires time.Time
 }
 
+// Holds tells whether the lease holds for at least margin longer.
+func (h Held) Holds(margin time.Duration) bool {
+	return h.Epoch != 0 && time.Until(h.Expires) >= margin
+}
+
 // Check returns ErrLapsed unless the lease holds for at least margin longer.
 func (h Held) Check(margin time.Duration) error {
-	if h.Epoch == 0 || time.Until(h.Expires) < margin {
+	if !h.Holds(margin) {
 		return errors.Wrapf(ErrLapsed, "check lease of shard %d", h.Shard)
 	}
 	return nil
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -136,26 +135,32 @@
 // Commit commits and, when the answer is lost, settles it. It returns
 // ErrUnknown only when ctx ended before the outcome could be settled.
 func (s Settling) Commit(ctx context.Context, transaction Transaction) (uint64, error) {
+	marked, marker := Mark(transaction)
+	version, err := s.Store.Commit(ctx, marked)
+	if IsCertain(err) {
+		return version, err
+	}
+	return s.settle(ctx, marker)
+}
+
+// Mark returns the transaction with its marker row, and the marker's key.
+func Mark(transaction Transaction) (marked Transaction, marker string) {
 	if transaction.ID == "" {
 		transaction.ID = uuid.NewString()
 	}
-	marker := MarkerPrefix + transaction.ID
-	transaction = transaction.WithCondition(marker, 0)
-	transaction = transaction.WithWrite(Put(marker, markerValue{
+	marker = MarkerPrefix + transaction.ID
+	marked = transaction.WithCondition(marker, 0)
+	marked = marked.WithWrite(Put(marker, markerValue{
 		State: markerLanded,
 	}))
-	version, err := s.Store.Commit(ctx, transaction)
-	if isCertain(err) {
-		return version, err
-	}
-	return s.settle(ctx, marker)
+	return marked, marker
 }
 
 // settle decides a transaction whose answer was lost, by its marker row.
 func (s Settling) settle(ctx context.Context, marker string) (uint64, error) {
 	for ctx.Err() == nil {
-		version, err := s.settleOnce(ctx, marker)
-		if isCertain(err) {
+		version, err := s.SettleOnce(ctx, marker)
+		if IsCertain(err) {
 			return version, err
 		}
 		if waitErr := pauseBeforeSettling(ctx); waitErr != nil {
@@ -165,8 +170,9 @@
 	return 0, errors.Wrapf(ErrUnknown, "settle %q at the table service", marker)
 }
 
-// settleOnce reads the marker and, where it is absent, occupies it.
-func (s Settling) settleOnce(ctx context.Context, marker string) (uint64, error) {
+// SettleOnce reads the marker and, where it is absent, occupies it. It returns
+// ErrUnknown where the store did not say enough.
+func (s Settling) SettleOnce(ctx context.Context, marker string) (uint64, error) {
 	row, err := s.Read(ctx, marker)
 	if err != nil {
 		return 0, ErrUnknown
@@ -210,12 +216,7 @@
 	return row.Version, nil
 }
 
-// isCertain tells whether err says for sure whether the writes landed.
-func isCertain(err error) bool {
+// IsCertain tells whether err says for sure whether the writes landed.
+func IsCertain(err error) bool {
 	return err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrUnavailable) || errors.Is(err, ErrAbandoned)
 }
-
-// IsMarker tells whether a key names a marker row.
-func IsMarker(key string) bool {
-	return strings.HasPrefix(key, MarkerPrefix)
-}
--- /dev/null
+++ b/core/table/table_test.go
@@ -0,0 +1,119 @@
+package table_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"headcourse/core/table"
+	"headcourse/lab/fuzz"
+	"headcourse/lab/tablestore"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(fuzz.Main(m))
+}
+
+// flaky is a table whose answers get lost and whose commits arrive late, as
+// drawn.
+type flaky struct {
+	*tablestore.Memory
+	draw func(name string) int
+	late []table.Transaction
+}
+
+// Commit commits now, or later, and answers or does not.
+func (f *flaky) Commit(ctx context.Context, transaction table.Transaction) (uint64, error) {
+	switch f.draw("commit") {
+	case 0:
+		return 0, table.ErrUnavailable
+	case 1:
+		_, _ = f.Memory.Commit(ctx, transaction)
+		return 0, table.ErrUnknown
+	case 2:
+		f.late = append(f.late, transaction)
+		return 0, table.ErrUnknown
+	default:
+		return f.Memory.Commit(ctx, transaction)
+	}
+}
+
+// Read answers or does not.
+func (f *flaky) Read(ctx context.Context, key string) (table.Row, error) {
+	if f.draw("read") == 0 {
+		return table.Row{}, table.ErrUnavailable
+	}
+	return f.Memory.Read(ctx, key)
+}
+
+// arrive lets one late transaction arrive.
+func (f *flaky) arrive(ctx context.Context) {
+	if len(f.late) > 0 {
+		_, _ = f.Memory.Commit(ctx, f.late[0])
+		f.late = f.late[1:]
+	}
+}
+
+// TestSettledOutcomeIsTrue checks that an outcome that was called certain never
+// changes afterwards, whatever arrives late.
+func TestSettledOutcomeIsTrue(t *testing.T) {
+	fuzz.Check(t, func(rt *rapid.T) {
+		ctx := context.Background()
+		store := &flaky{
+			Memory: &tablestore.Memory{},
+			draw: func(name string) int {
+				return rapid.IntRange(0, 5).Draw(rt, name)
+			},
+		}
+		settling := table.Settling{
+			Store: store,
+		}
+		landed := map[string]bool{}
+		for number := range 12 {
+			key := fmt.Sprintf("row/%d", number)
+			transaction := table.Transaction{}
+			transaction = transaction.WithCondition(key, 0)
+			transaction = transaction.WithWrite(table.Put(key, number))
+			marked, marker := table.Mark(transaction)
+			_, err := store.Commit(ctx, marked)
+			for !table.IsCertain(err) {
+				if store.draw("arrives") < 2 {
+					store.arrive(ctx)
+				}
+				_, err = settling.SettleOnce(ctx, marker)
+			}
+			landed[key] = err == nil
+		}
+		for len(store.late) > 0 {
+			store.arrive(ctx)
+		}
+		for key, isLanded := range landed {
+			row, err := store.Memory.Read(ctx, key)
+			if err != nil || (row.Version != 0) != isLanded {
+				rt.Fatalf("row %q: told landed=%t, but it is at version %d", key, isLanded, row.Version)
+			}
+		}
+	})
+}
+
+func TestConflictChangesNothing(t *testing.T) {
+	ctx := context.Background()
+	memory := &tablestore.Memory{}
+	first := table.Transaction{}.WithCondition("a", 0).WithWrite(table.Put("a", 1))
+	version, err := memory.Commit(ctx, first)
+	qt.Assert(t, err, qt.IsNil)
+	second := table.Transaction{}.WithCondition("a", 0).WithWrite(table.Put("a", 2)).WithWrite(table.Put("b", 2))
+	_, err = memory.Commit(ctx, second)
+	qt.Assert(t, errors.Is(err, table.ErrConflict), qt.IsTrue)
+	row, err := memory.Read(ctx, "b")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, row.Version, qt.Equals, uint64(0))
+	row, err = memory.Read(ctx, "a")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, row.Version, qt.Equals, version)
+}
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -168,15 +168,7 @@
 	if err := f.sync(ctx); err != nil {
 		return nil, err
 	}
-	plans := []plan.Plan{}
-	for _, row := range f.daemon.World().Catalog.Under(plan.KeyPrefix) {
-		var one plan.Plan
-		if err := row.Decode(&one); err != nil {
-			return nil, err
-		}
-		plans = append(plans, one)
-	}
-	return plans, nil
+	return append([]plan.Plan{}, f.daemon.World().Plans...), nil
 }
 
 // find returns one plan and the world that it is seen in.
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"headcourse/core/lease"
 	"headcourse/io/caller"
 	"headcourse/io/operator"
 )
@@ -64,8 +65,9 @@
 	return n.operators.Address()
 }
 
-// leaveTimeout bounds giving up leases and the place in the roster.
-const leaveTimeout = 5 * time.Second
+// leaveTimeout bounds giving up leases and the place in the roster. Leases are
+// given up once their term has run out.
+const leaveTimeout = lease.Term + 4*time.Second
 
 // Stop stops in order: unready to the balancer at once, no new requests after
 // UnreadyTime, every answer in flight finished within DrainTime, leases given
