Keep two plans off one zone or VM; watch by the daemons that are heard

By the demo: a request whose first try was unknown was told not_run after its retry was refused; groups whose two watchers were gone had no evidence until the roster dropped them (15 refusals, no_live_server); a handed-over shard was idle for a whole lease term.

Change: confirm marks zones and retired VMs as it marks groups; an unknown try stays unknown; watchers rank among the daemons heard within 3 s; a lease is freed as soon as its last order has arrived; a member whose VM refuses connections is lost after 1.5 s instead of 6 s; a new daemon is ready once it knows every group.

Ruled out: the demo's second deployment did not end its drain within 90 s once, on a machine busy with fuzzing; not explained yet.

--- a/core/control/controller.go
+++ b/core/control/controller.go
@@ -91,6 +91,10 @@
 	reader  plan.Reader
 	isStale bool
 	roster  roster.Roster
+	// alive are the daemons heard lately, and watched what this daemon watches
+	// among them, by name.
+	alive   roster.Roster
+	watched map[string]bool
 
 	vms     map[string]vm.VM
 	probes  map[string]probe
@@ -100,11 +104,13 @@
 	// releasing holds the epochs of leases being given up, by shard.
 	releasing map[int]uint64
 	granted   [lease.Shards]granted
-	seen      map[string]sighting
-	suspects  map[string]time.Time
-	ordered   map[string]time.Time
-	sequence  uint64
-	pending   map[string]bool
+	// orderedUntil is when the last order of each shard has arrived.
+	orderedUntil [lease.Shards]time.Time
+	seen         map[string]sighting
+	suspects     map[string]time.Time
+	ordered      map[string]time.Time
+	sequence     uint64
+	pending      map[string]bool
 
 	renewedAt  time.Time
 	renewCount uint64
@@ -125,6 +131,7 @@
 		suspects:  map[string]time.Time{},
 		ordered:   map[string]time.Time{},
 		pending:   map[string]bool{},
+		watched:   map[string]bool{},
 		isStale:   true,
 	}
 }
@@ -448,9 +455,35 @@
 		Leaving:       leaving,
 		ServeUntil:    c.contact.ServeUntil(c.self.ID, c.roster.IDs(), now),
 		Daemons:       max(1, len(c.roster)),
+		Warm:          c.isWarm(now),
 	}
 }
 
+// warmBy is how long after its start a daemon counts as warm in any case.
+const warmBy = 10 * time.Second
+
+// isWarm tells whether the daemon has learned of every serving group whether it
+// is whole, so that a new daemon is not given requests that it must refuse.
+func (c *Controller) isWarm(now time.Time) bool {
+	if now.Sub(c.started) > warmBy {
+		return true
+	}
+	for _, record := range c.world.Groups {
+		evidence, ok := c.book.Newest(record.Name)
+		isKnown := ok && evidence.Generation == record.Generation && now.Sub(evidence.At) <= presence.MaxAge
+		if record.Phase == group.Serving && !isKnown {
+			return false
+		}
+	}
+	for _, listed := range c.world.VMs {
+		evidence, ok := c.book.Newest(ServerEvidence(listed.ID))
+		if listed.Service != "" && (!ok || now.Sub(evidence.At) > presence.MaxAge) {
+			return false
+		}
+	}
+	return len(c.world.VMs) > 0
+}
+
 // Snapshot is an immutable view for traffic.
 type Snapshot struct {
 	Configuration plan.Configuration
@@ -462,6 +495,8 @@
 	ServeUntil time.Time
 	// Daemons is how many daemons share the organisations' limits.
 	Daemons int
+	// Warm tells that the daemon knows enough to be given requests.
+	Warm bool
 }
 
 // IsLeaving tells whether the VM list has a VM as leaving.
--- a/core/control/groups.go
+++ b/core/control/groups.go
@@ -92,6 +92,7 @@
 			Fresh:     !known.refused && !known.answeredAt.IsZero() && now.Sub(known.answeredAt) <= freshFor,
 			State:     known.state,
 			UnseenFor: now.Sub(since),
+			Refused:   known.refused,
 			Listed:    isListed || len(c.vms) == 0,
 			Leaving:   isListed && listed.State == vm.Leaving,
 		}
@@ -106,12 +107,14 @@
 
 // send orders members, each at most once in orderAgainAfter.
 func (c *Controller) send(actions *Actions, held lease.Held, record group.Record, members []int, o order.Order) {
+	held = held.WithOrder()
 	for _, index := range members {
 		member := record.Members[index]
 		if time.Since(c.ordered[member.VM]) < orderAgainAfter {
 			continue
 		}
 		c.ordered[member.VM] = time.Now()
+		c.orderedUntil[held.Shard] = held.Expires
 		actions.Sends = append(actions.Sends, Send{
 			VM:      member.VM,
 			Address: member.Address,
@@ -210,7 +213,7 @@
 	case placement.Move:
 		next = record.WithMembers(taken, choice.Zone, choice.Domain, 0)
 	case placement.Wait:
-		c.giveUp(actions, held, record, loss)
+		c.giveUp(actions, held, record)
 		return
 	}
 	next.Generation = max(record.Generation, c.world.Floor(next.Members)) + 1
@@ -220,10 +223,17 @@
 	c.commitGroup(actions, held, record, next)
 }
 
-// giveUp frees the VMs of a group that lost members for good and fits nowhere,
+// giveUpAfter is how long a lost member is awaited where nothing can replace it.
+const giveUpAfter = time.Minute
+
+// giveUp frees the VMs of a group that lost members for long and fits nowhere,
 // so that other groups can use them.
-func (c *Controller) giveUp(actions *Actions, held lease.Held, record group.Record, loss placement.Loss) {
-	if loss.UnseenSeconds < 0 {
+func (c *Controller) giveUp(actions *Actions, held lease.Held, record group.Record) {
+	isGone := true
+	for _, view := range c.views(record, time.Now()) {
+		isGone = isGone && (view.Fresh || !view.Listed || view.UnseenFor > giveUpAfter)
+	}
+	if isGone {
 		c.commitGroup(actions, held, record, record.WithoutMembers())
 	}
 }
@@ -235,7 +245,7 @@
 	views := c.views(record, now)
 	for _, index := range lost {
 		isLost[record.Members[index].VM] = true
-		if !views[index].Listed {
+		if !views[index].Listed || views[index].Refused {
 			unseen = -1
 		}
 		if unseen >= 0 {
--- a/core/control/leases.go
+++ b/core/control/leases.go
@@ -271,14 +271,14 @@
 }
 
 // release gives a shard up. From now on the lease is neither used nor renewed.
-// Its row is freed only once the term has run out: an order decided before may
-// still be on its way until then, and a freed shard is taken at once. The
-// write is asked for again until the row shows it, since one whose answer was
-// lost may still land at any time.
+// Its row is freed only once the last order decided under it has arrived or
+// can no longer be sent, since a freed shard is taken at once. The write is
+// asked for again until the row shows it, since one whose answer was lost may
+// still land at any time.
 func (c *Controller) release(actions *Actions, shard int) {
 	held := c.held[shard]
 	c.releasing[shard] = held.Epoch
-	if held.Holds(0) {
+	if time.Now().Before(c.orderedUntil[shard]) {
 		return
 	}
 	release := held.Fence(table.Transaction{})
--- a/core/control/plans.go
+++ b/core/control/plans.go
@@ -71,7 +71,7 @@
 func (c *Controller) stepOf(current plan.Plan, step plan.Step) (change table.Transaction, isDone bool, reason string) {
 	switch step.Verb {
 	case plan.CloseZone, plan.OpenZone:
-		return c.setZone(step)
+		return c.setZone(current, step)
 	case plan.RetireVM:
 		return c.retire(step)
 	case plan.Form:
@@ -86,15 +86,19 @@
 }
 
 // setZone closes or opens a zone.
-func (c *Controller) setZone(step plan.Step) (change table.Transaction, isDone bool, reason string) {
+func (c *Controller) setZone(current plan.Plan, step plan.Step) (change table.Transaction, isDone bool, reason string) {
 	isClosed := step.Verb == plan.CloseZone
 	if c.world.Closed[step.Zone] == isClosed {
 		return change, true, ""
 	}
+	if c.world.ZonePlans[step.Zone] != current.ID {
+		return change, false, fmt.Sprintf("zone %q is not the plan's to change", step.Zone)
+	}
 	key := plan.ZoneKey(step.Zone)
 	change = change.WithCondition(key, c.rows.Row(key).Version)
 	change = change.WithWrite(table.Put(key, plan.Zone{
 		Closed: isClosed,
+		Plan:   current.ID,
 	}))
 	return change, false, ""
 }
@@ -220,6 +224,16 @@
 		claim.Plan = ""
 		change = c.claim(change, id, claim)
 	}
+	for _, zone := range slices.Sorted(maps.Keys(c.world.ZonePlans)) {
+		if c.world.ZonePlans[zone] != current.ID {
+			continue
+		}
+		key := plan.ZoneKey(zone)
+		change = change.WithCondition(key, c.rows.Row(key).Version)
+		change = change.WithWrite(table.Put(key, plan.Zone{
+			Closed: c.world.Closed[zone],
+		}))
+	}
 	if len(change.Writes) > 0 {
 		c.commit(actions, aboutPlan+current.ID, held.Fence(change))
 	}
--- a/core/control/watch.go
+++ b/core/control/watch.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -9,6 +10,7 @@
 	"headcourse/core/group"
 	"headcourse/core/lease"
 	"headcourse/core/presence"
+	"headcourse/core/roster"
 	"headcourse/core/vm"
 )
 
@@ -20,6 +22,7 @@
 // it watches or controls, and servers of plain services that it watches.
 func (c *Controller) Targets() []vm.VM {
 	c.rebuild()
+	c.noteAlive(time.Now())
 	var targets []vm.VM
 	for _, record := range c.world.Groups {
 		if !c.watches(record.Name) && !c.controls(record.Name) {
@@ -48,10 +51,35 @@
 	}
 }
 
-// watches tells whether this daemon is among the watchers of a group.
+// heardFor is how lately a daemon must have been heard to count on its watching.
+const heardFor = 3 * time.Second
+
+// watches tells whether this daemon is among the watchers of a group: it ranks
+// among the first of those daemons that were heard lately. Daemons may differ
+// on who that is; then a group has a watcher more for a while.
 func (c *Controller) watches(name string) bool {
-	rank := c.roster.Rank("watch/"+name, c.self.ID)
-	return rank >= 0 && rank < Watchers
+	known, ok := c.watched[name]
+	if !ok {
+		rank := c.alive.Rank("watch/"+name, c.self.ID)
+		known = rank >= 0 && rank < Watchers
+		c.watched[name] = known
+	}
+	return known
+}
+
+// noteAlive derives which daemons were heard lately.
+func (c *Controller) noteAlive(now time.Time) {
+	var alive roster.Roster
+	for _, daemon := range c.roster {
+		report, _ := c.contact.Report(daemon.ID)
+		if daemon.ID == c.self.ID || now.Sub(report.At) <= heardFor {
+			alive = append(alive, daemon)
+		}
+	}
+	if !slices.Equal(alive, c.alive) {
+		c.alive = alive
+		c.watched = map[string]bool{}
+	}
 }
 
 // controls tells whether this daemon holds the lease on a group's shard.
--- a/core/group/decide.go
+++ b/core/group/decide.go
@@ -11,6 +11,9 @@
 	// MissAfter is how long a member may stay unseen before it counts as lost.
 	// A shorter pause closes the group to requests but does not form it anew.
 	MissAfter = 6 * time.Second
+	// RefusedAfter is the same for a member whose VM refuses connections: its
+	// process has ended and has lost its state, so that waiting gains nothing.
+	RefusedAfter = 1500 * time.Millisecond
 	// DrainSettle is how long a draining group whose backend servers check
 	// generations is left alone, so that every daemon has learned of it.
 	DrainSettle = 3 * time.Second
@@ -24,8 +27,10 @@
 	// Fresh tells that the member answered a probe lately, with State.
 	Fresh bool
 	State order.State
-	// UnseenFor is how long the member has not answered.
+	// UnseenFor is how long the member has not answered, and Refused tells that
+	// its VM refuses connections.
 	UnseenFor time.Duration
+	Refused   bool
 	// Listed is false when the VM list no longer has the VM.
 	Listed bool
 	// Leaving tells that the VM list has the VM as leaving.
@@ -200,7 +205,11 @@
 func lostMembers(views []View) []int {
 	var lost []int
 	for i, view := range views {
-		if !view.Listed || (!view.Fresh && view.UnseenFor >= MissAfter) {
+		patience := MissAfter
+		if view.Refused {
+			patience = RefusedAfter
+		}
+		if !view.Listed || (!view.Fresh && view.UnseenFor >= patience) {
 			lost = append(lost, i)
 		}
 	}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -33,6 +33,8 @@
 	// OrderMargin is how much of the term must be left to send an order; it
 	// covers the longest time that an order travels.
 	OrderMargin = 3 * time.Second
+	// SendWithin is how soon after it was decided an order must be sent.
+	SendWithin = time.Second
 )
 
 // Shards is the number of shards that control work is cut into.
@@ -95,6 +97,15 @@
 	return nil
 }
 
+// WithOrder returns the lease as an order that is decided now may use it: only
+// for as long as it takes to send the order soon and for it to arrive.
+func (h Held) WithOrder() Held {
+	if limit := time.Now().Add(SendWithin + OrderMargin); limit.Before(h.Expires) {
+		h.Expires = limit
+	}
+	return h
+}
+
 // Fence returns the transaction made conditional on the lease's epoch.
 func (h Held) Fence(transaction table.Transaction) table.Transaction {
 	return transaction.WithCondition(Key(h.Shard), h.Epoch)
--- a/core/plan/build.go
+++ b/core/plan/build.go
@@ -104,9 +104,18 @@
 	b.notes = append(b.notes, fmt.Sprintf(format, arguments...))
 }
 
+// touchZone makes a zone's row part of the ground; it refuses a zone that
+// another plan is opening or closing.
+func (b *builder) touchZone(zone string) error {
+	if other := b.world.ZonePlans[zone]; other != "" {
+		return errors.Errorf("zone %q is being changed by plan %s", zone, other)
+	}
+	b.standOn(ZoneKey(zone))
+	return nil
+}
+
 // closeZone plans the closing of a zone.
 func (b *builder) closeZone(zone string) {
-	b.standOn(ZoneKey(zone))
 	b.world.Closed[zone] = true
 	b.steps = append(b.steps, Step{
 		Stage: b.stage,
--- a/core/plan/confirm.go
+++ b/core/plan/confirm.go
@@ -15,8 +15,8 @@
 var ErrGroundMoved = errors.New("the plan's ground moved")
 
 // Confirm returns the transaction that confirms a proposed plan in this world:
-// it reserves the free VMs that the plan takes and marks the groups that it
-// changes, all conditional on the plan's ground. It returns ErrGroundMoved,
+// it reserves the free VMs that the plan takes and marks the groups and zones
+// that it changes, all conditional on the plan's ground. It returns ErrGroundMoved,
 // with what moved, where it can see already that the transaction would fail.
 func Confirm(proposed Plan, world World) (table.Transaction, error) {
 	if proposed.State != Proposed {
@@ -36,6 +36,14 @@
 			confirm = confirm.WithWrite(table.Put(group.Key(name), record.WithPlan(proposed.ID)))
 		}
 	}
+	for _, step := range proposed.Steps {
+		if step.Verb == CloseZone || step.Verb == OpenZone {
+			confirm = confirm.WithWrite(table.Put(ZoneKey(step.Zone), Zone{
+				Closed: world.Closed[step.Zone],
+				Plan:   proposed.ID,
+			}))
+		}
+	}
 	for _, id := range proposed.Reserves {
 		claim := world.Claims[id]
 		claim.Plan = proposed.ID
--- a/core/plan/kinds.go
+++ b/core/plan/kinds.go
@@ -103,6 +103,9 @@
 // drainZones closes zones and replaces their groups in others.
 func (b *builder) drainZones(zones []string) error {
 	for _, zone := range zones {
+		if err := b.touchZone(zone); err != nil {
+			return err
+		}
 		b.closeZone(zone)
 	}
 	b.stage++
@@ -138,7 +141,9 @@
 	if !b.world.Closed[b.intent.Zone] {
 		return errors.Errorf("zone %q is not closed", b.intent.Zone)
 	}
-	b.standOn(ZoneKey(b.intent.Zone))
+	if err := b.touchZone(b.intent.Zone); err != nil {
+		return err
+	}
 	b.steps = append(b.steps, Step{
 		Verb: OpenZone,
 		Zone: b.intent.Zone,
@@ -157,6 +162,12 @@
 	if claim.Retired {
 		return errors.Errorf("VM %q is retired already", id)
 	}
+	if claim.Plan != "" {
+		return errors.Errorf("VM %q is reserved by plan %s", id, claim.Plan)
+	}
+	if claim.Free() {
+		b.reserves[id] = true
+	}
 	b.removeFree(id)
 	if record, ok := b.world.Group(claim.Group); ok && record.Has(id) {
 		if err := b.vacate(record, id); err != nil {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -37,6 +37,8 @@
 // Zone is the value of a zone's row. A closed zone is given no groups.
 type Zone struct {
 	Closed bool `json:"closed"`
+	// Plan is the confirmed plan that opens or closes the zone.
+	Plan string `json:"plan,omitempty"`
 }
 
 // Intent is what an operator wants. Kind selects the fields that count.
--- a/core/plan/world.go
+++ b/core/plan/world.go
@@ -30,7 +30,9 @@
 	Claims        map[string]vm.Claim
 	VMs           []vm.VM
 	Closed        map[string]bool
-	Plans         []Plan
+	// ZonePlans names the plan that is opening or closing a zone.
+	ZonePlans map[string]string
+	Plans     []Plan
 }
 
 // Reader reads worlds out of catalogs and decodes each version of a row once.
@@ -57,6 +59,8 @@
 		Claims:  map[string]vm.Claim{},
 		VMs:     append([]vm.VM(nil), vms...),
 		Closed:  map[string]bool{},
+
+		ZonePlans: map[string]string{},
 	}
 	sort.Slice(world.VMs, func(i, j int) bool {
 		return world.VMs[i].ID < world.VMs[j].ID
@@ -81,6 +85,9 @@
 	}
 	err = each(r, rows, ZoneKeyPrefix, func(name string, found Zone) {
 		world.Closed[name] = found.Closed
+		if found.Plan != "" {
+			world.ZonePlans[name] = found.Plan
+		}
 	})
 	if err != nil {
 		return world, err
--- a/io/caller/answer.go
+++ b/io/caller/answer.go
@@ -104,16 +104,18 @@
 	return c.Status(reply.Status).Send(reply.Body)
 }
 
-// handleError answers requests that the HTTP library itself refuses.
+// handleError answers requests that the HTTP library itself refuses. Its text
+// may quote the request with its key, so that only errors of known text are
+// passed on.
 func (s *Server) handleError(c fiber.Ctx, err error) error {
-	status := fiber.StatusBadRequest
+	status, text := fiber.StatusBadRequest, "malformed HTTP request"
 	var known *fiber.Error
-	if errors.As(err, &known) {
-		status = known.Code
+	if errors.As(err, &known) && known.Code != fiber.StatusBadRequest {
+		status, text = known.Code, fiber.NewError(known.Code).Message
 	}
 	s.count(counterRefusal + string(outcome.ReasonBadRequest))
 	c.Set(headerOutcome, outcome.NotRun.String())
-	return c.Status(status).JSON(errorOf("", badRequest(err.Error())))
+	return c.Status(status).JSON(errorOf("", badRequest(text)))
 }
 
 // encodeError returns a failure as the event that ends a broken stream.
--- a/io/caller/job.go
+++ b/io/caller/job.go
@@ -48,6 +48,9 @@
 	repeatable bool
 	key        string
 	priority   int
+	// mayHaveRun tells that an earlier try ended in an unknown outcome, so that
+	// whatever comes after it, the job cannot be said not to have run.
+	mayHaveRun bool
 	// tries counts how often the job was begun.
 	tries  int
 	ctx    context.Context
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -79,6 +79,9 @@
 // conclude gives the caller what became of a job.
 func (s *Server) conclude(c fiber.Ctx, made *job, reply engine.Reply, failure *outcome.Failure) error {
 	if failure != nil {
+		if made.mayHaveRun {
+			failure.Outcome = outcome.Unknown
+		}
 		s.settleFailure(made, failure)
 		made.finish()
 		return s.refuse(c, made.id, failure)
@@ -126,6 +129,7 @@
 	s.count(counterRetry + string(failure.Reason))
 	s.log.Debug("callers: trying again", zap.String("request", made.id), zap.Error(failure))
 	if failure.Outcome != outcome.NotRun {
+		made.mayHaveRun = true
 		s.cancelWork(made)
 	}
 	return true
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -182,6 +182,9 @@
 	if s.unready.Load() {
 		return c.Status(fiber.StatusServiceUnavailable).SendString(string(outcome.ReasonLeaving) + "\n")
 	}
+	if !s.source.Snapshot().Warm {
+		return c.Status(fiber.StatusServiceUnavailable).SendString("warming_up\n")
+	}
 	if refusal := s.readiness(); refusal != nil {
 		return c.Status(fiber.StatusServiceUnavailable).SendString(string(refusal.Reason) + "\n")
 	}
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -214,9 +214,30 @@
 		}
 		time.Sleep(200 * time.Millisecond)
 	}
+	s.showGroups()
 	return errors.Errorf("plan %s: not done after %s", proposed.Plan.ID, planTimeout)
 }
 
+// showGroups writes what the operator's daemon knows of each group and lease.
+func (s *stage) showGroups() {
+	groups, err := s.operator.Groups()
+	if err != nil {
+		s.say("groups: %s", err)
+		return
+	}
+	for _, one := range groups {
+		s.say("    %s %s generation %d, whole %t, evidence %.1f s old, plan %q", one.Record.Name, one.Record.Phase, one.Record.Generation, one.Serveable, one.Age, one.Record.Plan)
+	}
+	status, err := s.operator.Status()
+	if err != nil {
+		s.say("status: %s", err)
+		return
+	}
+	for _, lease := range status.Leases {
+		s.say("    shard %d: %s", lease.Shard, lease.Holder)
+	}
+}
+
 // whole returns how many groups exist and how many may be given requests, as
 // the operator's daemon sees them.
 func (s *stage) whole() (groups, whole int) {
--- a/lab/demo/perform.go
+++ b/lab/demo/perform.go
@@ -201,14 +201,8 @@
 	}
 	s.say("account of %s over %.0f s:", s.deployment.Declaration.Deployment, sum.seconds)
 	s.say("    requests %d: whole %d, not run %d, unknown %d, broken %d, unreached %d", len(report.Outcomes), report.Count(load.Whole), report.Count(load.NotRun), report.Count(load.Unknown), report.Count(load.Broken), report.Count(load.Unreached))
-	reasons := report.Reasons()
-	names := make([]string, 0, len(reasons))
-	for name := range reasons {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
-		s.say("        %-40s %d", name, reasons[name])
+	for _, reason := range report.Reasons() {
+		s.say("        %-40s %4d  from %.1f s to %.1f s of the load", reason.Name, reason.Count, reason.First.Seconds(), reason.Last.Seconds())
 	}
 	s.say("    promises: lost %d, doubled %d, foreign %d, cut %d, told not run but ran %d", lost, doubled, report.Count(load.Foreign), report.Count(load.Cut), lied)
 	s.say("    group downtime %.1f group seconds; stranded %.1f accelerators on average", sum.downtime, sum.stranded/sum.seconds)
--- a/lab/engine/engine.go
+++ b/lab/engine/engine.go
@@ -256,17 +256,29 @@
 // watchEvery is the time between two looks at the other members.
 const watchEvery = 150 * time.Millisecond
 
-// watchMembers cuts all work as soon as another member is missing.
+// missLimit is how often in a row another member may not answer.
+const missLimit = 3
+
+// watchMembers cuts all work as soon as another member is missing: when it
+// says that it is not part of the group, or has not answered missLimit times.
 func (e *Engine) watchMembers(ctx context.Context, received order.Order) {
 	client := &fasthttp.Client{
 		ReadTimeout:  4 * watchEvery,
 		WriteTimeout: 4 * watchEvery,
 	}
+	misses := 0
 	for sleep(ctx, watchEvery) {
-		isWhole := true
+		isWhole, isAnswered := true, true
 		for _, address := range received.Addresses[1:] {
-			isWhole = isWhole && answersFor(client, address, received)
+			isPart, err := answersFor(client, address, received)
+			isAnswered = isAnswered && err == nil
+			isWhole = isWhole && (isPart || err != nil)
+		}
+		misses++
+		if isAnswered {
+			misses = 0
 		}
+		isWhole = isWhole && misses < missLimit
 		e.mutex.Lock()
 		if !isWhole && ctx.Err() == nil {
 			e.cutRuns()
@@ -277,14 +289,14 @@
 }
 
 // answersFor tells whether a member says that it is part of the group.
-func answersFor(client *fasthttp.Client, address string, received order.Order) bool {
-	status, body, err := client.Get(nil, "http://"+address+"/state")
-	if err != nil || status != fasthttp.StatusOK {
-		return false
+func answersFor(client *fasthttp.Client, address string, received order.Order) (bool, error) {
+	_, body, err := client.Get(nil, "http://"+address+"/state")
+	if err != nil {
+		return false, err
 	}
 	var state order.State
-	if json.Unmarshal(body, &state) != nil {
-		return false
+	if err = json.Unmarshal(body, &state); err != nil {
+		return false, err
 	}
-	return state.Group == received.Group && state.Generation == received.Generation
+	return state.Group == received.Group && state.Generation == received.Generation, nil
 }
--- /dev/null
+++ b/lab/fleet/operators.go
@@ -0,0 +1,113 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"headcourse/core/declaration"
+	"headcourse/core/plan"
+	"headcourse/core/table"
+)
+
+// ----------------------------------------------------------------------------
+// Operators
+
+// Apply commits a declaration as the operators' side does.
+func (f *Fleet) Apply(one *Host, next declaration.Declaration) error {
+	world := one.Controller.World()
+	change := table.Transaction{}
+	change = change.WithCondition(plan.ConfigKey, world.Catalog.Row(plan.ConfigKey).Version)
+	change = change.WithWrite(table.Put(plan.ConfigKey, plan.Configuration{
+		Revision:    world.Configuration.Revision + 1,
+		Declaration: next,
+	}))
+	_, err := f.memory.Commit(context.Background(), change)
+	return err
+}
+
+// Propose stores the plan that one daemon makes of an intent.
+func (f *Fleet) Propose(one *Host, id string, intent plan.Intent) (plan.Plan, error) {
+	made, err := plan.Build(id, "operator", intent, one.Controller.World())
+	if err != nil {
+		return made, err
+	}
+	change := table.Transaction{}
+	change = change.WithCondition(plan.Key(id), 0)
+	change = change.WithWrite(table.Put(plan.Key(id), made))
+	_, err = f.memory.Commit(context.Background(), change)
+	return made, err
+}
+
+// Confirm confirms a plan with the world as one daemon sees it.
+func (f *Fleet) Confirm(one *Host, id string) error {
+	found, err := f.Plan(id)
+	if err != nil {
+		return err
+	}
+	change, err := plan.Confirm(found, one.Controller.World())
+	if err != nil {
+		return err
+	}
+	_, err = f.memory.Commit(context.Background(), change)
+	return err
+}
+
+// Plan reads a plan from the table.
+func (f *Fleet) Plan(id string) (plan.Plan, error) {
+	var found plan.Plan
+	row, err := f.memory.Read(context.Background(), plan.Key(id))
+	if err != nil || row.Version == 0 {
+		return found, errors.Errorf("no plan %q", id)
+	}
+	return found, row.Decode(&found)
+}
+
+// Change pauses, resumes or abandons a plan.
+func (f *Fleet) Change(id string, change plan.Change) error {
+	row, err := f.memory.Read(context.Background(), plan.Key(id))
+	if err != nil {
+		return err
+	}
+	found, err := f.Plan(id)
+	if err != nil {
+		return err
+	}
+	next, err := found.Apply(change)
+	if err != nil {
+		return err
+	}
+	write := table.Transaction{}
+	write = write.WithCondition(row.Key, row.Version)
+	write = write.WithWrite(table.Put(row.Key, next))
+	_, err = f.memory.Commit(context.Background(), write)
+	return err
+}
+
+// StartDeclared brings a fleet to where three zones have two groups each.
+func (f *Fleet) StartDeclared() error {
+	f.Run(5 * time.Second)
+	if err := f.Apply(f.Hosts[0], Declared(map[string]int{"z0": 2, "z1": 2, "z2": 2}, "1")); err != nil {
+		return err
+	}
+	f.Run(6 * time.Second)
+	if _, err := f.Propose(f.Hosts[0], "first", plan.Intent{
+		Kind: plan.Reconcile,
+	}); err != nil {
+		return err
+	}
+	f.Run(3 * time.Second)
+	if err := f.Confirm(f.Hosts[0], "first"); err != nil {
+		return err
+	}
+	f.Run(60 * time.Second)
+	found, err := f.Plan("first")
+	if err != nil {
+		return err
+	}
+	if found.State != plan.Done || len(f.Broken) > 0 {
+		return errors.Errorf("plan is %s at stage %d: %s; broken: %v", found.State, found.Stage, found.Reason, f.Broken)
+	}
+	return nil
+}
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"sort"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -69,6 +70,8 @@
 	Verdict   Verdict
 	Reason    string
 	RequestID string
+	// At is when the request was meant to start, from the start of the load.
+	At time.Duration
 	// Charge names the request in the plain services' ledgers, if it was one.
 	Charge string
 }
@@ -95,14 +98,39 @@
 	return count
 }
 
-// Reasons returns how many requests failed for each reason.
-func (r *Report) Reasons() map[string]int {
-	reasons := map[string]int{}
+// Reason sums up the requests that failed for one reason: how many, and when
+// the first and the last of them were meant to start.
+type Reason struct {
+	Name  string
+	Count int
+	First time.Duration
+	Last  time.Duration
+}
+
+// Reasons returns the reasons of failures in the order of their names.
+func (r *Report) Reasons() []Reason {
+	byName := map[string]Reason{}
 	for _, one := range r.Outcomes {
-		if one.Reason != "" {
-			reasons[string(one.Verdict)+" "+one.Reason]++
+		if one.Reason == "" {
+			continue
+		}
+		name := string(one.Verdict) + " " + one.Reason
+		sum, ok := byName[name]
+		if !ok {
+			sum.Name, sum.First = name, one.At
 		}
+		sum.Count++
+		sum.First = min(sum.First, one.At)
+		sum.Last = max(sum.Last, one.At)
+		byName[name] = sum
 	}
+	reasons := make([]Reason, 0, len(byName))
+	for _, sum := range byName {
+		reasons = append(reasons, sum)
+	}
+	sort.Slice(reasons, func(i, j int) bool {
+		return reasons[i].Name < reasons[j].Name
+	})
 	return reasons
 }
 
@@ -119,6 +147,7 @@
 	settings Settings
 	balancer *Balancer
 	client   *http1.Client
+	began    time.Time
 	mutex    sync.Mutex
 	report   *Report
 }
@@ -129,6 +158,7 @@
 	one := &runner{
 		settings: settings,
 		balancer: balancer,
+		began:    time.Now(),
 		client: &http1.Client{
 			IdleTimeout: settings.Deadline + 5*time.Second,
 		},
@@ -183,6 +213,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	outcome.At = intended.Sub(r.began)
 	r.report.Outcomes = append(r.report.Outcomes, outcome)
 }
 
--- a/labcommand/load.go
+++ b/labcommand/load.go
@@ -60,8 +60,8 @@
 			return err
 		}
 	}
-	for reason, count := range report.Reasons() {
-		if _, err = fmt.Fprintf(streams.Out, "%-40s %d\n", reason, count); err != nil {
+	for _, reason := range report.Reasons() {
+		if _, err = fmt.Fprintf(streams.Out, "%-40s %d\n", reason.Name, reason.Count); err != nil {
 			return err
 		}
 	}
