Measure group downtime and stranded accelerators against baselines

Cause: nothing showed whether the repair and migration policies earn their place. Change: headcourse-lab measures plays seeded hours of failures and one migration against the real controllers on the paused clock, for headcourse, first-fit repair, always waiting, and break before make; the repair policy is an interface now.

--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -23,7 +23,11 @@
 
 func TestReconcileFormsGroups(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(3, 5, true)
+		f := fleet.New(fleet.Settings{
+			Daemons:      3,
+			VMsPerDomain: 5,
+			ChecksOrders: true,
+		})
 		qt.Assert(t, f.StartDeclared(), qt.IsNil)
 		qt.Assert(t, f.Serving(), qt.Equals, 6)
 	})
@@ -31,7 +35,11 @@
 
 func TestDrainZoneMovesGroupsWithoutDowntime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(3, 6, true)
+		f := fleet.New(fleet.Settings{
+			Daemons:      3,
+			VMsPerDomain: 6,
+			ChecksOrders: true,
+		})
 		qt.Assert(t, f.StartDeclared(), qt.IsNil)
 		made, err := f.Propose(f.Hosts[1], "drain", plan.Intent{
 			Kind: plan.DrainZone,
@@ -58,7 +66,11 @@
 
 func TestConflictingPlansNeverBothWin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(3, 6, true)
+		f := fleet.New(fleet.Settings{
+			Daemons:      3,
+			VMsPerDomain: 6,
+			ChecksOrders: true,
+		})
 		qt.Assert(t, f.StartDeclared(), qt.IsNil)
 		_, err := f.Propose(f.Hosts[0], "a", plan.Intent{
 			Kind: plan.DrainZone,
@@ -80,7 +92,11 @@
 
 func TestPausedMemberReturnsWithoutReforming(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(3, 5, true)
+		f := fleet.New(fleet.Settings{
+			Daemons:      3,
+			VMsPerDomain: 5,
+			ChecksOrders: true,
+		})
 		qt.Assert(t, f.StartDeclared(), qt.IsNil)
 		record := f.Hosts[0].Controller.World().Groups[0]
 		f.Servers[record.Members[1].VM].Paused = true
@@ -97,7 +113,11 @@
 
 func TestDeadMemberIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(3, 5, true)
+		f := fleet.New(fleet.Settings{
+			Daemons:      3,
+			VMsPerDomain: 5,
+			ChecksOrders: true,
+		})
 		qt.Assert(t, f.StartDeclared(), qt.IsNil)
 		record := f.Hosts[0].Controller.World().Groups[0]
 		f.Servers[record.Members[0].VM].Die()
@@ -111,7 +131,11 @@
 
 func TestStoreOutageStopsNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(5, 5, true)
+		f := fleet.New(fleet.Settings{
+			Daemons:      5,
+			VMsPerDomain: 5,
+			ChecksOrders: true,
+		})
 		qt.Assert(t, f.StartDeclared(), qt.IsNil)
 		f.StoreOut = true
 		for range 60 {
@@ -127,7 +151,11 @@
 
 func TestLeavingVMGetsNoNewWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(3, 5, true)
+		f := fleet.New(fleet.Settings{
+			Daemons:      3,
+			VMsPerDomain: 5,
+			ChecksOrders: true,
+		})
 		qt.Assert(t, f.StartDeclared(), qt.IsNil)
 		record := f.Hosts[0].Controller.World().Groups[0]
 		leaving := f.List[record.Members[1].VM]
@@ -150,7 +178,11 @@
 // faults are lifted and the fleet must have come to rest where it was asked.
 func TestFleetKeepsItsPromises(t *testing.T) {
 	fuzz.Check(t, func(rt *rapid.T) {
-		f := fleet.New(rapid.IntRange(2, 5).Draw(rt, "daemons"), 5, rapid.Bool().Draw(rt, "checks orders"))
+		f := fleet.New(fleet.Settings{
+			Daemons:      rapid.IntRange(2, 5).Draw(rt, "daemons"),
+			VMsPerDomain: 5,
+			ChecksOrders: rapid.Bool().Draw(rt, "checks orders"),
+		})
 		if err := f.StartDeclared(); err != nil {
 			rt.Fatal(err)
 		}
@@ -337,7 +369,11 @@
 // backend server is dead.
 func TestPlanAvoidsVMsThatDoNotAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(3, 6, true)
+		f := fleet.New(fleet.Settings{
+			Daemons:      3,
+			VMsPerDomain: 6,
+			ChecksOrders: true,
+		})
 		qt.Assert(t, f.StartDeclared(), qt.IsNil)
 		dead := map[string]bool{}
 		for _, domain := range f.Hosts[0].Controller.World().Domains(nil) {
--- a/core/control/controller.go
+++ b/core/control/controller.go
@@ -21,6 +21,7 @@
 	"headcourse/core/group"
 	"headcourse/core/lease"
 	"headcourse/core/order"
+	"headcourse/core/placement"
 	"headcourse/core/plan"
 	"headcourse/core/presence"
 	"headcourse/core/roster"
@@ -83,6 +84,8 @@
 	leaving bool
 	started time.Time
 
+	repairer Repairer
+
 	rows    catalog.Catalog
 	log     []change
 	logged  int
@@ -118,11 +121,22 @@
 	refresh    bool
 }
 
+// Repairer chooses what is done about a group that lost members.
+type Repairer interface {
+	Repair(loss placement.Loss, domains []placement.Domain, weights declaration.Weights) (placement.Remedy, placement.Choice)
+}
+
+// RepairBy replaces the repair policy, which is placement.Weighed.
+func (c *Controller) RepairBy(repairer Repairer) {
+	c.repairer = repairer
+}
+
 // New returns the controller of a daemon that has learned nothing yet.
 func New(self roster.Daemon) *Controller {
 	return &Controller{
 		self:      self,
 		started:   time.Now(),
+		repairer:  placement.Weighed{},
 		vms:       map[string]vm.VM{},
 		probes:    map[string]probe{},
 		held:      map[int]lease.Held{},
--- a/core/control/groups.go
+++ b/core/control/groups.go
@@ -204,7 +204,7 @@
 		return
 	}
 	loss, isLost := c.lossOf(record, model, lost, now)
-	remedy, choice := placement.Repair(loss, c.freeDomains(), c.world.Configuration.Declaration.Weights)
+	remedy, choice := c.repairer.Repair(loss, c.freeDomains(), c.world.Configuration.Declaration.Weights)
 	taken := plan.MembersOf(choice.Members)
 	var next group.Record
 	switch remedy {
@@ -212,8 +212,10 @@
 		next = record.WithMembers(replaceLost(record.Members, isLost, taken), record.Zone, record.Domain, 0)
 	case placement.Move:
 		next = record.WithMembers(taken, choice.Zone, choice.Domain, 0)
+	case placement.GiveUp:
+		c.commitGroup(actions, held, record, record.WithoutMembers())
+		return
 	case placement.Wait:
-		c.giveUp(actions, held, record)
 		return
 	}
 	next.Generation = max(record.Generation, c.world.Floor(next.Members)) + 1
@@ -223,28 +225,14 @@
 	c.commitGroup(actions, held, record, next)
 }
 
-// giveUpAfter is how long a lost member is awaited where nothing can replace it.
-const giveUpAfter = time.Minute
-
-// giveUp frees the VMs of a group that lost members for long and fits nowhere,
-// so that other groups can use them.
-func (c *Controller) giveUp(actions *Actions, held lease.Held, record group.Record) {
-	isGone := true
-	for _, view := range c.views(record, time.Now()) {
-		isGone = isGone && (view.Fresh || !view.Listed || view.UnseenFor > giveUpAfter)
-	}
-	if isGone {
-		c.commitGroup(actions, held, record, record.WithoutMembers())
-	}
-}
-
 // lossOf describes the loss, and returns the lost VMs.
 func (c *Controller) lossOf(record group.Record, model declaration.Model, lost []int, now time.Time) (placement.Loss, map[string]bool) {
 	isLost := map[string]bool{}
-	unseen := 0.0
+	unseen, away := 0.0, 0.0
 	views := c.views(record, now)
 	for _, index := range lost {
 		isLost[record.Members[index].VM] = true
+		away = max(away, views[index].UnseenFor.Seconds())
 		if !views[index].Listed || views[index].Refused {
 			unseen = -1
 		}
@@ -266,6 +254,7 @@
 		Domain:        record.Domain,
 		LoadSeconds:   model.LoadTime.Or(declaration.DefaultLoadTime).Seconds(),
 		UnseenSeconds: unseen,
+		AwaySeconds:   away,
 		Accelerators:  accelerators,
 	}, isLost
 }
--- a/core/placement/repair.go
+++ b/core/placement/repair.go
@@ -16,8 +16,14 @@
 	Move Remedy = "move"
 	// Wait leaves the group as it is for now.
 	Wait Remedy = "wait"
+	// GiveUp frees the group's VMs for other groups, until it fits somewhere.
+	GiveUp Remedy = "give_up"
 )
 
+// giveUpSeconds is how long lost members are awaited where nothing can stand in
+// for them.
+const giveUpSeconds = 60.0
+
 // Loss describes a group that lost members.
 type Loss struct {
 	Group string
@@ -32,13 +38,18 @@
 	// UnseenSeconds is how long the lost members have been away so far;
 	// negative when they are gone for good.
 	UnseenSeconds float64
+	// AwaySeconds is how long they have been away, gone for good or not.
+	AwaySeconds float64
 	// Accelerators are those of the members kept.
 	Accelerators int
 }
 
+// Weighed is the repair policy of headcourse. The zero value works.
+type Weighed struct{}
+
 // Repair returns the cheapest remedy under the weights and the VMs it takes:
 // those that replace the lost ones, or all members in the new domain.
-func Repair(loss Loss, domains []Domain, weights declaration.Weights) (Remedy, Choice) {
+func (Weighed) Repair(loss Loss, domains []Domain, weights declaration.Weights) (Remedy, Choice) {
 	size := loss.Lost + loss.Kept
 	remedy, choice, cost := Wait, Choice{}, waitCost(loss, weights)
 	if spares := sparesOf(domains, loss.Domain); loss.Kept > 0 && len(spares) >= loss.Lost {
@@ -64,6 +75,9 @@
 	if len(moved.Members) == size && moveCost < cost {
 		return Move, moved
 	}
+	if remedy == Wait && loss.AwaySeconds > giveUpSeconds {
+		return GiveUp, Choice{}
+	}
 	return remedy, choice
 }
 
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +11,9 @@
 	"go.uber.org/zap"
 
 	"headcourse/core/admission"
+	"headcourse/core/control"
 	"headcourse/core/declaration"
+	"headcourse/core/group"
 	"headcourse/core/idempotency"
 	"headcourse/core/outcome"
 	"headcourse/core/route"
@@ -284,7 +287,7 @@
 // group, or no live server, and waiting in a queue would only hide that.
 func (s *Server) hopeless(made *job) *outcome.Failure {
 	snapshot := s.source.Snapshot()
-	if made.model != "" && len(snapshot.Serveable(made.model, time.Now())) == 0 {
+	if made.model != "" && len(s.believed(snapshot, made.model)) == 0 {
 		return outcome.Refuse(outcome.ReasonNoGroup, "choose group")
 	}
 	if made.service != "" && len(snapshot.Servers(made.service, time.Now())) == 0 {
@@ -293,29 +296,36 @@
 	return nil
 }
 
+// believed returns the groups of a model that may take a request, but for those
+// that have themselves disproved the evidence that they are whole.
+func (s *Server) believed(snapshot *control.Snapshot, model string) []group.Record {
+	groups := snapshot.Serveable(model, time.Now())
+	return slices.DeleteFunc(groups, func(record group.Record) bool {
+		evidence, _ := snapshot.Book.Newest(record.Name)
+		disproved, ok := s.refused.Load(record.Name)
+		return ok && disproved == evidence.At
+	})
+}
+
 // choose picks a backend server for a job and takes a place there.
 func (s *Server) choose(made *job) bool {
 	if made.service != "" {
 		return s.chooseServer(made)
 	}
 	snapshot := s.source.Snapshot()
-	now := time.Now()
-	if now.After(snapshot.ServeUntil) {
+	if time.Now().After(snapshot.ServeUntil) {
 		return false
 	}
-	groups := snapshot.Serveable(made.model, now)
-	candidates := make([]route.Candidate, 0, len(groups))
-	for _, record := range groups {
+	groups := s.believed(snapshot, made.model)
+	candidates := make([]route.Candidate, len(groups))
+	for i, record := range groups {
 		evidence, _ := snapshot.Book.Newest(record.Name)
-		if disproved, ok := s.refused.Load(record.Name); ok && disproved == evidence.At {
-			continue
-		}
-		candidates = append(candidates, route.Candidate{
+		candidates[i] = route.Candidate{
 			Group:      record.Name,
 			Reported:   evidence.InFlight,
 			Slots:      evidence.Slots,
 			ReportedAt: evidence.At,
-		})
+		}
 	}
 	picked, ok := s.policy.Pick(made.prefix, candidates, s.tracker.Load)
 	if !ok {
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"headcourse/core/contact"
 	"headcourse/core/control"
 	"headcourse/core/declaration"
+	"headcourse/core/placement"
 	"headcourse/core/presence"
 	"headcourse/core/roster"
 	"headcourse/core/table"
@@ -88,6 +89,7 @@
 
 // Fleet is everything.
 type Fleet struct {
+	settings Settings
 	memory   *tablestore.Memory
 	StoreOut bool
 	Servers  map[string]*Server
@@ -147,9 +149,28 @@
 	return f.fleet.memory.Scan(ctx, request)
 }
 
+// Settings are the properties of a fleet. Fields left out have the defaults of
+// the stateful tests.
+type Settings struct {
+	Daemons      int
+	VMsPerDomain int
+	ChecksOrders bool
+	// LoadTime is how long a server loads a model.
+	LoadTime time.Duration
+	// Repairer is the repair policy of every daemon.
+	Repairer control.Repairer
+}
+
 // New returns a fleet of daemons before zones with two domains each.
-func New(daemons, vmsPerDomain int, checksOrders bool) *Fleet {
+func New(settings Settings) *Fleet {
+	if settings.LoadTime == 0 {
+		settings.LoadTime = loadTime
+	}
+	if settings.Repairer == nil {
+		settings.Repairer = placement.Weighed{}
+	}
 	made := &Fleet{
+		settings: settings,
 		memory:   &tablestore.Memory{},
 		Servers:  map[string]*Server{},
 		List:     map[string]vm.VM{},
@@ -160,7 +181,7 @@
 	}
 	for zone := range Zones {
 		for domain := range 2 {
-			for number := range vmsPerDomain {
+			for number := range settings.VMsPerDomain {
 				listed := vm.VM{
 					ID:           fmt.Sprintf("z%d-d%d-%d", zone, domain, number),
 					Zone:         fmt.Sprintf("z%d", zone),
@@ -168,19 +189,20 @@
 					Address:      fmt.Sprintf("10.0.%d.%d:1", zone, domain*100+number),
 					Accelerators: 8,
 					State:        vm.Live,
-					ChecksOrders: checksOrders,
+					ChecksOrders: settings.ChecksOrders,
 				}
 				made.IDs = append(made.IDs, listed.ID)
 				made.List[listed.ID] = listed
 				made.Servers[listed.ID] = &Server{
-					VM:     listed,
-					goodAt: map[string]time.Time{},
+					loadTime: settings.LoadTime,
+					VM:       listed,
+					goodAt:   map[string]time.Time{},
 				}
 			}
 		}
 	}
 	made.memory.OnCommit = made.checkCommit
-	for range daemons {
+	for range settings.Daemons {
 		made.AddDaemon()
 	}
 	return made
@@ -189,13 +211,15 @@
 // AddDaemon starts a daemon.
 func (f *Fleet) AddDaemon() {
 	f.born++
+	born := control.New(roster.Daemon{
+		ID:   fmt.Sprintf("daemon-%02d", f.born),
+		Zone: fmt.Sprintf("z%d", f.born%Zones),
+		Peer: fmt.Sprintf("10.1.0.%d:1", f.born),
+	})
+	born.RepairBy(f.settings.Repairer)
 	f.Hosts = append(f.Hosts, &Host{
-		Controller: control.New(roster.Daemon{
-			ID:   fmt.Sprintf("daemon-%02d", f.born),
-			Zone: fmt.Sprintf("z%d", f.born%Zones),
-			Peer: fmt.Sprintf("10.1.0.%d:1", f.born),
-		}),
-		positions: map[string]int{},
+		Controller: born,
+		positions:  map[string]int{},
 	})
 }
 
--- a/lab/fleet/operators.go
+++ b/lab/fleet/operators.go
@@ -64,6 +64,17 @@
 	return found, row.Decode(&found)
 }
 
+// Rewrite changes a stored plan, as no operator can; baselines are made so.
+func (f *Fleet) Rewrite(id string, rewrite func(plan.Plan) plan.Plan) error {
+	found, err := f.Plan(id)
+	if err != nil {
+		return err
+	}
+	write := table.Transaction{}.WithWrite(table.Put(plan.Key(id), rewrite(found)))
+	_, err = f.memory.Commit(context.Background(), write)
+	return err
+}
+
 // Change pauses, resumes or abandons a plan.
 func (f *Fleet) Change(id string, change plan.Change) error {
 	row, err := f.memory.Read(context.Background(), plan.Key(id))
--- a/lab/fleet/server.go
+++ b/lab/fleet/server.go
@@ -16,6 +16,8 @@
 	fence   order.Fence
 	State   order.State
 	loading time.Time
+	// loadTime is how long a load takes.
+	loadTime time.Duration
 	// goodAt is when it was last present and loaded, by group and generation.
 	goodAt map[string]time.Time
 	// ends holds when the requests in flight will be finished.
@@ -80,7 +82,7 @@
 		s.members = o.Members
 		s.State.Group = o.Group
 		s.State.Generation = o.Generation
-		s.loading = time.Now().Add(loadTime)
+		s.loading = time.Now().Add(s.loadTime)
 	}
 }
 
--- a/labcommand/labcommand.go
+++ b/labcommand/labcommand.go
@@ -16,6 +16,7 @@
 type CLI struct {
 	Demo     DemoCommand     `cmd:"" help:"Play both deployments in one process, with failures, and check every answer."`
 	Platform PlatformCommand `cmd:"" help:"Run the stand-ins of one deployment, for daemons in other processes."`
+	Measures MeasuresCommand `cmd:"" help:"Compare group downtime and stranded accelerators with baselines, in virtual time."`
 	Routes   RoutesCommand   `cmd:"" help:"Compare routing policies on the same load, in virtual time."`
 	Load     LoadCommand     `cmd:"" help:"Send callers' load to daemons and check every answer."`
 }
--- /dev/null
+++ b/labcommand/measures.go
@@ -0,0 +1,62 @@
+package labcommand
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"headcourse/lab/examples"
+	"headcourse/lab/measures"
+)
+
+// MeasuresCommand compares the two measures of the brief with baselines.
+type MeasuresCommand struct {
+	Hours    float64       `name:"hours" default:"8" help:"Virtual time of each run."`
+	Seeds    []uint64      `name:"seeds" default:"1,2,3" help:"Seeds of the failures."`
+	LoadTime time.Duration `name:"load-time" default:"90s" help:"Time that a model loads."`
+}
+
+// Run prints a row for each operator's weights, policy and seed, and the range
+// over the seeds. It fails if the oracle saw a promise broken.
+func (m *MeasuresCommand) Run(streams *Streams) error {
+	var operators []measures.Weights
+	for _, name := range examples.Names() {
+		deployment, err := examples.Load(name)
+		if err != nil {
+			return err
+		}
+		operators = append(operators, measures.Weights{
+			Name:    name,
+			Weights: deployment.Declaration.Weights,
+		})
+	}
+	measures.Compare(measures.Settings{
+		Hours:    m.Hours,
+		Seeds:    m.Seeds,
+		LoadTime: m.LoadTime,
+	}, operators, func(results []measures.Result) error {
+		return writeMeasures(streams.Out, results)
+	})
+	return nil
+}
+
+// writeMeasures writes a row for each run.
+func writeMeasures(out io.Writer, results []measures.Result) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "WEIGHTS\tPOLICY\tSEED\tGROUP DOWNTIME S\tSTRANDED ACCELERATOR H\tCOST")
+	var broken []string
+	for _, result := range results {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%.0f\t%.1f\t%.0f\n", result.Weights.Name, result.Policy.Name, result.Seed, result.Downtime, result.Stranded, result.Cost)
+		broken = append(broken, result.Broken...)
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	if len(broken) > 0 {
+		return errors.Errorf("promises broken: %v", broken)
+	}
+	return nil
+}
