--- a/core/control/controller.go
+++ b/core/control/controller.go
@@ -99,11 +99,13 @@
 	alive   roster.Roster
 	watched map[string]bool
 
-	vms     map[string]vm.VM
-	probes  map[string]probe
-	book    presence.Book
-	contact contact.Contact
-	held    map[int]lease.Held
+	vms    map[string]vm.VM
+	probes map[string]probe
+	// unjudged are the VMs whose probes changed since evidence was derived.
+	unjudged map[string]bool
+	book     presence.Book
+	contact  contact.Contact
+	held     map[int]lease.Held
 	// releasing holds the epochs of leases being given up, by shard.
 	releasing map[int]uint64
 	granted   [lease.Shards]granted
@@ -139,6 +141,7 @@
 		repairer:  placement.Weighed{},
 		vms:       map[string]vm.VM{},
 		probes:    map[string]probe{},
+		unjudged:  map[string]bool{},
 		held:      map[int]lease.Held{},
 		releasing: map[int]uint64{},
 		seen:      map[string]sighting{},
@@ -154,6 +157,7 @@
 func (c *Controller) Step() Actions {
 	now := time.Now()
 	c.rebuild()
+	c.judge()
 	actions := &Actions{}
 	c.prune(now)
 	c.noteUnwell(now)
@@ -224,7 +228,7 @@
 	known.answeredAt = began
 	known.refused = false
 	c.probes[id] = known
-	c.judge(id)
+	c.unjudged[id] = true
 }
 
 // LearnSilence notes a probe of a VM that was not answered. refused tells that
@@ -236,7 +240,7 @@
 	}
 	known.refused = refused && began.After(known.answeredAt)
 	c.probes[id] = known
-	c.judge(id)
+	c.unjudged[id] = true
 }
 
 // Committed notes the outcome of a commit that Step asked for.
@@ -394,6 +398,7 @@
 
 // Book returns the newest evidence of every group.
 func (c *Controller) Book() presence.Book {
+	c.judge()
 	return c.book
 }
 
@@ -456,6 +461,7 @@
 // Snapshot returns what traffic needs, immutable.
 func (c *Controller) Snapshot() Snapshot {
 	c.rebuild()
+	c.judge()
 	now := time.Now()
 	leaving := map[string]bool{}
 	for id, listed := range c.vms {
--- a/core/control/watch.go
+++ b/core/control/watch.go
@@ -117,23 +117,36 @@
 	return "shard/" + strconv.Itoa(shard)
 }
 
-// judge derives evidence from the probes after one about a VM changed.
-func (c *Controller) judge(id string) {
-	c.rebuild()
-	if listed, ok := c.vms[id]; ok && (listed.Service != "" || c.world.Claims[id].Group == "") {
-		c.judgeServer(id)
+// judge derives evidence from all probes that changed since it was last done.
+func (c *Controller) judge() {
+	if len(c.unjudged) == 0 {
 		return
 	}
+	c.rebuild()
+	var found []presence.Evidence
 	for _, record := range c.world.Groups {
-		if record.Has(id) {
-			c.judgeGroup(record)
+		if slices.ContainsFunc(record.Members, c.isUnjudged) {
+			found = append(found, c.judgeGroup(record))
+		}
+	}
+	for id := range c.unjudged {
+		listed, ok := c.vms[id]
+		if ok && (listed.Service != "" || c.world.Claims[id].Group == "") {
+			found = append(found, c.judgeServer(id))
 		}
 	}
+	c.unjudged = map[string]bool{}
+	c.book = c.book.WithEvidence(found...)
+}
+
+// isUnjudged tells whether a member's probe changed.
+func (c *Controller) isUnjudged(member group.Member) bool {
+	return c.unjudged[member.VM]
 }
 
 // judgeServer derives evidence of a VM that stands for itself: one of a plain
 // service, or a free one.
-func (c *Controller) judgeServer(id string) {
+func (c *Controller) judgeServer(id string) presence.Evidence {
 	known := c.probes[id]
 	evidence := presence.Evidence{
 		Group: ServerEvidence(id),
@@ -145,12 +158,12 @@
 		evidence.Whole = false
 		evidence.At = time.Now()
 	}
-	c.book = c.book.WithEvidence(evidence)
+	return evidence
 }
 
 // judgeGroup derives evidence of a group: whole as of its oldest answer, or
 // not whole as of the newest word against it.
-func (c *Controller) judgeGroup(record group.Record) {
+func (c *Controller) judgeGroup(record group.Record) presence.Evidence {
 	evidence := presence.Evidence{
 		Group:      record.Name,
 		Generation: record.Generation,
@@ -181,5 +194,5 @@
 		evidence.Whole = false
 		evidence.At = against
 	}
-	c.book = c.book.WithEvidence(evidence)
+	return evidence
 }
--- a/core/idempotency/idempotency.go
+++ b/core/idempotency/idempotency.go
@@ -194,3 +194,9 @@
 	_, err := k.Commit(ctx, change)
 	return errors.Wrapf(err, "write claim %q at the table service", held.key)
 }
+
+// IsExpired tells whether a claim row has been kept for as long as declared.
+func IsExpired(row table.Row) bool {
+	var claim Claim
+	return row.Decode(&claim) == nil && time.Now().After(claim.Expires)
+}
--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -90,7 +90,7 @@
 // request sends one keyed request through one daemon, which may crash at any
 // point, and checks what the caller is told.
 func (w *world) request(index int, key, body string) {
-	settling := table.Settling{
+	settling := &table.Settling{
 		Store: w.store,
 	}
 	keeper := idempotency.Keeper{
--- a/core/table/table.go
+++ b/core/table/table.go
@@ -14,6 +14,8 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -127,20 +129,57 @@
 // ----------------------------------------------------------------------------
 // Settling
 
-// Settling makes a lost answer a known one. It wraps another Store.
+// Settling makes a lost answer a known one. It wraps another Store. A marker
+// whose transaction is known to have landed has done its work; it is deleted
+// together with a later transaction.
 type Settling struct {
 	Store
+
+	mutex sync.Mutex
+	spent []string
+}
+
+// maxSpent bounds the markers deleted with one transaction.
+const maxSpent = 16
+
+// takeSpent returns markers to be deleted with the next transaction.
+func (s *Settling) takeSpent() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := min(len(s.spent), maxSpent)
+	taken := append([]string(nil), s.spent[:count]...)
+	s.spent = s.spent[count:]
+	return taken
+}
+
+// addSpent adds markers to be deleted.
+func (s *Settling) addSpent(markers ...string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.spent = append(s.spent, markers...)
 }
 
 // Commit commits and, when the answer is lost, settles it. It returns
 // ErrUnknown only when ctx ended before the outcome could be settled.
-func (s Settling) Commit(ctx context.Context, transaction Transaction) (uint64, error) {
+func (s *Settling) Commit(ctx context.Context, transaction Transaction) (uint64, error) {
 	marked, marker := Mark(transaction)
+	spent := s.takeSpent()
+	for _, old := range spent {
+		marked = marked.WithWrite(Write{
+			Key:    old,
+			Delete: true,
+		})
+	}
 	version, err := s.Store.Commit(ctx, marked)
-	if IsCertain(err) {
-		return version, err
+	if !IsCertain(err) {
+		version, err = s.settle(ctx, marker)
+	}
+	if err == nil {
+		s.addSpent(marker)
+	} else {
+		s.addSpent(spent...)
 	}
-	return s.settle(ctx, marker)
+	return version, err
 }
 
 // Mark returns the transaction with its marker row, and the marker's key.
@@ -152,12 +191,13 @@
 	marked = transaction.WithCondition(marker, 0)
 	marked = marked.WithWrite(Put(marker, markerValue{
 		State: markerLanded,
+		At:    time.Now(),
 	}))
 	return marked, marker
 }
 
 // settle decides a transaction whose answer was lost, by its marker row.
-func (s Settling) settle(ctx context.Context, marker string) (uint64, error) {
+func (s *Settling) settle(ctx context.Context, marker string) (uint64, error) {
 	for ctx.Err() == nil {
 		version, err := s.SettleOnce(ctx, marker)
 		if IsCertain(err) {
@@ -172,7 +212,7 @@
 
 // SettleOnce reads the marker and, where it is absent, occupies it. It returns
 // ErrUnknown where the store did not say enough.
-func (s Settling) SettleOnce(ctx context.Context, marker string) (uint64, error) {
+func (s *Settling) SettleOnce(ctx context.Context, marker string) (uint64, error) {
 	row, err := s.Read(ctx, marker)
 	if err != nil {
 		return 0, ErrUnknown
@@ -186,6 +226,7 @@
 	abandon = abandon.WithCondition(marker, 0)
 	abandon = abandon.WithWrite(Put(marker, markerValue{
 		State: markerAbandoned,
+		At:    time.Now(),
 	}))
 	if _, err = s.Store.Commit(ctx, abandon); err == nil {
 		return 0, ErrAbandoned
@@ -201,7 +242,8 @@
 
 // markerValue is the value of a marker row.
 type markerValue struct {
-	State string `json:"state"`
+	State string    `json:"state"`
+	At    time.Time `json:"at"`
 }
 
 // readMarker turns a marker row into the outcome of its transaction.
@@ -220,3 +262,48 @@
 func IsCertain(err error) bool {
 	return err == nil || errors.Is(err, ErrConflict) || errors.Is(err, ErrUnavailable) || errors.Is(err, ErrAbandoned)
 }
+
+// ----------------------------------------------------------------------------
+// Sweeping
+
+// Figures of sweeping.
+const (
+	// MarkerKept is how long a marker is kept that its writer did not delete. It
+	// is far above the time that a transaction can be on its way.
+	MarkerKept = time.Hour
+	sweepLimit = 400
+)
+
+// Sweep deletes old rows under a prefix, the oldest first, at most sweepLimit at
+// a time, each on condition that it did not change; isOld tells which. It
+// returns how many were deleted.
+func Sweep(ctx context.Context, store Store, prefix string, isOld func(Row) bool) (int, error) {
+	found, err := store.Scan(ctx, ScanRequest{
+		Prefix: prefix,
+		Limit:  sweepLimit,
+	})
+	if err != nil {
+		return 0, errors.Wrapf(err, "sweep %q", prefix)
+	}
+	sweep := Transaction{}
+	for _, row := range found.Rows {
+		if !row.Deleted && isOld(row) {
+			sweep = sweep.WithCondition(row.Key, row.Version)
+			sweep = sweep.WithWrite(Write{
+				Key:    row.Key,
+				Delete: true,
+			})
+		}
+	}
+	if len(sweep.Writes) == 0 {
+		return 0, nil
+	}
+	_, err = store.Commit(ctx, sweep)
+	return len(sweep.Writes), errors.Wrapf(err, "sweep %q", prefix)
+}
+
+// IsOldMarker tells whether a row is a marker that nobody needs any more.
+func IsOldMarker(row Row) bool {
+	var value markerValue
+	return row.Decode(&value) == nil && time.Since(value.At) > MarkerKept
+}
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -70,7 +70,7 @@
 				return rapid.IntRange(0, 5).Draw(rt, name)
 			},
 		}
-		settling := table.Settling{
+		settling := &table.Settling{
 			Store: store,
 		}
 		landed := map[string]bool{}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -42,7 +42,7 @@
 	log      *zap.Logger
 	self     roster.Daemon
 
-	store   table.Settling
+	store   *table.Settling
 	vms     *vmlist.Client
 	engines *engine.Client
 	peers   *peer.Client
@@ -67,7 +67,7 @@
 	d := &Daemon{
 		settings: settings,
 		log:      log,
-		store: table.Settling{
+		store: &table.Settling{
 			Store: tablestore.New(settings.Table),
 		},
 		vms:     vmlist.New(settings.VMList),
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc/pool"
@@ -10,6 +11,7 @@
 
 	"headcourse/core/catalog"
 	"headcourse/core/control"
+	"headcourse/core/idempotency"
 	"headcourse/core/lease"
 	"headcourse/core/roster"
 	"headcourse/core/table"
@@ -27,6 +29,7 @@
 	vmListEvery = 2 * time.Second
 	probeEvery  = 600 * time.Millisecond
 	pullEvery   = 500 * time.Millisecond
+	sweepEvery  = 30 * time.Second
 	// commitTimeout bounds a commit, settling included.
 	commitTimeout = 6 * time.Second
 )
@@ -54,6 +57,9 @@
 	d.tasks.Go(func() {
 		every(ctx, vmListEvery, d.pollVMs)
 	})
+	d.tasks.Go(func() {
+		every(ctx, sweepEvery, d.sweep)
+	})
 	d.tasks.Go(func() {
 		every(ctx, probeEvery, d.probeAll)
 	})
@@ -226,6 +232,30 @@
 	})
 }
 
+// sweep deletes rows that have been kept long enough, at the one daemon that
+// holds the first shard.
+func (d *Daemon) sweep(ctx context.Context) {
+	isMine := false
+	d.ask(func(c *control.Controller) {
+		isMine = slices.ContainsFunc(c.Usable(), func(held lease.Held) bool {
+			return held.Shard == 0
+		})
+	})
+	if !isMine {
+		return
+	}
+	for prefix, isOld := range map[string]func(table.Row) bool{
+		table.MarkerPrefix:    table.IsOldMarker,
+		idempotency.KeyPrefix: idempotency.IsExpired,
+	} {
+		if count, err := table.Sweep(ctx, d.store, prefix, isOld); err != nil {
+			d.log.Warn("store: sweep failed", zap.Error(err))
+		} else if count > 0 {
+			d.log.Debug("store: swept", zap.String("prefix", prefix), zap.Int("rows", count))
+		}
+	}
+}
+
 // ----------------------------------------------------------------------------
 // Backend servers
 
--- a/io/caller/site_test.go
+++ b/io/caller/site_test.go
@@ -71,7 +71,7 @@
 		engines:  engine.New(2 * time.Second),
 		registry: metrics.NewRegistry(),
 		client:   &http1.Client{},
-		store: table.Settling{
+		store: &table.Settling{
 			Store: store,
 		},
 	}
--- a/lab/fleet/host.go
+++ b/lab/fleet/host.go
@@ -13,7 +13,7 @@
 
 // stepHost is one round of one daemon.
 func (f *Fleet) stepHost(one *Host, now time.Time) {
-	store := table.Settling{
+	store := &table.Settling{
 		Store: faultyStore{
 			fleet: f,
 			host:  one,
@@ -33,6 +33,7 @@
 		marked, marker := table.Mark(commit.Transaction)
 		version, err := store.Store.Commit(context.Background(), marked)
 		if table.IsCertain(err) {
+			f.memory.Drop(marker)
 			one.Controller.Committed(commit, version, err)
 			continue
 		}
@@ -54,7 +55,7 @@
 const maxSettles = 24
 
 // settlePending settles commits whose answers were lost.
-func (f *Fleet) settlePending(one *Host, store table.Settling) {
+func (f *Fleet) settlePending(one *Host, store *table.Settling) {
 	var left []pendingCommit
 	for _, pending := range one.pending {
 		version, err := store.SettleOnce(context.Background(), pending.marker)
@@ -83,7 +84,7 @@
 }
 
 // poll reads the store when it is time.
-func (f *Fleet) poll(one *Host, store table.Settling, now time.Time) {
+func (f *Fleet) poll(one *Host, store *table.Settling, now time.Time) {
 	if now.Sub(one.polledAt) < 2500*time.Millisecond {
 		return
 	}
--- a/lab/tablestore/tablestore.go
+++ b/lab/tablestore/tablestore.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"headcourse/core/catalog"
 	"headcourse/core/table"
 )
 
@@ -26,7 +27,8 @@
 	RowsRead  int64 `json:"rows_read"`
 }
 
-// Memory is a table in memory. The zero value is empty.
+// Memory is a table in memory. The zero value is empty. Deleted rows leave a
+// tombstone where catalogs look for changes, and nothing elsewhere.
 type Memory struct {
 	mutex   sync.Mutex
 	rows    map[string]table.Row
@@ -59,6 +61,10 @@
 		m.rows = map[string]table.Row{}
 	}
 	for _, write := range transaction.Writes {
+		if write.Delete && !strings.HasPrefix(write.Key, catalog.Prefix) {
+			delete(m.rows, write.Key)
+			continue
+		}
 		m.rows[write.Key] = table.Row{
 			Key:     write.Key,
 			Version: m.version,
@@ -67,12 +73,39 @@
 		}
 		m.order = append(m.order, write.Key)
 	}
+	m.compactOrder()
 	if m.OnCommit != nil {
 		m.OnCommit(transaction, m.rows)
 	}
 	return m.version, nil
 }
 
+// slackOrder is how many superseded entries the order of writes may hold.
+const slackOrder = 1024
+
+// compactOrder drops superseded entries from the order of writes. The mutex is
+// held.
+func (m *Memory) compactOrder() {
+	if len(m.order) <= slackOrder+2*len(m.rows) {
+		return
+	}
+	keys := make([]string, 0, len(m.rows))
+	for key := range m.rows {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		return m.rows[keys[i]].Version < m.rows[keys[j]].Version
+	})
+	m.order = keys
+}
+
+// Drop removes a row without a trace; tests drop markers that nobody needs.
+func (m *Memory) Drop(key string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	delete(m.rows, key)
+}
+
 // Read returns a row; one never written has version 0.
 func (m *Memory) Read(_ context.Context, key string) (table.Row, error) {
 	m.mutex.Lock()
@@ -123,8 +156,8 @@
 	var changed []table.Row
 	seen := map[string]bool{}
 	for i := len(m.order) - 1; i >= 0; i-- {
-		row := m.rows[m.order[i]]
-		if seen[row.Key] {
+		row, ok := m.rows[m.order[i]]
+		if !ok || seen[row.Key] {
 			continue
 		}
 		if row.Version <= after {
