--- a/command/command.go
+++ b/command/command.go
@@ -91,8 +91,15 @@
 	return ExitDone
 }
 
-// ErrUsage marks errors of the command line and of settings.
-var ErrUsage = errors.New("usage")
+// usageError is an error of the command line or of a setting.
+type usageError struct {
+	cause error
+}
+
+// Error returns the cause's text.
+func (u usageError) Error() string {
+	return u.cause.Error()
+}
 
 // fail writes an error and returns the code.
 func fail(errOut io.Writer, err error, code int) int {
@@ -102,12 +109,13 @@
 
 // codeOf returns the exit code of an error.
 func codeOf(err error) int {
+	var usage usageError
 	switch {
-	case errors.Is(err, ErrUsage):
+	case errors.As(err, &usage):
 		return ExitUsage
 	case errors.Is(err, ErrNotAccepted):
 		return ExitNotAccepted
-	case errors.Is(err, table.ErrUnknown), errors.Is(err, operator.ErrUnreachable):
+	case errors.Is(err, table.ErrUnknown), errors.Is(err, operator.ErrNoAnswer):
 		return ExitUnknown
 	default:
 		return ExitRefused
--- a/command/connection.go
+++ b/command/connection.go
@@ -59,7 +59,9 @@
 			content, err = os.ReadFile(name) //nolint:gosec // the operator names the file
 		}
 		if err != nil {
-			return nil, errors.Wrapf(ErrUsage, "read declaration: %s", err)
+			return nil, usageError{
+				cause: errors.Wrap(err, "read declaration"),
+			}
 		}
 		files = append(files, declaration.File{
 			Name:    name,
--- a/command/hashkey.go
+++ b/command/hashkey.go
@@ -24,7 +24,9 @@
 	}
 	key := strings.TrimRight(string(read), "\r\n")
 	if len(key) < minKey {
-		return errors.Wrapf(ErrUsage, "key: must have at least %d characters", minKey)
+		return usageError{
+			cause: errors.Errorf("key: must have at least %d characters", minKey),
+		}
 	}
 	sum := sha256.Sum256([]byte(key))
 	_, err = fmt.Fprintln(streams.Out, hex.EncodeToString(sum[:]))
--- a/command/serve.go
+++ b/command/serve.go
@@ -21,11 +21,15 @@
 // is in flight, and returns nil if nothing was cut off.
 func (s *ServeCommand) Run(streams *Streams) error {
 	if err := s.Check(); err != nil {
-		return errors.Wrap(ErrUsage, err.Error())
+		return usageError{
+			cause: err,
+		}
 	}
 	log, err := newLog(s.LogLevel, zapcore.AddSync(streams.Err))
 	if err != nil {
-		return errors.Wrap(ErrUsage, err.Error())
+		return usageError{
+			cause: err,
+		}
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- a/core/declaration/parse.go
+++ b/core/declaration/parse.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -46,9 +48,9 @@
 	if err := yaml.Unmarshal(file.Content, &fields); err != nil {
 		return atPlace(file, err)
 	}
-	for field := range fields {
+	for _, field := range slices.Sorted(maps.Keys(fields)) {
 		if first, ok := origin[field]; ok {
-			return errors.Errorf("%s: %s: stands already in %s", file.Name, field, first.Name)
+			return errors.Errorf("%s:%d: %s: stands already in %s", file.Name, lineOf(field, file), field, first.Name)
 		}
 		origin[field] = file
 	}
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -74,7 +74,7 @@
 	case err == nil:
 		return f.sync(ctx)
 	case errors.Is(err, table.ErrConflict):
-		return errors.Wrapf(operator.ErrRefused, "%s: somebody else changed it meanwhile; look and try again: %s", step, err)
+		return operator.Refuse(errors.Errorf("%s: somebody else changed it meanwhile; look and try again: %s", step, err))
 	case errors.Is(err, table.ErrUnknown):
 		return errors.Wrapf(err, "%s: the store did not answer; whether it was changed is not known; look again", step)
 	default:
@@ -92,7 +92,7 @@
 	world := f.daemon.World()
 	present := world.Configuration
 	if from != 0 && from != present.Revision {
-		return reply, errors.Wrapf(operator.ErrRefused, "apply: revision %d is in force, not %d", present.Revision, from)
+		return reply, operator.Refuse(errors.Errorf("apply: revision %d is in force, not %d", present.Revision, from))
 	}
 	next := plan.Configuration{
 		Revision:    present.Revision + 1,
@@ -155,7 +155,7 @@
 	}
 	made, err := plan.Build(uuid.NewString()[:planIDSize], by, intent, f.daemon.World())
 	if err != nil {
-		return made, errors.Wrap(operator.ErrRefused, err.Error())
+		return made, operator.Refuse(err)
 	}
 	change := table.Transaction{}
 	change = change.WithCondition(plan.Key(made.ID), 0)
@@ -180,7 +180,7 @@
 	world := f.daemon.World()
 	row := world.Catalog.Row(plan.Key(id))
 	if row.Version == 0 {
-		return found, world, errors.Wrapf(operator.ErrRefused, "plan %q does not exist", id)
+		return found, world, operator.Refuse(errors.Errorf("plan %q does not exist", id))
 	}
 	return found, world, row.Decode(&found)
 }
@@ -193,7 +193,7 @@
 	}
 	change, err := plan.Confirm(found, world)
 	if err != nil {
-		return found, errors.Wrap(operator.ErrRefused, err.Error())
+		return found, operator.Refuse(err)
 	}
 	if err = f.commit(ctx, "confirm plan "+id, change); err != nil {
 		return found, err
@@ -210,7 +210,7 @@
 	}
 	next, err := found.Apply(change)
 	if err != nil {
-		return found, errors.Wrap(operator.ErrRefused, err.Error())
+		return found, operator.Refuse(err)
 	}
 	write := table.Transaction{}
 	write = write.WithCondition(plan.Key(id), world.Catalog.Row(plan.Key(id)).Version)
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -19,8 +19,9 @@
 	http    *http1.Client
 }
 
-// ErrUnreachable marks errors by which nothing is known of the request.
-var ErrUnreachable = errors.New("daemon not reached")
+// ErrNoAnswer marks errors after which it is not known whether the daemon
+// carried the request out.
+var ErrNoAnswer = errors.New("no answer from the daemon")
 
 // NewClient returns a client of the daemon at IP:port.
 func NewClient(address, key string) *Client {
@@ -53,7 +54,11 @@
 		request.SetBody(encoded)
 	}
 	if err := c.http.Do(c.address, request, response, true, false); err != nil {
-		return errors.Wrap(ErrUnreachable, err.Error())
+		var failed *http1.Error
+		if errors.As(err, &failed) && failed.Sent {
+			return errors.Wrap(ErrNoAnswer, err.Error())
+		}
+		return err
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
 		return replyError(response)
@@ -67,10 +72,13 @@
 	if json.Unmarshal(response.Body(), &reply) != nil || reply.Error == "" {
 		reply.Error = "status " + fasthttp.StatusMessage(response.StatusCode())
 	}
+	if reply.Unknown {
+		return errors.Wrap(ErrNoAnswer, reply.Error)
+	}
 	if response.StatusCode() == fasthttp.StatusServiceUnavailable {
 		return errors.New(reply.Error)
 	}
-	return errors.Wrap(ErrRefused, reply.Error)
+	return Refuse(errors.New(reply.Error))
 }
 
 // Apply applies a declaration.
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -15,10 +15,31 @@
 
 	"headcourse/core/declaration"
 	"headcourse/core/plan"
+	"headcourse/core/table"
 )
 
-// ErrRefused marks errors that are the operator's to correct.
-var ErrRefused = errors.New("refused")
+// refusal is an error that is the operator's to correct.
+type refusal struct {
+	cause error
+}
+
+// Error returns the cause's text.
+func (r refusal) Error() string {
+	return r.cause.Error()
+}
+
+// Refuse marks an error as the operator's to correct.
+func Refuse(cause error) error {
+	return refusal{
+		cause: cause,
+	}
+}
+
+// IsRefused tells whether an error is the operator's to correct.
+func IsRefused(err error) bool {
+	var found refusal
+	return errors.As(err, &found)
+}
 
 // Fleet is what operators can ask of a daemon.
 type Fleet interface {
@@ -124,11 +145,12 @@
 		}
 		s.log.Warn("operators: request failed", zap.String("operator", operator), zap.String("path", c.Path()), zap.Error(err))
 		status := fiber.StatusServiceUnavailable
-		if errors.Is(err, ErrRefused) {
+		if IsRefused(err) {
 			status = fiber.StatusUnprocessableEntity
 		}
 		return c.Status(status).JSON(errorReply{
-			Error: err.Error(),
+			Error:   err.Error(),
+			Unknown: errors.Is(err, table.ErrUnknown),
 		})
 	}
 }
@@ -153,20 +175,15 @@
 	return "bootstrap", isFirst && subtle.ConstantTimeCompare([]byte(s.bootstrapHash), []byte(hash)) == 1
 }
 
-// refused marks an error as the operator's to correct.
-func refused(err error) error {
-	return errors.Wrap(ErrRefused, err.Error())
-}
-
 // apply parses and applies a declaration.
 func (s *Server) apply(ctx context.Context, c fiber.Ctx, operator string) (any, error) {
 	var request ApplyRequest
 	if err := c.Bind().JSON(&request); err != nil {
-		return nil, refused(err)
+		return nil, Refuse(err)
 	}
 	declared, err := declaration.Parse(request.Files)
 	if err != nil {
-		return nil, refused(err)
+		return nil, Refuse(err)
 	}
 	return s.fleet.Apply(ctx, operator, declared, request.From)
 }
@@ -175,11 +192,11 @@
 func (s *Server) diff(ctx context.Context, c fiber.Ctx, _ string) (any, error) {
 	var request ApplyRequest
 	if err := c.Bind().JSON(&request); err != nil {
-		return nil, refused(err)
+		return nil, Refuse(err)
 	}
 	declared, err := declaration.Parse(request.Files)
 	if err != nil {
-		return nil, refused(err)
+		return nil, Refuse(err)
 	}
 	return s.fleet.Diff(ctx, declared)
 }
@@ -188,7 +205,7 @@
 func (s *Server) propose(ctx context.Context, c fiber.Ctx, operator string) (any, error) {
 	var intent plan.Intent
 	if err := c.Bind().JSON(&intent); err != nil {
-		return nil, refused(err)
+		return nil, Refuse(err)
 	}
 	return replyWith(s.fleet.Propose(ctx, operator, intent))
 }
@@ -222,7 +239,7 @@
 			return replyWith(one, nil)
 		}
 	}
-	return nil, errors.Wrapf(ErrRefused, "plan %q does not exist", c.Params("id"))
+	return nil, Refuse(errors.Errorf("plan %q does not exist", c.Params("id")))
 }
 
 // changeConfirm is the change that confirms a plan.
--- a/io/operator/types.go
+++ b/io/operator/types.go
@@ -103,4 +103,6 @@
 // errorReply is the body of an error.
 type errorReply struct {
 	Error string `json:"error"`
+	// Unknown tells that the change may have been made, or may be made later.
+	Unknown bool `json:"unknown,omitempty"`
 }
--- a/lab/examples/examples.go
+++ b/lab/examples/examples.go
@@ -71,6 +71,22 @@
 	return "demo-key-" + name
 }
 
+// WithScale returns the deployment with its fabric domains and replicas
+// multiplied.
+func (d Deployment) WithScale(scale int) Deployment {
+	d.DomainsPerZone *= scale
+	models := append([]declaration.Model(nil), d.Declaration.Models...)
+	for i, model := range models {
+		replicas := map[string]int{}
+		for zone, count := range model.Replicas {
+			replicas[zone] = count * scale
+		}
+		models[i].Replicas = replicas
+	}
+	d.Declaration.Models = models
+	return d
+}
+
 // VMs returns the VMs of a deployment, without addresses.
 func (d Deployment) VMs() []vm.VM {
 	var vms []vm.VM
--- /dev/null
+++ b/lab/relaybench/relaybench.go
@@ -0,0 +1,307 @@
+// Package relaybench measures what a daemon adds to a stream: processor time
+// for each event, and latency, against a direct connection to the same
+// stand-in engine, in one run.
+//
+// Client, engine and daemon share the process. The same load is sent directly
+// and through the daemon in turns; the daemon's processor time is the
+// difference. Latencies are counted from each request's intended start.
+package relaybench
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"headcourse/core/declaration"
+	"headcourse/core/plan"
+	"headcourse/core/vm"
+	"headcourse/daemon"
+	"headcourse/io/http1"
+	"headcourse/io/operator"
+	"headcourse/lab/engine"
+	"headcourse/lab/examples"
+	"headcourse/lab/platform"
+)
+
+// Settings are the properties of a measurement.
+type Settings struct {
+	// Rate is streams begun a second, each of Tokens events EachToken apart.
+	Rate      float64
+	Tokens    int
+	EachToken time.Duration
+	Duration  time.Duration
+	Seed      uint64
+}
+
+// Figures are those of one path.
+type Figures struct {
+	Events  int
+	Streams int
+	Broken  int
+	// CPU is the process's time in seconds, of client and engine too.
+	CPU     float64
+	Seconds float64
+	// First is the time to the first event, Gap between events, in microseconds.
+	First *hdrhistogram.Histogram
+	Gap   *hdrhistogram.Histogram
+}
+
+// Bench is a running engine and daemon. Use Start.
+type Bench struct {
+	platform *platform.Platform
+	node     *daemon.Node
+	group    string
+	leader   string
+	number   uint64
+}
+
+const (
+	operatorName = "turno-noche"
+	readyTimeout = time.Minute
+)
+
+// Start starts one engine, one daemon, and a group of the one engine.
+func Start(each time.Duration) (*Bench, error) {
+	running, err := platform.Start(platform.Settings{
+		VMs: []vm.VM{{
+			ID:           "vm-1",
+			Zone:         "quito-a",
+			Domain:       "d1",
+			Accelerators: 1,
+			State:        vm.Live,
+			ChecksOrders: true,
+		}},
+		Slots:          100000,
+		EachToken:      each,
+		LoadsPerSecond: 10,
+		LoadBurst:      10,
+	})
+	if err != nil {
+		return nil, err
+	}
+	made := &Bench{
+		platform: running,
+	}
+	return made, made.startDaemon()
+}
+
+// startDaemon starts the daemon and brings the group up.
+func (b *Bench) startDaemon() error {
+	deployment, err := examples.Load("caudal-andino")
+	if err != nil {
+		return err
+	}
+	declared := deployment.Declaration
+	b.node, err = daemon.StartNode(daemon.Settings{
+		Zone:          "quito-a",
+		Callers:       "127.0.0.1:0",
+		Operators:     "127.0.0.1:0",
+		Peers:         "127.0.0.1:0",
+		Table:         b.platform.TableAddress(),
+		VMList:        b.platform.VMListAddress(),
+		PeerKey:       "bench-peer-key-0123456789",
+		BootstrapHash: declared.Operators[1].KeyHashes[0],
+		DrainTime:     time.Minute,
+		UnreadyTime:   time.Millisecond,
+		IdleTime:      time.Minute,
+	}, zap.NewNop())
+	if err != nil {
+		return err
+	}
+	if err = b.declare(declared); err != nil {
+		return err
+	}
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		for _, record := range b.node.Daemon().Snapshot().Serveable("redactor", time.Now()) {
+			b.group, b.leader, b.number = record.Name, record.Leader(), record.Generation
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return errors.New("the group did not come to serve")
+}
+
+// declare stores a declaration of one group for one organisation without
+// limits that matter, and has the group formed.
+func (b *Bench) declare(declared declaration.Declaration) error {
+	declared.Models[0].VMsPerReplica = 1
+	declared.Models[0].Replicas = map[string]int{
+		"quito-a": 1,
+	}
+	declared.Organisations[0].MaxInFlight = 1000000
+	declared.Organisations[0].MaxQueued = 1000000
+	declared.Organisations[0].RequestsPerSecond = 1000000
+	body, err := json.Marshal(declared)
+	if err != nil {
+		return err
+	}
+	client := operator.NewClient(b.node.Operators(), examples.Key(operatorName))
+	// JSON is YAML.
+	if _, err = client.Apply(operator.ApplyRequest{
+		Files: []declaration.File{{
+			Name:    "bench.yaml",
+			Content: body,
+		}},
+	}); err != nil {
+		return err
+	}
+	made, err := client.Propose(plan.Intent{
+		Kind: plan.Reconcile,
+	})
+	if err != nil {
+		return err
+	}
+	_, err = client.Confirm(made.Plan.ID)
+	return err
+}
+
+// Stop stops everything.
+func (b *Bench) Stop() {
+	if b.node != nil {
+		b.node.Kill()
+	}
+	b.platform.Stop()
+}
+
+// Direct measures the direct path, Through the one through the daemon.
+func (b *Bench) Direct(settings Settings) Figures {
+	return b.measure(settings, b.leader, [][2]string{
+		{"X-Group", b.group},
+		{"X-Generation", fmt.Sprint(b.number)},
+	})
+}
+
+// Through measures the path through the daemon.
+func (b *Bench) Through(settings Settings) Figures {
+	return b.measure(settings, b.node.Callers(), [][2]string{
+		{"Authorization", "Bearer " + examples.Key("epmaps")},
+	})
+}
+
+// measure sends the load to an address.
+func (b *Bench) measure(settings Settings, address string, headers [][2]string) Figures {
+	one := &sender{
+		settings: settings,
+		address:  address,
+		headers:  headers,
+		client:   &http1.Client{},
+		figures: Figures{
+			First: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+			Gap:   hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+		},
+	}
+	cpu, began := processorTime(), time.Now()
+	one.send()
+	one.figures.CPU = processorTime() - cpu
+	one.figures.Seconds = time.Since(began).Seconds()
+	return one.figures
+}
+
+// sender sends the load of one path.
+type sender struct {
+	settings Settings
+	address  string
+	headers  [][2]string
+	client   *http1.Client
+	mutex    sync.Mutex
+	figures  Figures
+}
+
+// send begins streams at seeded times and waits for all of them.
+func (s *sender) send() {
+	random := rand.New(rand.NewPCG(s.settings.Seed, 11)) //nolint:gosec // reproducible load, no secret
+	var streams conc.WaitGroup
+	defer streams.Wait()
+	next := time.Now()
+	end := next.Add(s.settings.Duration)
+	for number := 0; ; number++ {
+		next = next.Add(time.Duration(random.ExpFloat64() / s.settings.Rate * float64(time.Second)))
+		if next.After(end) {
+			return
+		}
+		time.Sleep(time.Until(next))
+		intended := next
+		streams.Go(func() {
+			s.stream(number, intended)
+		})
+	}
+}
+
+// stream follows one stream.
+func (s *sender) stream(number int, intended time.Time) {
+	body, err := json.Marshal(engine.Completion{
+		Model: "redactor",
+		Messages: []engine.Message{{
+			Role:    "user",
+			Content: fmt.Sprint(number),
+		}},
+		MaxTokens: s.settings.Tokens,
+		Stream:    true,
+	})
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	request.SetRequestURI("/v1/chat/completions")
+	request.Header.SetMethod("POST")
+	request.Header.Set("X-Request-Id", fmt.Sprintf("%s-%d", s.address, number))
+	for _, header := range s.headers {
+		request.Header.Set(header[0], header[1])
+	}
+	request.SetBody(body)
+	if err == nil {
+		err = s.client.Do(s.address, request, response, false, true)
+	}
+	isWhole, gaps, first := false, []time.Duration(nil), time.Duration(0)
+	last := time.Time{}
+	if err == nil {
+		_ = engine.ReadEvents(response.BodyStream(), func(_ int, data string) {
+			now := time.Now()
+			switch {
+			case data == "[DONE]":
+				isWhole = true
+				return
+			case last.IsZero():
+				first = now.Sub(intended)
+			default:
+				gaps = append(gaps, now.Sub(last))
+			}
+			last = now
+		})
+		_ = response.CloseBodyStream()
+	}
+	s.note(isWhole, first, gaps)
+}
+
+// note adds one stream to the figures.
+func (s *sender) note(isWhole bool, first time.Duration, gaps []time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.figures.Streams++
+	if !isWhole {
+		s.figures.Broken++
+		return
+	}
+	s.figures.Events += 1 + len(gaps)
+	_ = s.figures.First.RecordValue(max(1, first.Microseconds()))
+	for _, gap := range gaps {
+		_ = s.figures.Gap.RecordValue(max(1, gap.Microseconds()))
+	}
+}
+
+// processorTime returns the process's time in seconds, user and system.
+func processorTime() float64 {
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
--- a/labcommand/labcommand.go
+++ b/labcommand/labcommand.go
@@ -17,6 +17,8 @@
 	Demo     DemoCommand     `cmd:"" help:"Play both deployments in one process, with failures, and check every answer."`
 	Platform PlatformCommand `cmd:"" help:"Run the stand-ins of one deployment, for daemons in other processes."`
 	Measures MeasuresCommand `cmd:"" help:"Compare group downtime and stranded accelerators with baselines, in virtual time."`
+	Slopes   SlopesCommand   `cmd:"" help:"Measure what control costs a daemon at rest, before a platform in another process."`
+	Relay    RelayCommand    `cmd:"" help:"Measure what a daemon adds to streams, against a direct connection."`
 	Routes   RoutesCommand   `cmd:"" help:"Compare routing policies on the same load, in virtual time."`
 	Load     LoadCommand     `cmd:"" help:"Send callers' load to daemons and check every answer."`
 }
--- a/labcommand/platform.go
+++ b/labcommand/platform.go
@@ -18,6 +18,7 @@
 // PlatformCommand runs the stand-ins of one deployment.
 type PlatformCommand struct {
 	Deployment  string        `name:"deployment" default:"caudal-andino" help:"Deployment whose VMs are there."`
+	Scale       int           `name:"scale" default:"1" help:"Multiplies fabric domains."`
 	Host        string        `name:"host" default:"127.0.0.1" help:"IP number to listen on."`
 	Port        int           `name:"port" default:"9000" help:"Port of the table service; the VM list and the VMs follow."`
 	LoadTime    time.Duration `name:"load-time" default:"1500ms" help:"Time that an engine loads a model."`
@@ -38,7 +39,7 @@
 	if err != nil {
 		return errors.Wrap(err, "--deployment")
 	}
-	vms := deployment.VMs()
+	vms := deployment.WithScale(max(1, p.Scale)).VMs()
 	for i := range vms {
 		vms[i].Address = p.address(2 + i)
 	}
--- /dev/null
+++ b/labcommand/relay.go
@@ -0,0 +1,61 @@
+package labcommand
+
+import (
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"headcourse/lab/relaybench"
+)
+
+// RelayCommand measures what a daemon adds to streams.
+type RelayCommand struct {
+	Rate      float64       `name:"rate" default:"40" help:"Streams begun a second."`
+	Tokens    int           `name:"tokens" default:"100" help:"Events of each stream."`
+	EachToken time.Duration `name:"each-token" default:"10ms" help:"Time between two events."`
+	Duration  time.Duration `name:"duration" default:"8s" help:"Time of each turn."`
+	Turns     int           `name:"turns" default:"3" help:"Turns of each path, alternating."`
+}
+
+// Run prints a row for each turn, and the daemon's own cost of each pair.
+func (r *RelayCommand) Run(streams *Streams) error {
+	bench, err := relaybench.Start(r.EachToken)
+	if err != nil {
+		return err
+	}
+	defer bench.Stop()
+	table := tabwriter.NewWriter(streams.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "TURN\tPATH\tEVENTS/S\tBROKEN\tCPU US/EVENT\tFIRST 50% MS\tFIRST 99% MS\tGAP 50% MS\tGAP 99% MS")
+	for turn := range r.Turns {
+		settings := relaybench.Settings{
+			Rate:      r.Rate,
+			Tokens:    r.Tokens,
+			EachToken: r.EachToken,
+			Duration:  r.Duration,
+			Seed:      uint64(turn + 1), //nolint:gosec // small and not negative
+		}
+		direct := bench.Direct(settings)
+		through := bench.Through(settings)
+		for _, path := range []struct {
+			name    string
+			figures relaybench.Figures
+		}{{
+			name:    "direct",
+			figures: direct,
+		}, {
+			name:    "through a daemon",
+			figures: through,
+		}} {
+			f := path.figures
+			_, _ = fmt.Fprintf(table, "%d\t%s\t%.0f\t%d\t%.1f\t%.2f\t%.2f\t%.2f\t%.2f\n", turn+1, path.name, float64(f.Events)/f.Seconds, f.Broken, perEvent(f), ms(f.First.ValueAtQuantile(50)), ms(f.First.ValueAtQuantile(99)), ms(f.Gap.ValueAtQuantile(50)), ms(f.Gap.ValueAtQuantile(99)))
+		}
+		own := perEvent(through) - perEvent(direct)
+		_, _ = fmt.Fprintf(table, "%d\tthe daemon alone\t\t\t%.1f\t\t%.2f\t\t%.2f\n", turn+1, own, ms(through.First.ValueAtQuantile(99)-direct.First.ValueAtQuantile(99)), ms(through.Gap.ValueAtQuantile(99)-direct.Gap.ValueAtQuantile(99)))
+	}
+	return table.Flush()
+}
+
+// perEvent returns microseconds of processor time for each event.
+func perEvent(figures relaybench.Figures) float64 {
+	return figures.CPU / float64(max(1, figures.Events)) * 1e6
+}
--- /dev/null
+++ b/labcommand/slopes.go
@@ -0,0 +1,59 @@
+package labcommand
+
+import (
+	"encoding/csv"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"headcourse/lab/examples"
+	"headcourse/lab/slopes"
+)
+
+// SlopesCommand measures what control costs a daemon at rest.
+type SlopesCommand struct {
+	Deployment string        `name:"deployment" default:"caudal-andino" help:"Deployment that the platform runs."`
+	Scale      int           `name:"scale" default:"1" help:"Scale that the platform runs at."`
+	Table      string        `name:"table" default:"127.0.0.1:9000" help:"IP:port of the table service of a platform in another process."`
+	VMList     string        `name:"vm-list" default:"127.0.0.1:9001" help:"IP:port of its VM list."`
+	Daemons    []int         `name:"daemons" default:"3,9,18,36" help:"Numbers of daemons."`
+	Runs       int           `name:"runs" default:"3" help:"Runs of each."`
+	Settle     time.Duration `name:"settle" default:"8s" help:"Time before each measurement."`
+	Measure    time.Duration `name:"measure" default:"10s" help:"Time of each measurement."`
+}
+
+// Run writes a line of comma-separated values for each run.
+func (s *SlopesCommand) Run(streams *Streams) error {
+	deployment, err := examples.Load(s.Deployment)
+	if err != nil {
+		return errors.Wrap(err, "--deployment")
+	}
+	deployment = deployment.WithScale(max(1, s.Scale))
+	table := csv.NewWriter(streams.Out)
+	defer table.Flush()
+	err = table.Write([]string{"daemons", "vms", "groups", "run", "cpu_percent_of_a_core", "memory_kb", "peer_bytes_per_s", "store_reads_per_s_all", "store_commits_per_s_all", "spread_s"})
+	for _, count := range s.Daemons {
+		for run := 1; run <= s.Runs && err == nil; run++ {
+			figures, measureErr := slopes.Measure(slopes.Settings{
+				Deployment: deployment,
+				Table:      s.Table,
+				VMList:     s.VMList,
+				Daemons:    count,
+				Settle:     s.Settle,
+				Measure:    s.Measure,
+			})
+			if measureErr != nil {
+				return errors.Wrapf(measureErr, "%d daemons", count)
+			}
+			err = table.Write([]string{
+				strconv.Itoa(figures.Daemons), strconv.Itoa(figures.VMs), strconv.Itoa(figures.Groups), strconv.Itoa(run),
+				fmt.Sprintf("%.3f", 100*figures.CPU), fmt.Sprintf("%.0f", figures.Memory/1024), fmt.Sprintf("%.0f", figures.Peer),
+				fmt.Sprintf("%.2f", figures.Reads), fmt.Sprintf("%.2f", figures.Commits), fmt.Sprintf("%.2f", figures.Spread),
+			})
+			table.Flush()
+		}
+	}
+	return err
+}
