--- /dev/null
+++ b/core/admission/admission_test.go
@@ -0,0 +1,172 @@
+package admission_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/admission"
+	"headcourse/core/declaration"
+	"headcourse/core/outcome"
+)
+
+// organisation returns an organisation with limits that do not matter but for
+// what a test sets.
+func organisation(name string, share int) declaration.Organisation {
+	return declaration.Organisation{
+		Name:              name,
+		Share:             share,
+		MaxInFlight:       1000,
+		MaxQueued:         1000,
+		RequestsPerSecond: 1e6,
+	}
+}
+
+// pool is a backend with a number of places.
+type pool struct {
+	places int
+}
+
+// try takes a place. The queue calls it under its lock.
+func (p *pool) try() bool {
+	if p.places == 0 {
+		return false
+	}
+	p.places--
+	return true
+}
+
+// TestSmallOrganisationIsNotStarved: a large organisation has a hundred
+// requests waiting when a small one comes; places come free one by one.
+func TestSmallOrganisationIsNotStarved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var queue admission.Queue
+		backend := &pool{}
+		order := make(chan string, 200)
+		enter := func(from declaration.Organisation, priority int) {
+			go func() {
+				_, refusal := queue.Admit(context.Background(), admission.Request{
+					Organisation: from,
+					Priority:     priority,
+					Daemons:      1,
+					Try:          backend.try,
+				})
+				qt.Check(t, refusal == nil, qt.IsTrue)
+				order <- from.Name
+			}()
+			synctest.Wait()
+		}
+		for range 100 {
+			enter(organisation("large", 4), 0)
+		}
+		for range 10 {
+			enter(organisation("small", 1), 0)
+		}
+		served := map[string]int{}
+		for range 50 {
+			backend.places = 1
+			queue.Wake()
+			served[<-order]++
+		}
+		// By shares of 4 and 1, a fifth of the places is the small one's.
+		qt.Assert(t, served["small"], qt.Equals, 10)
+		backend.places = 60
+		queue.Wake()
+		synctest.Wait()
+		qt.Assert(t, queue.Waiting(), qt.Equals, 0)
+	})
+}
+
+func TestHigherPriorityGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var queue admission.Queue
+		backend := &pool{}
+		order := make(chan int, 3)
+		for _, priority := range []int{1, 9, 5} {
+			go func() {
+				_, refusal := queue.Admit(context.Background(), admission.Request{
+					Organisation: organisation("o", 1),
+					Priority:     priority,
+					Daemons:      1,
+					Try:          backend.try,
+				})
+				qt.Check(t, refusal == nil, qt.IsTrue)
+				order <- priority
+			}()
+			synctest.Wait()
+		}
+		for _, expected := range []int{9, 5, 1} {
+			backend.places = 1
+			queue.Wake()
+			qt.Assert(t, <-order, qt.Equals, expected)
+		}
+	})
+}
+
+// refusalOf admits one request and returns the reason it is refused for.
+func refusalOf(queue *admission.Queue, from declaration.Organisation, wait time.Duration) outcome.Reason {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	_, refusal := queue.Admit(ctx, admission.Request{
+		Organisation: from,
+		Daemons:      2,
+		Try: func() bool {
+			return false
+		},
+	})
+	if refusal == nil {
+		return outcome.ReasonNone
+	}
+	return refusal.Reason
+}
+
+func TestBoundsRefuseAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var queue admission.Queue
+		limited := organisation("o", 1)
+		limited.MaxQueued = 2
+		go refusalOf(&queue, limited, time.Minute)
+		synctest.Wait()
+		// Two daemons share the bound of two.
+		qt.Assert(t, refusalOf(&queue, limited, time.Minute), qt.Equals, outcome.ReasonQueueFull)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		qt.Assert(t, queue.Waiting(), qt.Equals, 0)
+		qt.Assert(t, refusalOf(&queue, organisation("p", 1), time.Second), qt.Equals, outcome.ReasonQueueDeadline)
+		slow := organisation("q", 1)
+		slow.RequestsPerSecond = 1
+		qt.Assert(t, refusalOf(&queue, slow, time.Millisecond), qt.Equals, outcome.ReasonQueueDeadline)
+		qt.Assert(t, refusalOf(&queue, slow, time.Millisecond), qt.Equals, outcome.ReasonRateLimit)
+		qt.Assert(t, admission.RetryAfter(outcome.ReasonRateLimit) > 0, qt.IsTrue)
+	})
+}
+
+func TestConcurrencyIsBounded(t *testing.T) {
+	var queue admission.Queue
+	limited := organisation("o", 1)
+	limited.MaxInFlight = 1
+	enter := func(wait time.Duration) (func(), *outcome.Failure) {
+		ctx, cancel := context.WithTimeout(context.Background(), wait)
+		defer cancel()
+		return queue.Admit(ctx, admission.Request{
+			Organisation: limited,
+			Daemons:      1,
+			Try: func() bool {
+				return true
+			},
+		})
+	}
+	release, refusal := enter(time.Minute)
+	qt.Assert(t, refusal == nil, qt.IsTrue)
+	_, refusal = enter(time.Millisecond)
+	qt.Assert(t, refusal.Reason, qt.Equals, outcome.ReasonQueueDeadline)
+	release()
+	release()
+	_, refusal = enter(time.Minute)
+	qt.Assert(t, refusal == nil, qt.IsTrue)
+	_, refusal = enter(time.Millisecond)
+	qt.Assert(t, refusal != nil, qt.IsTrue)
+}
--- a/core/declaration/parse.go
+++ b/core/declaration/parse.go
@@ -11,6 +11,7 @@
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/parser"
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/panics"
 )
 
 // File is one YAML file of a declaration.
@@ -26,7 +27,9 @@
 	origin := map[string]File{}
 	var mistakes []string
 	for _, file := range files {
-		if err := parseInto(&merged, file, origin); err != nil {
+		if err := guard(file, func() error {
+			return parseInto(&merged, file, origin)
+		}); err != nil {
 			mistakes = append(mistakes, err.Error())
 		}
 	}
@@ -42,6 +45,17 @@
 	return merged, nil
 }
 
+// guard runs work on a file. The YAML library panics on some malformed input;
+// that is the file's mistake like any other.
+func guard(file File, work func() error) (err error) {
+	if recovered := panics.Try(func() {
+		err = work()
+	}); recovered != nil {
+		return errors.Errorf("%s: cannot be read as YAML: %v", file.Name, recovered.Value)
+	}
+	return err
+}
+
 // parseInto decodes one file into merged, and notes which fields it holds.
 func parseInto(merged *Declaration, file File, origin map[string]File) error {
 	var fields map[string]any
@@ -87,6 +101,16 @@
 
 // lineOf returns the line of a field, or of the nearest field around it.
 func lineOf(field string, file File) int {
+	line := 1
+	_ = guard(file, func() error {
+		line = findLine(field, file)
+		return nil
+	})
+	return line
+}
+
+// findLine looks for the line of a field in the parsed file.
+func findLine(field string, file File) int {
 	parsed, err := parser.ParseBytes(file.Content, 0)
 	if err != nil {
 		return 1
