--- /dev/null
+++ b/core/order/order_test.go
@@ -0,0 +1,27 @@
+package order_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/order"
+)
+
+func TestFenceAdmitsOnlyWhatIsNotOlder(t *testing.T) {
+	fence := order.Fence{
+		Generation: 3,
+		Sequence:   10,
+	}
+	admits := func(generation, sequence uint64) bool {
+		return fence.Admits(order.Order{
+			Generation: generation,
+			Sequence:   sequence,
+		})
+	}
+	qt.Assert(t, admits(3, 10), qt.IsTrue)
+	qt.Assert(t, admits(3, 11), qt.IsTrue)
+	qt.Assert(t, admits(4, 1), qt.IsTrue)
+	qt.Assert(t, admits(3, 9), qt.IsFalse)
+	qt.Assert(t, admits(2, 99), qt.IsFalse)
+}
--- a/core/placement/repair.go
+++ b/core/placement/repair.go
@@ -93,9 +93,11 @@
 // A member that has been away for some time is expected to stay away for as
 // long again, and in half of the cases to have lost its state: the rule of the
 // rent-or-buy problem, which never costs more than twice the best in hindsight.
+// Members lost together share a cause, a dark fabric domain for one, which
+// lasts far longer than a pause; they are not waited for.
 func waitCost(loss Loss, weights declaration.Weights) float64 {
 	seconds := neverSeconds
-	if loss.UnseenSeconds >= 0 {
+	if loss.UnseenSeconds >= 0 && loss.Lost == 1 {
 		seconds = loss.UnseenSeconds + loss.LoadSeconds/2
 	}
 	return seconds * (weights.GroupDowntime + weights.StrandedAccelerators*float64(loss.Accelerators))
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -223,7 +225,7 @@
 		Conn:    raw,
 		traffic: c.traffic,
 	}, jsonrpc2.VarintObjectCodec{})
-	opened := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, silentHandler{})
+	opened := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, silentHandler{}, silence())
 	if err = opened.Call(ctx, methodHello, c.hello, nil); err != nil {
 		_ = opened.Close()
 		return nil, errors.Wrapf(err, "say hello to peer %s", address)
@@ -254,6 +256,12 @@
 	}
 }
 
+// silence keeps the library from writing to the standard log; what matters of a
+// conversation's end is seen by whoever asked.
+func silence() jsonrpc2.ConnOpt {
+	return jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+}
+
 // silentHandler answers nothing: the asked daemon asks nothing back.
 type silentHandler struct{}
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -77,7 +77,7 @@
 		talk := &conversation{
 			server: s,
 		}
-		conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(talk.handle))
+		conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(talk.handle), silence())
 		s.keep(conn)
 	}
 }
