--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -21,26 +21,28 @@
 	os.Exit(fuzz.Main(m))
 }
 
+// declaredFleet returns a fleet in which three zones have two groups each.
+func declaredFleet(t *testing.T, daemons, vmsPerDomain int) *fleet.Fleet {
+	t.Helper()
+	f := fleet.New(fleet.Settings{
+		Daemons:      daemons,
+		VMsPerDomain: vmsPerDomain,
+		ChecksOrders: true,
+	})
+	qt.Assert(t, f.StartDeclared(), qt.IsNil)
+	return f
+}
+
 func TestReconcileFormsGroups(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(fleet.Settings{
-			Daemons:      3,
-			VMsPerDomain: 5,
-			ChecksOrders: true,
-		})
-		qt.Assert(t, f.StartDeclared(), qt.IsNil)
+		f := declaredFleet(t, 3, 5)
 		qt.Assert(t, f.Serving(), qt.Equals, 6)
 	})
 }
 
 func TestDrainZoneMovesGroupsWithoutDowntime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(fleet.Settings{
-			Daemons:      3,
-			VMsPerDomain: 6,
-			ChecksOrders: true,
-		})
-		qt.Assert(t, f.StartDeclared(), qt.IsNil)
+		f := declaredFleet(t, 3, 6)
 		made, err := f.Propose(f.Hosts[1], "drain", plan.Intent{
 			Kind: plan.DrainZone,
 			Zone: "z1",
@@ -66,12 +68,7 @@
 
 func TestConflictingPlansNeverBothWin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(fleet.Settings{
-			Daemons:      3,
-			VMsPerDomain: 6,
-			ChecksOrders: true,
-		})
-		qt.Assert(t, f.StartDeclared(), qt.IsNil)
+		f := declaredFleet(t, 3, 6)
 		_, err := f.Propose(f.Hosts[0], "a", plan.Intent{
 			Kind: plan.DrainZone,
 			Zone: "z1",
@@ -92,12 +89,7 @@
 
 func TestPausedMemberReturnsWithoutReforming(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(fleet.Settings{
-			Daemons:      3,
-			VMsPerDomain: 5,
-			ChecksOrders: true,
-		})
-		qt.Assert(t, f.StartDeclared(), qt.IsNil)
+		f := declaredFleet(t, 3, 5)
 		record := f.Hosts[0].Controller.World().Groups[0]
 		f.Servers[record.Members[1].VM].Paused = true
 		f.Run(4 * time.Second)
@@ -113,12 +105,7 @@
 
 func TestDeadMemberIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(fleet.Settings{
-			Daemons:      3,
-			VMsPerDomain: 5,
-			ChecksOrders: true,
-		})
-		qt.Assert(t, f.StartDeclared(), qt.IsNil)
+		f := declaredFleet(t, 3, 5)
 		record := f.Hosts[0].Controller.World().Groups[0]
 		f.Servers[record.Members[0].VM].Die()
 		f.Run(time.Second)
@@ -131,12 +118,7 @@
 
 func TestStoreOutageStopsNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(fleet.Settings{
-			Daemons:      5,
-			VMsPerDomain: 5,
-			ChecksOrders: true,
-		})
-		qt.Assert(t, f.StartDeclared(), qt.IsNil)
+		f := declaredFleet(t, 5, 5)
 		f.StoreOut = true
 		for range 60 {
 			f.Run(time.Minute)
@@ -151,12 +133,7 @@
 
 func TestLeavingVMGetsNoNewWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(fleet.Settings{
-			Daemons:      3,
-			VMsPerDomain: 5,
-			ChecksOrders: true,
-		})
-		qt.Assert(t, f.StartDeclared(), qt.IsNil)
+		f := declaredFleet(t, 3, 5)
 		record := f.Hosts[0].Controller.World().Groups[0]
 		leaving := f.List[record.Members[1].VM]
 		leaving.State = vm.Leaving
@@ -369,12 +346,7 @@
 // backend server is dead.
 func TestPlanAvoidsVMsThatDoNotAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := fleet.New(fleet.Settings{
-			Daemons:      3,
-			VMsPerDomain: 6,
-			ChecksOrders: true,
-		})
-		qt.Assert(t, f.StartDeclared(), qt.IsNil)
+		f := declaredFleet(t, 3, 6)
 		dead := map[string]bool{}
 		for _, domain := range f.Hosts[0].Controller.World().Domains(nil) {
 			if len(domain.Free) > 0 {
--- /dev/null
+++ b/core/control/snapshot.go
@@ -0,0 +1,120 @@
+package control
+
+import (
+	"time"
+
+	"headcourse/core/declaration"
+	"headcourse/core/group"
+	"headcourse/core/plan"
+	"headcourse/core/presence"
+	"headcourse/core/vm"
+)
+
+// Snapshot returns what traffic needs, immutable.
+func (c *Controller) Snapshot() Snapshot {
+	c.rebuild()
+	c.judge()
+	now := time.Now()
+	leaving := map[string]bool{}
+	for id, listed := range c.vms {
+		if listed.State != vm.Live {
+			leaving[id] = true
+		}
+	}
+	return Snapshot{
+		Configuration: c.world.Configuration,
+		Groups:        c.world.Groups,
+		VMs:           c.world.VMs,
+		Book:          c.book,
+		Leaving:       leaving,
+		ServeUntil:    c.contact.ServeUntil(c.self.ID, c.roster.IDs(), now),
+		Daemons:       max(1, len(c.roster)),
+		Warm:          c.isWarm(now),
+	}
+}
+
+// warmBy is how long after its start a daemon counts as warm in any case.
+const warmBy = 10 * time.Second
+
+// isWarm tells whether the daemon has learned of every serving group whether it
+// is whole, so that a new daemon is not given requests that it must refuse.
+func (c *Controller) isWarm(now time.Time) bool {
+	if now.Sub(c.started) > warmBy {
+		return true
+	}
+	for _, record := range c.world.Groups {
+		evidence, ok := c.book.Newest(record.Name)
+		isKnown := ok && evidence.Generation == record.Generation && now.Sub(evidence.At) <= presence.MaxAge
+		if record.Phase == group.Serving && !isKnown {
+			return false
+		}
+	}
+	for _, listed := range c.world.VMs {
+		evidence, ok := c.book.Newest(ServerEvidence(listed.ID))
+		if listed.Service != "" && (!ok || now.Sub(evidence.At) > presence.MaxAge) {
+			return false
+		}
+	}
+	return len(c.world.VMs) > 0
+}
+
+// Snapshot is an immutable view for traffic.
+type Snapshot struct {
+	Configuration plan.Configuration
+	Groups        []group.Record
+	VMs           []vm.VM
+	Book          presence.Book
+	Leaving       map[string]bool
+	// ServeUntil is when the daemon must stop serving unless it hears more.
+	ServeUntil time.Time
+	// Daemons is how many daemons share the organisations' limits.
+	Daemons int
+	// Warm tells that the daemon knows enough to be given requests.
+	Warm bool
+}
+
+// IsLeaving tells whether the VM list has a VM as leaving.
+func (s Snapshot) IsLeaving(id string) bool {
+	return s.Leaving[id]
+}
+
+// Serveable returns the groups of a model that may take a request now.
+func (s Snapshot) Serveable(model string, now time.Time) []group.Record {
+	var groups []group.Record
+	for _, record := range s.Groups {
+		if record.Model != model {
+			continue
+		}
+		evidence, _ := s.Book.Newest(record.Name)
+		if record.Serveable(evidence, s.IsLeaving, now) {
+			groups = append(groups, record)
+		}
+	}
+	return groups
+}
+
+// Servers returns the live VMs of a plain service.
+func (s Snapshot) Servers(service string, now time.Time) []vm.VM {
+	var servers []vm.VM
+	for _, listed := range s.VMs {
+		if listed.Service != service || listed.State != vm.Live {
+			continue
+		}
+		evidence, _ := s.Book.Newest(ServerEvidence(listed.ID))
+		if evidence.Fresh(0, now) {
+			servers = append(servers, listed)
+		}
+	}
+	return servers
+}
+
+// Declaration returns the declaration in force.
+func (s Snapshot) Declaration() declaration.Declaration {
+	return s.Configuration.Declaration
+}
+
+// ServerEvidence names the evidence of a VM that stands for itself: one of a
+// plain service, or a free one.
+func ServerEvidence(id string) string {
+	return "server/" + id
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -11,6 +11,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -200,6 +201,27 @@
 	return candidates[best], true
 }
 
+// TwoChoices picks the less loaded of two candidates drawn at random.
+type TwoChoices struct {
+	Random *rand.Rand
+}
+
+// Pick returns the less loaded of two drawn candidates, or any that has room.
+func (t TwoChoices) Pick(prefix uint64, candidates []Candidate, load func(Candidate) int) (Candidate, bool) {
+	if len(candidates) == 0 {
+		return Candidate{}, false
+	}
+	first := candidates[t.Random.IntN(len(candidates))]
+	second := candidates[t.Random.IntN(len(candidates))]
+	if load(second) < load(first) {
+		first = second
+	}
+	if load(first) < first.Slots {
+		return first, true
+	}
+	return LeastLoaded{}.Pick(prefix, candidates, load)
+}
+
 // RoundRobin picks each candidate in turn. The zero value works.
 type RoundRobin struct {
 	next int
--- a/lab/relaybench/relaybench.go
+++ b/lab/relaybench/relaybench.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -30,6 +29,7 @@
 	"headcourse/lab/engine"
 	"headcourse/lab/examples"
 	"headcourse/lab/platform"
+	"headcourse/lab/usage"
 )
 
 // Settings are the properties of a measurement.
@@ -200,9 +200,9 @@
 			Gap:   hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
 		},
 	}
-	cpu, began := processorTime(), time.Now()
+	cpu, began := usage.ProcessorTime(), time.Now()
 	one.send()
-	one.figures.CPU = processorTime() - cpu
+	one.figures.CPU = usage.ProcessorTime() - cpu
 	one.figures.Seconds = time.Since(began).Seconds()
 	return one.figures
 }
@@ -296,12 +296,3 @@
 		_ = s.figures.Gap.RecordValue(max(1, gap.Microseconds()))
 	}
 }
-
-// processorTime returns the process's time in seconds, user and system.
-func processorTime() float64 {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
-}
--- a/lab/routebench/routebench.go
+++ b/lab/routebench/routebench.go
@@ -117,6 +117,13 @@
 	}, {
 		name: "least loaded",
 		make: func() route.Policy { return route.LeastLoaded{} },
+	}, {
+		name: "less loaded of two",
+		make: func() route.Policy {
+			return route.TwoChoices{
+				Random: rand.New(rand.NewPCG(settings.Seed, 13)), //nolint:gosec // reproducible choice, no secret
+			}
+		},
 	}, {
 		name: "prefix affinity with bounded load",
 		make: func() route.Policy { return route.Affinity{} },
--- a/lab/slopes/slopes.go
+++ b/lab/slopes/slopes.go
@@ -8,8 +8,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"runtime"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +21,7 @@
 	"headcourse/io/http1"
 	"headcourse/lab/examples"
 	"headcourse/lab/tablestore"
+	"headcourse/lab/usage"
 )
 
 // Settings are the properties of a measurement.
@@ -59,7 +58,7 @@
 	figures := Figures{
 		Daemons: settings.Daemons,
 	}
-	before := memory()
+	before := usage.Memory()
 	daemons, err := start(settings)
 	defer stop(daemons)
 	if err != nil {
@@ -69,7 +68,7 @@
 		return figures, err
 	}
 	time.Sleep(settings.Settle)
-	figures.Memory = (memory() - before) / float64(settings.Daemons)
+	figures.Memory = (usage.Memory() - before) / float64(settings.Daemons)
 	if err = settings.rest(daemons, &figures); err != nil {
 		return figures, err
 	}
@@ -205,10 +204,10 @@
 	if err != nil {
 		return err
 	}
-	cpuBefore, peerBefore, began := processorTime(), peerBytes(daemons), time.Now()
+	cpuBefore, peerBefore, began := usage.ProcessorTime(), peerBytes(daemons), time.Now()
 	time.Sleep(s.Measure)
 	passed := time.Since(began).Seconds()
-	figures.CPU = (processorTime() - cpuBefore) / passed / float64(s.Daemons)
+	figures.CPU = (usage.ProcessorTime() - cpuBefore) / passed / float64(s.Daemons)
 	figures.Peer = (peerBytes(daemons) - peerBefore) / passed / float64(s.Daemons)
 	countsAfter, err := counts(s.Table)
 	figures.Reads = float64(countsAfter.Reads-countsBefore.Reads) / passed
@@ -254,23 +253,6 @@
 	return float64(total)
 }
 
-// processorTime returns the process's time in seconds, user and system.
-func processorTime() float64 {
-	var usage syscall.Rusage
-	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
-}
-
-// memory returns the live heap and the stacks after a collection, in bytes.
-func memory() float64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc + stats.StackInuse)
-}
-
 // timeout returns a context for one exchange with the store.
 func timeout() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), 10*time.Second)
