Tell peers only news, packed, with names told once

Every pull carried all reports and all evidence as JSON, to everyone from everyone.

Change: a daemon asks others for what they have observed themselves, and one in turn (or its zone's relays) for all that they have heard; entries go out only when newer than what that conversation was told, as varints, with names told once; free VMs are probed every fifth round.

--- a/core/control/controller.go
+++ b/core/control/controller.go
@@ -102,6 +102,8 @@
 	probes map[string]probe
 	// unjudged are the VMs whose probes changed since evidence was derived.
 	unjudged map[string]bool
+	// observed is the newest evidence that this daemon made itself, by name.
+	observed map[string]presence.Evidence
 	book     presence.Book
 	contact  contact.Contact
 	held     map[int]lease.Held
@@ -141,6 +143,7 @@
 		vms:       map[string]vm.VM{},
 		probes:    map[string]probe{},
 		unjudged:  map[string]bool{},
+		observed:  map[string]presence.Evidence{},
 		held:      map[int]lease.Held{},
 		releasing: map[int]uint64{},
 		seen:      map[string]sighting{},
@@ -357,6 +360,11 @@
 			delete(c.suspects, id)
 		}
 	}
+	for name, one := range c.observed {
+		if now.Sub(one.At) > forgetAfter {
+			delete(c.observed, name)
+		}
+	}
 	for id, known := range c.probes {
 		if now.Sub(known.answeredAt) > forgetAfter && now.Sub(known.firstAt) > forgetAfter {
 			delete(c.probes, id)
--- a/core/control/watch.go
+++ b/core/control/watch.go
@@ -18,31 +18,52 @@
 // one of them is enough for the group to serve; none needs a lease.
 const Watchers = 2
 
+// Target is a VM to probe. IsFree tells that no group has it, so that it may be
+// probed seldom.
+type Target struct {
+	vm.VM
+	IsFree bool
+}
+
 // Targets returns the VMs that this daemon probes: members of the groups that
 // it watches or controls, and those servers of plain services and free VMs that
 // it watches.
-func (c *Controller) Targets() []vm.VM {
+func (c *Controller) Targets() []Target {
 	c.rebuild()
 	c.noteAlive(time.Now())
-	var targets []vm.VM
+	var targets []Target
 	for _, record := range c.world.Groups {
 		if !c.watches(record.Name) && !c.controls(record.Name) {
 			continue
 		}
 		for _, member := range record.Members {
-			targets = append(targets, c.memberVM(member))
+			targets = append(targets, Target{
+				VM: c.memberVM(member),
+			})
 		}
 	}
 	for _, listed := range c.world.VMs {
-		name := ServerEvidence(listed.ID)
-		isAlone := listed.Service != "" || c.world.Claims[listed.ID].Group == ""
-		if isAlone && c.watches(name) {
-			targets = append(targets, listed)
+		isFree := listed.Service == "" && c.world.Claims[listed.ID].Group == ""
+		if (isFree || listed.Service != "") && c.watches(ServerEvidence(listed.ID)) {
+			targets = append(targets, Target{
+				VM:     listed,
+				IsFree: isFree,
+			})
 		}
 	}
 	return targets
 }
 
+// OwnEvidence returns the newest evidence that this daemon observed itself.
+func (c *Controller) OwnEvidence() []presence.Evidence {
+	c.judge()
+	evidence := make([]presence.Evidence, 0, len(c.observed))
+	for _, one := range c.observed {
+		evidence = append(evidence, one)
+	}
+	return evidence
+}
+
 // unwellAfter is how long a free VM may be silent and still be chosen.
 const unwellAfter = 10 * time.Second
 
@@ -136,6 +157,9 @@
 		}
 	}
 	c.unjudged = map[string]bool{}
+	for _, one := range found {
+		c.observed[one.Group] = one
+	}
 	c.book = c.book.WithEvidence(found...)
 }
 
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -109,22 +109,30 @@
 	Relays = 2
 )
 
-// Sources returns the daemons that one daemon pulls reports from. In a small
-// roster these are all others. In a large one a relay pulls from every daemon
-// of its zone and from the relays of the other zones, and everyone else from
-// the relays of its own zone.
-func (r Roster) Sources(self Daemon) Roster {
-	others := r.without(self.ID)
-	if len(r) <= FlatSize {
-		return others
-	}
+// Source is a daemon to pull from. Full tells to ask for all that it has heard.
+type Source struct {
+	Daemon Daemon
+	Full   bool
+}
+
+// Sources returns the daemons that one daemon pulls from. In a small roster
+// these are all others, each asked for what it has observed itself. In a large
+// one a relay asks every daemon of its zone for that, and the relays of the
+// other zones for all they have heard; everyone else asks the relays of its own
+// zone for all they have heard.
+func (r Roster) Sources(self Daemon) []Source {
+	isSmall := len(r) <= FlatSize
 	relays := r.relays()
-	var sources Roster
-	for _, daemon := range others {
-		isRelay := relays.Has(daemon.ID)
+	isRelay := relays.Has(self.ID)
+	var sources []Source
+	for _, daemon := range r.without(self.ID) {
+		fromRelay := relays.Has(daemon.ID)
 		sameZone := daemon.Zone == self.Zone
-		if (relays.Has(self.ID) && (sameZone || isRelay)) || (sameZone && isRelay) {
-			sources = append(sources, daemon)
+		if isSmall || (isRelay && (sameZone || fromRelay)) || (sameZone && fromRelay) {
+			sources = append(sources, Source{
+				Daemon: daemon,
+				Full:   !isSmall && fromRelay,
+			})
 		}
 	}
 	return sources
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,10 +51,12 @@
 
 	inbox    chan func(*control.Controller)
 	snapshot atomic.Pointer[control.Snapshot]
-	targets  atomic.Pointer[[]vmEntry]
-	sources  atomic.Pointer[roster.Roster]
+	targets  atomic.Pointer[[]control.Target]
+	sources  atomic.Pointer[[]roster.Source]
 	refresh  chan struct{}
 	onChange []func()
+	// probeRound counts the rounds of probes.
+	probeRound int
 
 	stop  context.CancelFunc
 	tasks conc.WaitGroup
@@ -91,8 +93,8 @@
 		Daemon: d.self.ID,
 	}, &d.traffic)
 	d.snapshot.Store(&control.Snapshot{})
-	d.targets.Store(&[]vmEntry{})
-	d.sources.Store(&roster.Roster{})
+	d.targets.Store(&[]control.Target{})
+	d.sources.Store(&[]roster.Source{})
 	d.run()
 	d.log.Info("daemon: started", zap.String("id", d.self.ID), zap.String("zone", settings.Zone), zap.String("peers", d.self.Peer))
 	return d, nil
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"headcourse/core/catalog"
+	"headcourse/core/contact"
 	"headcourse/core/control"
 	"headcourse/core/idempotency"
 	"headcourse/core/lease"
@@ -19,9 +20,6 @@
 	"headcourse/io/peer"
 )
 
-// vmEntry is a VM to probe.
-type vmEntry = vm.VM
-
 // Times of the daemon's rounds. Each wait is jittered by a quarter, so that
 // daemons started together drift apart.
 const (
@@ -40,6 +38,8 @@
 	scanLimit = 2000
 	// pullLimit is how many rows one pull returns.
 	pullLimit = 2000
+	// probeFreeEvery is how many rounds pass between probes of a free VM.
+	probeFreeEvery = 5
 	// parallelProbes is how many probes are under way at once.
 	parallelProbes = 64
 )
@@ -262,9 +262,13 @@
 // probeAll probes all targets once.
 func (d *Daemon) probeAll(ctx context.Context) {
 	probes := pool.New().WithMaxGoroutines(parallelProbes)
+	d.probeRound++
 	for _, target := range *d.targets.Load() {
+		if target.IsFree && d.probeRound%probeFreeEvery != 0 {
+			continue
+		}
 		probes.Go(func() {
-			d.probe(ctx, target)
+			d.probe(ctx, target.VM)
 		})
 	}
 	probes.Wait()
@@ -290,6 +294,8 @@
 type puller struct {
 	daemon    *Daemon
 	positions map[string]peer.PullRequest
+	// turn counts rounds.
+	turn int
 }
 
 // newPuller returns a puller that has read nothing.
@@ -303,23 +309,22 @@
 // pulled is one daemon's reply.
 type pulled struct {
 	address string
-	asked   time.Time
-	reply   peer.PullReply
+	answer  peer.Answer
 	err     error
 }
 
 // round pulls from all sources once, side by side.
 func (p *puller) round(ctx context.Context) {
 	results := pool.NewWithResults[pulled]()
-	for _, address := range p.addresses() {
+	addresses, isFull := p.addresses()
+	for _, address := range addresses {
 		request := p.positions[address]
+		request.Full = isFull[address]
 		results.Go(func() pulled {
-			asked := time.Now()
-			reply, err := p.daemon.peers.Pull(ctx, address, request)
+			answer, err := p.daemon.peers.Pull(ctx, address, request)
 			return pulled{
 				address: address,
-				asked:   asked,
-				reply:   reply,
+				answer:  answer,
 				err:     err,
 			}
 		})
@@ -329,17 +334,24 @@
 	}
 }
 
-// addresses returns whom to ask: the sources, or the seeds while none is known.
-func (p *puller) addresses() []string {
+// addresses returns whom to ask: the sources, or the seeds while none is known;
+// and whom to ask for all they have heard. In a small roster, where everyone
+// asks everyone, that is one of them in turn, against links that are cut.
+func (p *puller) addresses() (addresses []string, isFull map[string]bool) {
+	isFull = map[string]bool{}
 	sources := *p.daemon.sources.Load()
-	if len(sources) == 0 {
-		return p.daemon.settings.Seeds
+	for _, source := range sources {
+		addresses = append(addresses, source.Daemon.Peer)
+		isFull[source.Daemon.Peer] = source.Full
 	}
-	addresses := make([]string, len(sources))
-	for i, source := range sources {
-		addresses[i] = source.Peer
+	if len(addresses) == 0 {
+		addresses = p.daemon.settings.Seeds
 	}
-	return addresses
+	if len(addresses) > 0 {
+		p.turn++
+		isFull[addresses[p.turn%len(addresses)]] = true
+	}
+	return addresses, isFull
 }
 
 // take hands a reply to control. Reports count only with a reply that holds
@@ -350,35 +362,38 @@
 		return
 	}
 	p.positions[result.address] = peer.PullRequest{
-		Incarnation: result.reply.Incarnation,
-		Position:    result.reply.Position,
+		Incarnation: result.answer.Incarnation,
+		Position:    result.answer.Position,
 	}
 	p.daemon.tell(ctx, func(c *control.Controller) {
-		c.LearnRows(result.reply.Rows)
-		if !result.reply.More {
-			c.LearnReports(result.reply.ReportsAt(result.asked), result.reply.EvidenceAt(result.asked))
+		c.LearnRows(result.answer.Rows)
+		if !result.answer.More {
+			c.LearnReports(result.answer.Reports, result.answer.Evidence)
 		}
 	})
 }
 
 // AnswerPull answers another daemon's pull.
-func (d *Daemon) AnswerPull(_ context.Context, request peer.PullRequest) (peer.PullReply, error) {
-	reply := peer.PullReply{
+func (d *Daemon) AnswerPull(_ context.Context, request peer.PullRequest) (peer.Answer, error) {
+	answer := peer.Answer{
 		Incarnation: d.self.ID,
 	}
 	if request.Incarnation != d.self.ID {
 		request.Position = 0
 	}
 	isAnswered := d.ask(func(c *control.Controller) {
-		now := time.Now()
-		reply.Rows, reply.Position, reply.More = c.Changes(request.Position, pullLimit)
-		reports := append(c.Contact().Reports(), c.OwnReport())
-		reply.Reports, reply.Evidence = peer.Describe(reports, c.Book().All(), now)
+		answer.Rows, answer.Position, answer.More = c.Changes(request.Position, pullLimit)
+		answer.Reports = []contact.Report{c.OwnReport()}
+		answer.Evidence = c.OwnEvidence()
+		if request.Full {
+			answer.Reports = append(answer.Reports, c.Contact().Reports()...)
+			answer.Evidence = c.Book().All()
+		}
 	})
 	if !isAnswered {
-		return reply, ErrStopped
+		return answer, ErrStopped
 	}
-	return reply, nil
+	return answer, nil
 }
 
 // Roster returns the daemons as control sees them.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -42,106 +42,36 @@
 }
 
 // PullRequest asks for rows after a position in the log of the daemon that is
-// asked. Incarnation names that log; another one begins at 0.
+// asked. Incarnation names that log; another one begins at 0. Full asks for all
+// that the daemon has heard, not only for what it has observed itself.
 type PullRequest struct {
 	Incarnation string `json:"incarnation"`
 	Position    int    `json:"position"`
-	// Known names the roster and groups that the asking daemon knows, so that
-	// both can be referred to by place.
-	Known Known `json:"known"`
+	Full        bool   `json:"full,omitempty"`
 }
 
-// Known is the newest version among the rows of daemons, and of groups.
-type Known struct {
-	Daemons uint64 `json:"daemons"`
-	Groups  uint64 `json:"groups"`
+// Answer is what a daemon has to say to a pull. More tells that rows were left
+// out; then the reports do not count as heard.
+type Answer struct {
+	Incarnation string
+	Position    int
+	Rows        []table.Row
+	More        bool
+	Reports     []contact.Report
+	Evidence    []presence.Evidence
 }
 
-// PullReply is the answer. More tells that rows were left out; then the
-// reports do not count as heard.
-type PullReply struct {
-	Incarnation string      `json:"incarnation"`
-	Position    int         `json:"position"`
-	Rows        []table.Row `json:"rows,omitempty"`
-	More        bool        `json:"more,omitempty"`
-	Reports     []Report    `json:"reports,omitempty"`
-	Evidence    []Evidence  `json:"evidence,omitempty"`
-}
-
-// Report is a contact.Report with its age in milliseconds.
-type Report struct {
-	Daemon        string `json:"d"`
-	ConfigVersion uint64 `json:"v"`
-	AgeMS         int64  `json:"a"`
-}
-
-// Evidence is a presence.Evidence with its age in milliseconds.
-type Evidence struct {
-	Group      string `json:"g"`
-	Generation uint64 `json:"n"`
-	Whole      bool   `json:"w"`
-	AgeMS      int64  `json:"a"`
-	InFlight   int    `json:"f"`
-	Slots      int    `json:"s"`
-}
-
-// ReportsAt returns the reports of a reply asked for at a time.
-func (r PullReply) ReportsAt(asked time.Time) []contact.Report {
-	reports := make([]contact.Report, len(r.Reports))
-	for i, report := range r.Reports {
-		reports[i] = contact.Report{
-			Daemon:        report.Daemon,
-			ConfigVersion: report.ConfigVersion,
-			At:            asked.Add(-time.Duration(report.AgeMS) * time.Millisecond),
-		}
-	}
-	return reports
-}
-
-// EvidenceAt returns the evidence of a reply asked for at a time.
-func (r PullReply) EvidenceAt(asked time.Time) []presence.Evidence {
-	evidence := make([]presence.Evidence, len(r.Evidence))
-	for i, one := range r.Evidence {
-		evidence[i] = presence.Evidence{
-			Group:      one.Group,
-			Generation: one.Generation,
-			Whole:      one.Whole,
-			At:         asked.Add(-time.Duration(one.AgeMS) * time.Millisecond),
-			InFlight:   one.InFlight,
-			Slots:      one.Slots,
-		}
-	}
-	return evidence
-}
-
-// Describe turns reports and evidence into their wire form. Ages are rounded
-// up, never down.
-func Describe(reports []contact.Report, evidence []presence.Evidence, now time.Time) ([]Report, []Evidence) {
-	wireReports := make([]Report, 0, len(reports))
-	for _, report := range reports {
-		wireReports = append(wireReports, Report{
-			Daemon:        report.Daemon,
-			ConfigVersion: report.ConfigVersion,
-			AgeMS:         ageOf(report.At, now),
-		})
-	}
-	wireEvidence := make([]Evidence, 0, len(evidence))
-	for _, one := range evidence {
-		wireEvidence = append(wireEvidence, Evidence{
-			Group:      one.Group,
-			Generation: one.Generation,
-			Whole:      one.Whole,
-			AgeMS:      ageOf(one.At, now),
-			InFlight:   one.InFlight,
-			Slots:      one.Slots,
-		})
-	}
-	return wireReports, wireEvidence
-}
-
-// ageOf returns the age in milliseconds, rounded up.
-func ageOf(at, now time.Time) int64 {
-	return max(0, now.Sub(at).Milliseconds()+1)
+// pullReply is the wire form of an Answer. Names gives the names that Reports
+// and Evidence refer to by number and that were not given before in this
+// conversation; the rest is packed by codec.
+type pullReply struct {
+	Incarnation string         `json:"incarnation"`
+	Position    int            `json:"position"`
+	Rows        []table.Row    `json:"rows,omitempty"`
+	More        bool           `json:"more,omitempty"`
+	Names       map[int]string `json:"names,omitempty"`
+	Reports     []byte         `json:"reports,omitempty"`
+	Evidence    []byte         `json:"evidence,omitempty"`
 }
 
 // ----------------------------------------------------------------------------
@@ -181,7 +111,13 @@
 	hello   Hello
 	traffic *Traffic
 	mutex   sync.Mutex
-	conns   map[string]*jsonrpc2.Conn
+	talks   map[string]*talk
+}
+
+// talk is a conversation with one daemon, and the names it has given.
+type talk struct {
+	conn  *jsonrpc2.Conn
+	names map[int]string
 }
 
 // NewClient returns a client that introduces itself with hello.
@@ -189,30 +125,56 @@
 	return &Client{
 		hello:   hello,
 		traffic: traffic,
-		conns:   map[string]*jsonrpc2.Conn{},
+		talks:   map[string]*talk{},
 	}
 }
 
-// Pull asks the daemon at IP:port.
-func (c *Client) Pull(ctx context.Context, address string, request PullRequest) (PullReply, error) {
+// Pull asks the daemon at IP:port. Reports and evidence are dated from the
+// moment it asked.
+func (c *Client) Pull(ctx context.Context, address string, request PullRequest) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var reply PullReply
-	conn, err := c.conn(ctx, address)
+	asked := time.Now()
+	current, err := c.talk(ctx, address)
 	if err != nil {
-		return reply, err
+		return Answer{}, err
 	}
-	if err = conn.Call(ctx, methodPull, request, &reply); err != nil {
-		c.drop(address, conn)
-		return reply, errors.Wrapf(err, "pull from %s", address)
+	var reply pullReply
+	if err = current.conn.Call(ctx, methodPull, request, &reply); err != nil {
+		c.drop(address, current)
+		return Answer{}, errors.Wrapf(err, "pull from %s", address)
 	}
-	return reply, nil
+	answer, err := current.unpack(reply, asked)
+	if err != nil {
+		c.drop(address, current)
+	}
+	return answer, errors.Wrapf(err, "pull from %s", address)
 }
 
-// conn returns the conversation with a daemon, begun anew where there is none.
-func (c *Client) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+// unpack turns a reply into an answer.
+func (t *talk) unpack(reply pullReply, asked time.Time) (Answer, error) {
+	for number, name := range reply.Names {
+		t.names[number] = name
+	}
+	reports, err := unpackReports(reply.Reports, t.names, asked)
+	if err != nil {
+		return Answer{}, err
+	}
+	evidence, err := unpackEvidence(reply.Evidence, t.names, asked)
+	return Answer{
+		Incarnation: reply.Incarnation,
+		Position:    reply.Position,
+		Rows:        reply.Rows,
+		More:        reply.More,
+		Reports:     reports,
+		Evidence:    evidence,
+	}, err
+}
+
+// talk returns the conversation with a daemon, begun anew where there is none.
+func (c *Client) talk(ctx context.Context, address string) (*talk, error) {
 	c.mutex.Lock()
-	known := c.conns[address]
+	known := c.talks[address]
 	c.mutex.Unlock()
 	if known != nil {
 		return known, nil
@@ -232,27 +194,31 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.conns[address] = opened
-	return opened, nil
+	begun := &talk{
+		conn:  opened,
+		names: map[int]string{},
+	}
+	c.talks[address] = begun
+	return begun, nil
 }
 
 // drop ends a conversation that failed.
-func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
+func (c *Client) drop(address string, failed *talk) {
 	c.mutex.Lock()
-	if c.conns[address] == conn {
-		delete(c.conns, address)
+	if c.talks[address] == failed {
+		delete(c.talks, address)
 	}
 	c.mutex.Unlock()
-	_ = conn.Close()
+	_ = failed.conn.Close()
 }
 
 // Close ends all conversations.
 func (c *Client) Close() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	for address, conn := range c.conns {
-		_ = conn.Close()
-		delete(c.conns, address)
+	for address, current := range c.talks {
+		_ = current.conn.Close()
+		delete(c.talks, address)
 	}
 }
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -13,7 +14,7 @@
 
 // Answerer answers pulls.
 type Answerer interface {
-	AnswerPull(ctx context.Context, request PullRequest) (PullReply, error)
+	AnswerPull(ctx context.Context, request PullRequest) (Answer, error)
 }
 
 // Server answers other daemons. Use Listen.
@@ -103,6 +104,7 @@
 type conversation struct {
 	server    *Server
 	isTrusted bool
+	teller    teller
 }
 
 // Codes of refusals.
@@ -143,11 +145,11 @@
 	if err := json.Unmarshal(params, &pull); err != nil {
 		return nil, refuse(jsonrpc2.CodeInvalidParams, err.Error())
 	}
-	reply, err := c.server.answerer.AnswerPull(ctx, pull)
+	answer, err := c.server.answerer.AnswerPull(ctx, pull)
 	if err != nil {
 		return nil, refuse(codeFailed, err.Error())
 	}
-	return reply, nil
+	return c.teller.pack(answer, time.Now()), nil
 }
 
 // refuse returns an error in the protocol's form.
