Step once for the news of 50 ms; tell peers nothing of leases

Change: news is taken in at once and worked out at most every 50 ms; lease rows are read from the store alone; pulls every 0.75 s.

--- a/core/control/controller.go
+++ b/core/control/controller.go
@@ -277,14 +277,17 @@
 			version: row.Version,
 			since:   now,
 		}
+		if isLeaseRow(row.Key) {
+			// Leases are of use only to whoever reaches the store, and change
+			// too often to be told to everyone by everyone.
+			continue
+		}
+		c.isStale = true
 		c.logged++
 		c.log = append(c.log, change{
 			position: c.logged,
 			key:      row.Key,
 		})
-		if !isLeaseRow(row.Key) {
-			c.isStale = true
-		}
 	}
 	c.compactLog()
 }
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -26,7 +26,7 @@
 	pollEvery   = 2500 * time.Millisecond
 	vmListEvery = 2 * time.Second
 	probeEvery  = 600 * time.Millisecond
-	pullEvery   = 500 * time.Millisecond
+	pullEvery   = 750 * time.Millisecond
 	sweepEvery  = 30 * time.Second
 	// commitTimeout bounds a commit, settling included.
 	commitTimeout = 6 * time.Second
@@ -89,23 +89,35 @@
 	}
 }
 
+// stepGap is the least time between two steps. News is taken in at once, but
+// what follows from it is worked out once for all that came within the gap.
+const stepGap = 50 * time.Millisecond
+
 // control owns the controller: it takes in news, steps, carries out what the
 // step asks for, and publishes a snapshot.
 func (d *Daemon) control(ctx context.Context) {
 	controller := control.New(d.self)
-	ticker := time.NewTicker(stepEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	stepped := time.Time{}
+	isDue := false
 	for {
 		select {
 		case news := <-d.inbox:
 			news(controller)
 			d.takeWaiting(controller)
-		case <-ticker.C:
+			if !isDue {
+				isDue = true
+				timer.Reset(max(0, stepGap-time.Since(stepped)))
+			}
+		case <-timer.C:
+			d.act(ctx, controller.Step())
+			d.publish(controller)
+			stepped, isDue = time.Now(), false
+			timer.Reset(stepEvery)
 		case <-ctx.Done():
 			return
 		}
-		d.act(ctx, controller.Step())
-		d.publish(controller)
 	}
 }
 
