--- a/io/caller/job.go
+++ b/io/caller/job.go
@@ -63,6 +63,8 @@
 	// endSlot and endPlace give back what was taken.
 	endSlot  func()
 	endPlace func()
+	// endWatch ends the watch for the job's deadline.
+	endWatch func() bool
 	done     func()
 }
 
@@ -185,6 +187,9 @@
 	if j.endPlace != nil {
 		j.endPlace()
 	}
+	if j.endWatch != nil {
+		j.endWatch()
+	}
 	if j.cancel != nil {
 		j.cancel()
 	}
--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"strconv"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"headcourse/core/idempotency"
@@ -24,8 +26,9 @@
 	job     *job
 	stream  *engine.Stream
 	address string
-	// pending holds bytes read that do not make up a whole event yet; ready
+	// buffer is read into; pending holds bytes read that do not make up a whole event yet; ready
 	// holds whole events not passed on yet.
+	buffer   []byte
 	pending  []byte
 	ready    []byte
 	position int
@@ -67,6 +70,10 @@
 		s.endPlaces(made)
 		return s.startAgain(c, made, started.failure)
 	}
+	// At its deadline, or when its caller goes away, the engine is told to stop.
+	made.endWatch = context.AfterFunc(made.ctx, func() {
+		s.cancelWork(made)
+	})
 	c.Set(headerRequestID, made.id)
 	// No outcome yet: the stream's own end tells it, [DONE] or an error event.
 	c.Set(fiber.HeaderContentType, reply.ContentType)
@@ -114,9 +121,11 @@
 
 // fill reads from the engine once, and tells whether there can be more.
 func (r *relay) fill() bool {
-	buffer := make([]byte, relayBuffer)
-	n, err := r.stream.Read(buffer)
-	r.take(buffer[:n])
+	if r.buffer == nil {
+		r.buffer = make([]byte, relayBuffer)
+	}
+	n, err := r.stream.Read(r.buffer)
+	r.take(r.buffer[:n])
 	if r.isWhole {
 		return false
 	}
@@ -187,6 +196,9 @@
 			return
 		}
 		cause = err
+		if errors.Is(err, engine.ErrNoStream) {
+			break
+		}
 		time.Sleep(resumeWait)
 	}
 	r.fail(cause)
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -267,6 +267,9 @@
 	}
 }
 
+// ErrNoStream reports that the engine does not have the stream any more.
+var ErrNoStream = errors.New("the engine does not have the stream")
+
 // Resume takes a stream up again after a position, at the engine that runs it.
 func (c *Client) Resume(address, requestID string, position int) (*Stream, error) {
 	request := fasthttp.AcquireRequest()
@@ -276,6 +279,9 @@
 	err := c.streams.Do(address, request, response, true, true)
 	if err == nil && response.StatusCode() != fasthttp.StatusOK {
 		err = errors.Errorf("status %d", response.StatusCode())
+		if response.StatusCode() == fasthttp.StatusNotFound {
+			err = ErrNoStream
+		}
 		_ = response.CloseBodyStream()
 	}
 	if err != nil {
