--- a/labcommand/labcommand.go
+++ b/labcommand/labcommand.go
@@ -19,6 +19,7 @@
 	Measures MeasuresCommand `cmd:"" help:"Compare group downtime and stranded accelerators with baselines, in virtual time."`
 	Slopes   SlopesCommand   `cmd:"" help:"Measure what control costs a daemon at rest, before a platform in another process."`
 	Relay    RelayCommand    `cmd:"" help:"Measure what a daemon adds to streams, against a direct connection."`
+	Plot     PlotCommand     `cmd:"" help:"Draw columns of a measurement as SVG."`
 	Routes   RoutesCommand   `cmd:"" help:"Compare routing policies on the same load, in virtual time."`
 	Load     LoadCommand     `cmd:"" help:"Send callers' load to daemons and check every answer."`
 }
