Tell others of free VMs only when they are not well

Cause: bytes between daemons grew by 28.7 B/s for each VM at 9 daemons (57 to 435 VMs), most of it evidence that free VMs are well, which only matters when it is not so. Change: it is told when it is not, and for a minute after it is again.

--- a/core/control/controller.go
+++ b/core/control/controller.go
@@ -104,9 +104,11 @@
 	unjudged map[string]bool
 	// observed is the newest evidence that this daemon made itself, by name.
 	observed map[string]presence.Evidence
-	book     presence.Book
-	contact  contact.Contact
-	held     map[int]lease.Held
+	// badAt is when evidence last spoke against a VM or group, by name.
+	badAt   map[string]time.Time
+	book    presence.Book
+	contact contact.Contact
+	held    map[int]lease.Held
 	// releasing holds the epochs of leases being given up, by shard.
 	releasing map[int]uint64
 	granted   [lease.Shards]granted
@@ -144,6 +146,7 @@
 		probes:    map[string]probe{},
 		unjudged:  map[string]bool{},
 		observed:  map[string]presence.Evidence{},
+		badAt:     map[string]time.Time{},
 		held:      map[int]lease.Held{},
 		releasing: map[int]uint64{},
 		seen:      map[string]sighting{},
@@ -162,7 +165,7 @@
 	c.judge()
 	actions := &Actions{}
 	c.prune(now)
-	c.noteUnwell(now)
+	c.noteUnwell()
 	c.stepRoster(actions, now)
 	c.stepLeases(actions, now)
 	c.stepGroups(actions, now)
@@ -203,6 +206,7 @@
 
 // LearnReports adds what daemons were heard to hold, and evidence of groups.
 func (c *Controller) LearnReports(reports []contact.Report, evidence []presence.Evidence) {
+	c.noteBad(evidence)
 	c.contact = c.contact.WithReports(reports...)
 	c.book = c.book.WithEvidence(evidence...)
 }
@@ -363,6 +367,11 @@
 			delete(c.suspects, id)
 		}
 	}
+	for name, at := range c.badAt {
+		if now.Sub(at) > forgetAfter {
+			delete(c.badAt, name)
+		}
+	}
 	for name, one := range c.observed {
 		if now.Sub(one.At) > forgetAfter {
 			delete(c.observed, name)
@@ -391,7 +400,7 @@
 // World returns the world as learned so far.
 func (c *Controller) World() plan.World {
 	c.rebuild()
-	c.noteUnwell(time.Now())
+	c.noteUnwell()
 	return c.world
 }
 
--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -116,5 +116,8 @@
 // ServerEvidence names the evidence of a VM that stands for itself: one of a
 // plain service, or a free one.
 func ServerEvidence(id string) string {
-	return "server/" + id
+	return serverPrefix + id
 }
+
+// serverPrefix begins the names that ServerEvidence makes.
+const serverPrefix = "server/"
--- a/core/control/watch.go
+++ b/core/control/watch.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,22 +60,52 @@
 	c.judge()
 	evidence := make([]presence.Evidence, 0, len(c.observed))
 	for _, one := range c.observed {
-		evidence = append(evidence, one)
+		if c.isWorthTelling(one) {
+			evidence = append(evidence, one)
+		}
 	}
 	return evidence
 }
 
+// AllEvidence returns the newest evidence that this daemon observed or heard.
+func (c *Controller) AllEvidence() []presence.Evidence {
+	return slices.DeleteFunc(c.Book().All(), func(one presence.Evidence) bool {
+		return !c.isWorthTelling(one)
+	})
+}
+
+// recoveredFor is how long others are told that a free VM is well again.
+const recoveredFor = time.Minute
+
+// isWorthTelling tells whether others need evidence. That a free VM is well is
+// what they assume; only that it is not, or is again, is news.
+func (c *Controller) isWorthTelling(one presence.Evidence) bool {
+	id, isAlone := strings.CutPrefix(one.Group, serverPrefix)
+	if !isAlone || !one.Whole || c.vms[id].Service != "" {
+		return true
+	}
+	return time.Since(c.badAt[one.Group]) < recoveredFor
+}
+
+// noteBad remembers when evidence spoke against a VM or group.
+func (c *Controller) noteBad(evidence []presence.Evidence) {
+	for _, one := range evidence {
+		if !one.Whole {
+			c.badAt[one.Group] = time.Now()
+		}
+	}
+}
+
 // unwellAfter is how long a free VM may be silent and still be chosen.
 const unwellAfter = 10 * time.Second
 
 // noteUnwell derives which free VMs are known not to answer. One of which
 // nothing is known counts as well.
-func (c *Controller) noteUnwell(now time.Time) {
+func (c *Controller) noteUnwell() {
 	c.world.Unwell = map[string]bool{}
 	for _, listed := range c.world.VMs {
 		evidence, ok := c.book.Newest(ServerEvidence(listed.ID))
-		isSilent := ok && (!evidence.Whole || now.Sub(evidence.At) > unwellAfter)
-		if isSilent && listed.Domain != "" && c.world.Claims[listed.ID].Group == "" {
+		if ok && !evidence.Whole && listed.Domain != "" && c.world.Claims[listed.ID].Group == "" {
 			c.world.Unwell[listed.ID] = true
 		}
 	}
@@ -160,6 +191,7 @@
 	for _, one := range found {
 		c.observed[one.Group] = one
 	}
+	c.noteBad(found)
 	c.book = c.book.WithEvidence(found...)
 }
 
@@ -177,8 +209,11 @@
 		Whole: !known.answeredAt.IsZero() && !known.state.Leaving,
 		At:    known.answeredAt,
 	}
-	isNeverSeen := known.answeredAt.IsZero() && time.Since(known.firstAt) > freshFor
-	if known.refused || isNeverSeen {
+	since := known.answeredAt
+	if since.IsZero() {
+		since = known.firstAt
+	}
+	if known.refused || time.Since(since) > unwellAfter {
 		evidence.Whole = false
 		evidence.At = time.Now()
 	}
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -399,7 +399,7 @@
 		answer.Evidence = c.OwnEvidence()
 		if request.Full {
 			answer.Reports = append(answer.Reports, c.Contact().Reports()...)
-			answer.Evidence = c.Book().All()
+			answer.Evidence = c.AllEvidence()
 		}
 	})
 	if !isAnswered {
--- a/lab/fleet/host.go
+++ b/lab/fleet/host.go
@@ -124,7 +124,7 @@
 			by:       one,
 			rows:     rows,
 			reports:  append(other.Controller.Contact().Reports(), other.Controller.OwnReport()),
-			evidence: other.Controller.Book().All(),
+			evidence: other.Controller.AllEvidence(),
 		}
 		one.Controller.LearnReports(said.reports, said.evidence)
 		if f.heard = append(f.heard, said); len(f.heard) > 400 {
