--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,90 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/route"
+)
+
+// candidates returns groups with slots.
+func candidates(count, slots int) []route.Candidate {
+	made := make([]route.Candidate, count)
+	for i := range made {
+		made[i] = route.Candidate{
+			Group: fmt.Sprintf("g%d", i),
+			Slots: slots,
+		}
+	}
+	return made
+}
+
+// TestHotPrefixDoesNotSinkOneGroup sends a thousand requests of one prefix: none
+// of ten groups may get much more than the mean.
+func TestHotPrefixDoesNotSinkOneGroup(t *testing.T) {
+	groups := candidates(10, 1000)
+	loads := map[string]int{}
+	load := func(candidate route.Candidate) int {
+		return loads[candidate.Group]
+	}
+	for range 1000 {
+		picked, ok := route.Affinity{}.Pick(42, groups, load)
+		qt.Assert(t, ok, qt.IsTrue)
+		loads[picked.Group]++
+	}
+	for _, group := range groups {
+		qt.Assert(t, float64(loads[group.Group]) <= route.Slack*100+1, qt.IsTrue, qt.Commentf("%v", loads))
+	}
+}
+
+func TestSamePrefixMeetsInOneGroup(t *testing.T) {
+	groups := candidates(10, 10)
+	idle := func(route.Candidate) int {
+		return 0
+	}
+	first, _ := route.Affinity{}.Pick(route.Prefix("o", []byte("shift summary")), groups, idle)
+	again, _ := route.Affinity{}.Pick(route.Prefix("o", []byte("shift summary")), groups, idle)
+	qt.Assert(t, again.Group, qt.Equals, first.Group)
+	used := map[string]bool{}
+	for number := range 100 {
+		picked, _ := route.Affinity{}.Pick(route.Prefix("o", fmt.Append(nil, number)), groups, idle)
+		used[picked.Group] = true
+	}
+	qt.Assert(t, len(used), qt.Equals, 10)
+}
+
+func TestFullGroupsGetNothing(t *testing.T) {
+	full := func(route.Candidate) int {
+		return 3
+	}
+	_, ok := route.Affinity{}.Pick(1, candidates(4, 3), full)
+	qt.Assert(t, ok, qt.IsFalse)
+	_, ok = route.Affinity{}.Pick(1, nil, full)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// TestLoadAddsWhatWasSentSinceTheReport: the report does not know of it yet.
+func TestLoadAddsWhatWasSentSinceTheReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tracker route.Tracker
+		endFirst := tracker.Begin("g")
+		time.Sleep(time.Second)
+		candidate := route.Candidate{
+			Group:      "g",
+			Reported:   5,
+			ReportedAt: time.Now(),
+		}
+		time.Sleep(time.Second)
+		endSecond := tracker.Begin("g")
+		qt.Assert(t, tracker.Load(candidate), qt.Equals, 6)
+		endFirst()
+		endFirst()
+		qt.Assert(t, tracker.InFlight("g"), qt.Equals, 1)
+		endSecond()
+		qt.Assert(t, tracker.Load(candidate), qt.Equals, 5)
+	})
+}
