--- /dev/null
+++ b/core/control/plans_test.go
@@ -0,0 +1,151 @@
+package control_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/plan"
+	"headcourse/lab/fleet"
+)
+
+// carryOut plans and confirms an intent and lets time pass.
+func carryOut(t *testing.T, f *fleet.Fleet, id string, intent plan.Intent, wait time.Duration) plan.Plan {
+	t.Helper()
+	_, err := f.Propose(f.Hosts[0], id, intent)
+	qt.Assert(t, err, qt.IsNil)
+	f.Run(3 * time.Second)
+	qt.Assert(t, f.Confirm(f.Hosts[0], id), qt.IsNil)
+	f.Run(wait)
+	found, err := f.Plan(id)
+	qt.Assert(t, err, qt.IsNil)
+	return found
+}
+
+// versions returns how many groups serve each version.
+func versions(f *fleet.Fleet) map[string]int {
+	counts := map[string]int{}
+	for _, record := range f.Hosts[0].Controller.World().Groups {
+		counts[record.Version]++
+	}
+	return counts
+}
+
+// TestVersionChanges: with a spare pair in each domain groups are replaced
+// before they are drained; without one they are formed anew in their own place.
+func TestVersionChanges(t *testing.T) {
+	for _, vmsPerDomain := range []int{6, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			f := declaredFleet(t, 3, vmsPerDomain)
+			qt.Assert(t, f.Apply(f.Hosts[0], fleet.Declared(map[string]int{"z0": 2, "z1": 2, "z2": 2}, "2")), qt.IsNil)
+			f.Run(4 * time.Second)
+			done := carryOut(t, f, "change", plan.Intent{
+				Kind: plan.Reconcile,
+			}, 5*time.Minute)
+			qt.Assert(t, done.State, qt.Equals, plan.Done, qt.Commentf("%s", done.Reason))
+			qt.Assert(t, versions(f), qt.DeepEquals, map[string]int{"2": 6})
+			qt.Assert(t, f.Serving(), qt.Equals, 6)
+			downtime, _ := done.Predicted()
+			qt.Assert(t, downtime > 0, qt.Equals, vmsPerDomain == 2)
+			qt.Assert(t, f.Broken, qt.HasLen, 0)
+		})
+	}
+}
+
+// TestRetiredVMIsNotUsedAgain: its group goes on without it.
+func TestRetiredVMIsNotUsedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := declaredFleet(t, 3, 5)
+		retired := f.Hosts[0].Controller.World().Groups[0].Members[1].VM
+		done := carryOut(t, f, "retire", plan.Intent{
+			Kind: plan.RetireOneVM,
+			VM:   retired,
+		}, 3*time.Minute)
+		qt.Assert(t, done.State, qt.Equals, plan.Done, qt.Commentf("%s", done.Reason))
+		qt.Assert(t, f.Serving(), qt.Equals, 6)
+		for _, record := range f.Hosts[0].Controller.World().Groups {
+			qt.Assert(t, record.Has(retired), qt.IsFalse)
+		}
+		qt.Assert(t, f.Hosts[0].Controller.World().Claims[retired].Retired, qt.IsTrue)
+	})
+}
+
+// TestPlanSurvivesItsDaemons: every few seconds a daemon dies and another is
+// started, and the plan is done all the same.
+func TestPlanSurvivesItsDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := declaredFleet(t, 3, 6)
+		carryOut(t, f, "drain", plan.Intent{
+			Kind: plan.DrainZone,
+			Zone: "z1",
+		}, 0)
+		for range 12 {
+			f.Hosts = f.Hosts[1:]
+			f.AddDaemon()
+			f.Run(15 * time.Second)
+		}
+		f.Run(time.Minute)
+		found, err := f.Plan("drain")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, found.State, qt.Equals, plan.Done, qt.Commentf("%s", found.Reason))
+		qt.Assert(t, f.Serving(), qt.Equals, 6)
+		qt.Assert(t, f.Broken, qt.HasLen, 0)
+	})
+}
+
+// TestAbandonedPlanLeavesTheFleetWhole: given up after its new groups were
+// formed and before the old ones were drained.
+func TestAbandonedPlanLeavesTheFleetWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := declaredFleet(t, 3, 6)
+		carryOut(t, f, "drain", plan.Intent{
+			Kind: plan.DrainZone,
+			Zone: "z1",
+		}, 3*time.Second)
+		qt.Assert(t, f.Change("drain", plan.ChangeAbandon), qt.IsNil)
+		f.Run(2 * time.Minute)
+		qt.Assert(t, f.Unrest(), qt.IsNil)
+		qt.Assert(t, f.Serving(), qt.Equals, 6)
+		qt.Assert(t, f.Broken, qt.HasLen, 0)
+	})
+}
+
+// TestPausedPlanGoesNoFurther: while it is paused nothing more is drained.
+func TestPausedPlanGoesNoFurther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := declaredFleet(t, 3, 6)
+		carryOut(t, f, "drain", plan.Intent{
+			Kind: plan.DrainZone,
+			Zone: "z1",
+		}, time.Second)
+		qt.Assert(t, f.Change("drain", plan.ChangePause), qt.IsNil)
+		f.Run(time.Minute)
+		inZone := 0
+		for _, record := range f.Hosts[0].Controller.World().Groups {
+			if record.Zone == "z1" {
+				inZone++
+			}
+		}
+		qt.Assert(t, inZone, qt.Equals, 2)
+		qt.Assert(t, f.Change("drain", plan.ChangeResume), qt.IsNil)
+		f.Run(2 * time.Minute)
+		found, err := f.Plan("drain")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, found.State, qt.Equals, plan.Done)
+	})
+}
+
+// TestPlanWithoutRoomIsRefused names what is missing.
+func TestPlanWithoutRoomIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := declaredFleet(t, 3, 2)
+		_, err := f.Propose(f.Hosts[0], "drain", plan.Intent{
+			Kind: plan.DrainZone,
+			Zone: "z1",
+		})
+		qt.Assert(t, err, qt.ErrorIs, plan.ErrNoRoom)
+		qt.Assert(t, err, qt.ErrorMatches, `plan drain-zone zone=z1: group "m-3": no 2 free VMs in one fabric domain.*`)
+	})
+}
