--- a/command/command_test.go
+++ b/command/command_test.go
@@ -13,11 +13,24 @@
 	qt "github.com/frankban/quicktest"
 
 	"headcourse/command"
+	"headcourse/labcommand"
 )
 
 // update writes the expected outputs and the reference anew.
 var update = flag.Bool("update", false, "write expected outputs and docs/REFERENCE.md anew")
 
+// TestMain takes away what a terminal or an operator's environment would change
+// in the output.
+func TestMain(m *testing.M) {
+	for _, variable := range os.Environ() {
+		name, _, _ := strings.Cut(variable, "=")
+		if name == "COLUMNS" || strings.HasPrefix(name, "HEADCOURSE_") {
+			_ = os.Unsetenv(name)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // run runs a command line and returns what a user would see.
 func run(arguments []string, input string) string {
 	var out bytes.Buffer
@@ -84,6 +97,19 @@
 	{"hash-key"},
 }
 
+// labReferenced are the commands of headcourse-lab.
+var labReferenced = [][]string{
+	{},
+	{"demo"},
+	{"platform"},
+	{"load"},
+	{"measures"},
+	{"routes"},
+	{"relay"},
+	{"slopes"},
+	{"plot"},
+}
+
 // TestReference makes the reference from the programs' own help.
 func TestReference(t *testing.T) {
 	var page strings.Builder
@@ -98,7 +124,12 @@
 		section("headcourse "+strings.Join(one, " "), append(append([]string{}, one...), "--help")...)
 	}
 	section("Reasons that are counted", "counters", "--list")
-	page.WriteString("\nA daemon counts each reason as `refusal.REASON`, and as `retry.REASON` when it\ntried again; outcomes as `request.ran`, `request.not_run` and\n`request.unknown`; streams taken up again as `stream.resumed`; kept answers\ngiven again as `idempotency.replayed`; bytes between daemons as\n`peer.bytes_read` and `peer.bytes_written`.\n")
+	for _, one := range labReferenced {
+		var out bytes.Buffer
+		labcommand.Main(append(append([]string{}, one...), "--help"), &out, &out)
+		fmt.Fprintf(&page, "\n## %s\n\n```\n%s```\n", strings.Join(append([]string{"headcourse-lab"}, one...), " "), out.String())
+	}
+	page.WriteString("\n## Counters\n\nA daemon counts each reason as `refusal.REASON`, and as `retry.REASON` when it\ntried again; outcomes as `request.ran`, `request.not_run` and\n`request.unknown`; streams taken up again as `stream.resumed`; kept answers\ngiven again as `idempotency.replayed`; bytes between daemons as\n`peer.bytes_read` and `peer.bytes_written`.\n")
 	compare(t, filepath.Join("..", "docs", "REFERENCE.md"), page.String())
 }
 
