Share the flaky table between the two tests that had their own

Two stateful tests each had a store that loses answers and delays commits; it stands once in lab/tablestore now.

--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -20,50 +20,10 @@
 	os.Exit(fuzz.Main(m))
 }
 
-// flaky is a table that loses answers, and lets commits arrive late, as drawn.
-type flaky struct {
-	*tablestore.Memory
-	rt   *rapid.T
-	late []table.Transaction
-	// between is called before a commit, for what others do meanwhile.
-	between func()
-}
-
-// Commit commits now, later or not at all, and answers or does not.
-func (f *flaky) Commit(ctx context.Context, transaction table.Transaction) (uint64, error) {
-	if f.between != nil {
-		f.between()
-	}
-	if len(f.late) > 0 && rapid.Bool().Draw(f.rt, "arrives") {
-		_, _ = f.Memory.Commit(ctx, f.late[0])
-		f.late = f.late[1:]
-	}
-	switch rapid.IntRange(0, 7).Draw(f.rt, "commit") {
-	case 0:
-		return 0, table.ErrUnavailable
-	case 1:
-		_, _ = f.Memory.Commit(ctx, transaction)
-		return 0, table.ErrUnknown
-	case 2:
-		f.late = append(f.late, transaction)
-		return 0, table.ErrUnknown
-	default:
-		return f.Memory.Commit(ctx, transaction)
-	}
-}
-
-// Read answers or does not.
-func (f *flaky) Read(ctx context.Context, key string) (table.Row, error) {
-	if rapid.IntRange(0, 7).Draw(f.rt, "read") == 0 {
-		return table.Row{}, table.ErrUnavailable
-	}
-	return f.Memory.Read(ctx, key)
-}
-
 // world is daemons that get requests with few keys, and a backend server.
 type world struct {
 	rt      *rapid.T
-	store   *flaky
+	store   *tablestore.Flaky
 	alive   map[string]bool
 	daemons []string
 	born    int
@@ -166,16 +126,18 @@
 			alive:   map[string]bool{},
 			runs:    map[string]int{},
 			answers: map[string]string{},
-			store: &flaky{
+			store: &tablestore.Flaky{
 				Memory: &tablestore.Memory{},
-				rt:     rt,
+				Draw: func(name string, n int) int {
+					return rapid.IntRange(0, n-1).Draw(rt, name)
+				},
 			},
 		}
 		for range 3 {
 			w.addDaemon()
 		}
 		isNested := false
-		w.store.between = func() {
+		w.store.Between = func() {
 			if isNested || !rapid.Bool().Draw(rt, "meanwhile") {
 				return
 			}
--- a/core/table/table_test.go
+++ b/core/table/table_test.go
@@ -19,55 +19,15 @@
 	os.Exit(fuzz.Main(m))
 }
 
-// flaky is a table whose answers get lost and whose commits arrive late, as
-// drawn.
-type flaky struct {
-	*tablestore.Memory
-	draw func(name string) int
-	late []table.Transaction
-}
-
-// Commit commits now, or later, and answers or does not.
-func (f *flaky) Commit(ctx context.Context, transaction table.Transaction) (uint64, error) {
-	switch f.draw("commit") {
-	case 0:
-		return 0, table.ErrUnavailable
-	case 1:
-		_, _ = f.Memory.Commit(ctx, transaction)
-		return 0, table.ErrUnknown
-	case 2:
-		f.late = append(f.late, transaction)
-		return 0, table.ErrUnknown
-	default:
-		return f.Memory.Commit(ctx, transaction)
-	}
-}
-
-// Read answers or does not.
-func (f *flaky) Read(ctx context.Context, key string) (table.Row, error) {
-	if f.draw("read") == 0 {
-		return table.Row{}, table.ErrUnavailable
-	}
-	return f.Memory.Read(ctx, key)
-}
-
-// arrive lets one late transaction arrive.
-func (f *flaky) arrive(ctx context.Context) {
-	if len(f.late) > 0 {
-		_, _ = f.Memory.Commit(ctx, f.late[0])
-		f.late = f.late[1:]
-	}
-}
-
 // TestSettledOutcomeIsTrue checks that an outcome that was called certain never
 // changes afterwards, whatever arrives late.
 func TestSettledOutcomeIsTrue(t *testing.T) {
 	fuzz.Check(t, func(rt *rapid.T) {
 		ctx := context.Background()
-		store := &flaky{
+		store := &tablestore.Flaky{
 			Memory: &tablestore.Memory{},
-			draw: func(name string) int {
-				return rapid.IntRange(0, 5).Draw(rt, name)
+			Draw: func(name string, n int) int {
+				return rapid.IntRange(0, n-1).Draw(rt, name)
 			},
 		}
 		settling := &table.Settling{
@@ -82,15 +42,15 @@
 			marked, marker := table.Mark(transaction)
 			_, err := store.Commit(ctx, marked)
 			for !table.IsCertain(err) {
-				if store.draw("arrives") < 2 {
-					store.arrive(ctx)
+				if store.Draw("arrives meanwhile", 3) == 0 {
+					store.Arrive(ctx)
 				}
 				_, err = settling.SettleOnce(ctx, marker)
 			}
 			landed[key] = err == nil
 		}
-		for len(store.late) > 0 {
-			store.arrive(ctx)
+		for store.Arrive(ctx) {
+			continue
 		}
 		for key, isLanded := range landed {
 			row, err := store.Memory.Read(ctx, key)
