Never say not_run of a request that is running under its key

Cause, found in review: a caller that repeated a keyed request while the first attempt was still running was answered not_run, although its request was being run; it could have concluded that its leak report was not filed.

Change: such an answer is unknown. Leaving VMs of plain services have a test of their own; draining a zone stands once in the plans' tests.

Ruled out: the refusal of another body under the same key, which was indeed not run, stays not_run.

--- a/core/control/plans_test.go
+++ b/core/control/plans_test.go
@@ -24,6 +24,15 @@
 	return found
 }
 
+// drainZone has zone z1 drained by the plan "drain".
+func drainZone(t *testing.T, f *fleet.Fleet, wait time.Duration) {
+	t.Helper()
+	carryOut(t, f, "drain", plan.Intent{
+		Kind: plan.DrainZone,
+		Zone: "z1",
+	}, wait)
+}
+
 // versions returns how many groups serve each version.
 func versions(f *fleet.Fleet) map[string]int {
 	counts := map[string]int{}
@@ -77,10 +86,7 @@
 func TestPlanSurvivesItsDaemons(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := declaredFleet(t, 3, 6)
-		carryOut(t, f, "drain", plan.Intent{
-			Kind: plan.DrainZone,
-			Zone: "z1",
-		}, 0)
+		drainZone(t, f, 0)
 		for range 12 {
 			f.Hosts = f.Hosts[1:]
 			f.AddDaemon()
@@ -100,10 +106,7 @@
 func TestAbandonedPlanLeavesTheFleetWhole(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := declaredFleet(t, 3, 6)
-		carryOut(t, f, "drain", plan.Intent{
-			Kind: plan.DrainZone,
-			Zone: "z1",
-		}, 3*time.Second)
+		drainZone(t, f, 3*time.Second)
 		qt.Assert(t, f.Change("drain", plan.ChangeAbandon), qt.IsNil)
 		f.Run(2 * time.Minute)
 		qt.Assert(t, f.Unrest(), qt.IsNil)
@@ -116,10 +119,7 @@
 func TestPausedPlanGoesNoFurther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := declaredFleet(t, 3, 6)
-		carryOut(t, f, "drain", plan.Intent{
-			Kind: plan.DrainZone,
-			Zone: "z1",
-		}, time.Second)
+		drainZone(t, f, time.Second)
 		qt.Assert(t, f.Change("drain", plan.ChangePause), qt.IsNil)
 		f.Run(time.Minute)
 		inZone := 0
--- /dev/null
+++ b/core/control/snapshot_test.go
@@ -0,0 +1,45 @@
+package control_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/control"
+	"headcourse/core/presence"
+	"headcourse/core/vm"
+)
+
+// TestLeavingServerGetsNoNewWork: a plain service's VM that answers well, but is
+// on the leaving list, is not among those that requests go to.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var book presence.Book
+		var listed []vm.VM
+		for id, state := range map[string]vm.State{
+			"stays":  vm.Live,
+			"leaves": vm.Leaving,
+		} {
+			listed = append(listed, vm.VM{
+				ID:      id,
+				Service: "tablero",
+				State:   state,
+			})
+			book = book.WithEvidence(presence.Evidence{
+				Group: control.ServerEvidence(id),
+				Whole: true,
+				At:    time.Now(),
+			})
+		}
+		snapshot := control.Snapshot{
+			VMs:  listed,
+			Book: book,
+		}
+		servers := snapshot.Servers("tablero", time.Now())
+		qt.Assert(t, servers, qt.HasLen, 1)
+		qt.Assert(t, servers[0].ID, qt.Equals, "stays")
+		qt.Assert(t, snapshot.Servers("tablero", time.Now().Add(2*presence.MaxAge)), qt.HasLen, 0)
+	})
+}
--- a/core/idempotency/idempotency.go
+++ b/core/idempotency/idempotency.go
@@ -84,13 +84,19 @@
 	case c.State == Done:
 		return c.Answer, nil
 	case c.State == Running && isAlive(c.Daemon):
-		return Answer{}, outcome.Refuse(outcome.ReasonKeyInProgress, "claim idempotency key")
+		return Answer{}, mayRun(outcome.ReasonKeyInProgress)
 	default:
-		return Answer{}, &outcome.Failure{
-			Outcome: outcome.Unknown,
-			Reason:  outcome.ReasonKeyOutcomeUnknown,
-			Step:    "claim idempotency key",
-		}
+		return Answer{}, mayRun(outcome.ReasonKeyOutcomeUnknown)
+	}
+}
+
+// mayRun returns the failure of a request that this attempt did not run, but
+// that an earlier one with its key may have run or be running.
+func mayRun(reason outcome.Reason) *outcome.Failure {
+	return &outcome.Failure{
+		Outcome: outcome.Unknown,
+		Reason:  reason,
+		Step:    "claim idempotency key",
 	}
 }
 
--- a/core/idempotency/idempotency_test.go
+++ b/core/idempotency/idempotency_test.go
@@ -169,3 +169,20 @@
 		t.Fatalf("got %v", refusal)
 	}
 }
+
+// TestRunningRequestIsNotSaidNotToRun: the caller that asks again must not
+// conclude that its leak report was not filed.
+func TestRunningRequestIsNotSaidNotToRun(t *testing.T) {
+	claim := idempotency.Claim{
+		State:    idempotency.Running,
+		BodyHash: idempotency.HashBody([]byte("x")),
+	}
+	for _, isAlive := range []bool{true, false} {
+		_, refusal := claim.Judge(idempotency.HashBody([]byte("x")), func(string) bool {
+			return isAlive
+		})
+		if refusal == nil || refusal.Outcome != outcome.Unknown {
+			t.Fatalf("daemon alive %t: got %v", isAlive, refusal)
+		}
+	}
+}
