--- a/command/command.go
+++ b/command/command.go
@@ -34,6 +34,7 @@
 // CLI is the lookup table of commands. Adding one is a file and a row here.
 type CLI struct {
 	Serve    ServeCommand    `cmd:"" help:"Run a daemon."`
+	Entry    EntryCommand    `cmd:"" help:"Run a daemon on an entry VM of the platform."`
 	Check    CheckCommand    `cmd:"" help:"Check declaration files without a daemon."`
 	Apply    ApplyCommand    `cmd:"" help:"Make declaration files the next revision of the configuration."`
 	Diff     DiffCommand     `cmd:"" help:"Show in what declaration files differ from the revision in force."`
--- /dev/null
+++ b/core/assembly/assembly.go
@@ -0,0 +1,166 @@
+// Package assembly decides how model engines form groups, and how groups end.
+//
+// A group is a record in the platform's store and a membership at each of its
+// servers. The record is written first; its version is the group's epoch, so
+// epochs rise over daemons, restarts and outages. Then every member is ordered
+// to join; the head is ordered to open only when every member itself tells that
+// it is ready under that name and epoch. What servers tell decides, never the
+// answer to an order: an answer may be lost, and an order may be carried out
+// seconds later.
+//
+// A group ends at its head. Members are used again only when the head is known
+// not to serve any more: it tells so, its process is gone, or it was silent for
+// longer than a group stands still before it breaks.
+//
+// A Controller does no I/O. It is told what happened and returns what to do; the
+// caller owns it with one goroutine. Whoever takes over from another daemon
+// loads the records and goes on from what the servers tell.
+package assembly
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+)
+
+// Table is the table of group records; the key is the group's name.
+const Table = "groups"
+
+// Record is a group as the store keeps it.
+type Record struct {
+	Name string `json:"name"`
+	// Epoch is the version of the record's row, which the store gives.
+	Epoch   int64  `json:"-"`
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	// Members are server IDs, the head first.
+	Members []string `json:"members"`
+}
+
+// Encode returns the record's value in the store.
+func (r Record) Encode() ([]byte, error) {
+	value, err := json.Marshal(r)
+	return value, errors.Wrapf(err, "encode record of group %s", r.Name)
+}
+
+// DecodeRecord returns the record in a row of Table.
+func DecodeRecord(value []byte, version int64) (Record, error) {
+	var record Record
+	if err := json.Unmarshal(value, &record); err != nil {
+		return Record{}, errors.Wrap(err, "decode record of a group")
+	}
+	if record.Name == "" || len(record.Members) == 0 {
+		return Record{}, errors.Errorf("decode record of group %q: it has no name or no members", record.Name)
+	}
+	record.Epoch = version
+	return record, nil
+}
+
+// Kind is what an order asks of a server.
+type Kind int
+
+// The kinds of orders.
+const (
+	// Join makes a server a member, which loads the model if need be.
+	Join Kind = iota
+	// Open lets a ready head serve; Close makes it ready again, after its work
+	// or, with Cutoff, at once; Leave ends a membership at once.
+	Open
+	Close
+	Leave
+	// Stage loads a model's weights to the host beside everything else.
+	Stage
+)
+
+// String returns the kind as it stands in logs.
+func (k Kind) String() string {
+	return [...]string{"join", "open", "close", "leave", "stage"}[k]
+}
+
+// Order is one order to one start of a server.
+type Order struct {
+	Server  fleet.Server
+	Kind    Kind
+	Group   string
+	Epoch   int64
+	Model   string
+	Members []string
+	Cutoff  bool
+	// Reason is why the order is given, for the log.
+	Reason string
+}
+
+// Result is what became of an order.
+type Result int
+
+// The results of orders. NoAnswer orders may have been taken, or be carried out
+// later.
+const (
+	Taken Result = iota
+	NoAnswer
+	Unfit
+	Fenced
+	NotKnown
+	OtherServer
+)
+
+// String returns the result as it stands in logs.
+func (r Result) String() string {
+	return [...]string{"taken", "no_answer", "unfit", "fenced", "not_known", "other_server"}[r]
+}
+
+// Sign is what a probe of a server found.
+type Sign int
+
+// The signs of life. Refused: nothing listens at its address, or another
+// server does.
+const (
+	Silent Sign = iota
+	Alive
+	Refused
+)
+
+// String returns the sign as it stands in logs.
+func (s Sign) String() string {
+	return [...]string{"silent", "alive", "refused"}[s]
+}
+
+// World is what the controller decides by.
+type World struct {
+	Config *config.Config
+	Fleet  fleet.View
+	// IsSteady tells that the store has worked for long enough that a missing
+	// entry means a missing server.
+	IsSteady bool
+	// HadTraffic tells that clients have sent requests: until then loads are
+	// quick and disturb nobody.
+	HadTraffic bool
+	// StallTime is how long a group without one of its members stands still.
+	StallTime time.Duration
+	// LoadWindow and LoadExcess bound the loads that may begin.
+	LoadWindow time.Duration
+	LoadExcess float64
+}
+
+// Plan is what to do next.
+type Plan struct {
+	Create []Record
+	Remove []string
+	Orders []Order
+	Probes []fleet.Server
+	// Notes are changes of what the controller believes, for the log.
+	Notes []Note
+}
+
+// Note is one change of belief about a group.
+type Note struct {
+	Group  string
+	Epoch  int64
+	Model  string
+	What   string
+	Reason string
+}
--- /dev/null
+++ b/core/assembly/check.go
@@ -0,0 +1,167 @@
+package assembly
+
+import (
+	"time"
+
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+)
+
+// check brings a group one step nearer to serving, or finds out that it can
+// serve no more.
+func (c *Controller) check(g *group, world World, plan *Plan) {
+	reason, isGentle := c.whyEnd(g, world, plan)
+	if reason != "" {
+		g.end(reason, isGentle)
+		g.note("group ends", reason, plan)
+		return
+	}
+	head, ok := world.Fleet.Server(g.record.Members[0])
+	if !ok {
+		return
+	}
+	if head.Membership.In(g.record.Name, g.record.Epoch) && head.Membership.State == fleet.Open {
+		if !g.wasOpen {
+			g.note("group open", "the head tells so", plan)
+		}
+		g.wasOpen = true
+		return
+	}
+	if c.joinAll(g, world, plan) {
+		g.order(head, Open, false, "all members are ready", plan)
+	}
+}
+
+// joinAll orders members to join that have not, and tells whether all of them
+// say that they are ready.
+func (c *Controller) joinAll(g *group, world World, plan *Plan) bool {
+	isReady := true
+	for _, id := range g.record.Members {
+		member, ok := world.Fleet.Server(id)
+		if !ok {
+			isReady = false
+			continue
+		}
+		m := member.Membership
+		if !m.In(g.record.Name, g.record.Epoch) {
+			isReady = false
+			c.orderJoin(g, member, plan)
+			continue
+		}
+		isReady = isReady && m.State != fleet.Joining
+	}
+	return isReady
+}
+
+// orderJoin orders a member to join. While one order may still be carried out,
+// giving it again is harmless: it names the same group, epoch and members.
+func (c *Controller) orderJoin(g *group, member fleet.Server, plan *Plan) {
+	if !member.HasLoaded(g.record.Model) && !member.HasStaged(g.record.Model) {
+		if _, ok := g.asked[member.ID]; !ok {
+			c.loads = append(c.loads, time.Now())
+		}
+	}
+	g.order(member, Join, false, "the group forms", plan)
+}
+
+// whyEnd returns why a group must end, or nothing; isGentle lets it finish its
+// work.
+func (c *Controller) whyEnd(g *group, world World, plan *Plan) (reason string, isGentle bool) {
+	head, hasHead := world.Fleet.Server(g.record.Members[0])
+	if g.wasOpen && hasHead {
+		switch {
+		case !head.Membership.In(g.record.Name, g.record.Epoch):
+			return "the head has left", false
+		case head.Membership.State == fleet.Broken:
+			return "the head is broken", false
+		}
+	}
+	for i, id := range g.record.Members {
+		if reason, isGentle = c.whyLost(g, id, i == 0, world, plan); reason != "" {
+			return reason, isGentle
+		}
+	}
+	if !g.wasOpen && time.Since(g.since) > formTime(world.Config, g.record) {
+		return "it took too long to form", false
+	}
+	return c.whySuspected(g, world, plan), false
+}
+
+// formTime returns how long a group may take to form: its members may wait for
+// each other's loads.
+func formTime(known *config.Config, record Record) time.Duration {
+	const waits = 2
+	service := known.Service(record.Service)
+	if service == nil || service.Engine == nil {
+		return formSlack
+	}
+	model, _ := service.Engine.Model(record.Model)
+	return waits*model.Load + formSlack
+}
+
+// whyLost returns why a member is lost to its group, or nothing.
+func (c *Controller) whyLost(g *group, id string, isHead bool, world World, plan *Plan) (reason string, isGentle bool) {
+	member, ok := world.Fleet.Server(id)
+	if !ok {
+		return c.whyGone(id, isHead, world, plan)
+	}
+	if member.Draining {
+		return "member " + id + " is leaving", true
+	}
+	if g.wasOpen && !member.Membership.In(g.record.Name, g.record.Epoch) {
+		return "member " + id + " is not in the group any more", false
+	}
+	if member.Membership.Epoch > g.record.Epoch {
+		return "member " + id + " is in a newer group", false
+	}
+	return "", false
+}
+
+// whyGone returns why a server without an entry is lost. An entry also lapses
+// when its server is cut off from the store alone; a member that answers is
+// still there, but a head without an entry must get no requests.
+func (c *Controller) whyGone(id string, isHead bool, world World, plan *Plan) (reason string, isGentle bool) {
+	if !world.IsSteady {
+		return "", false
+	}
+	if isHead {
+		return "the head's entry is gone", true
+	}
+	server, ok := world.Fleet.Known(id)
+	if !ok {
+		return "member " + id + " is gone", false
+	}
+	c.probe(server, plan)
+	if isDead, isKnown := c.isDead(id); isKnown && isDead {
+		return "member " + id + " is gone and does not answer", false
+	}
+	return "", false
+}
+
+// whySuspected probes the members of a group at which requests stand still, and
+// returns which of them is dead, or nothing.
+func (c *Controller) whySuspected(g *group, world World, plan *Plan) string {
+	if !g.isSuspected {
+		return ""
+	}
+	allKnown := true
+	for _, id := range g.record.Members {
+		server, ok := world.Fleet.Server(id)
+		if !ok {
+			continue
+		}
+		isDead, isKnown := c.isDead(id)
+		if isDead {
+			return "requests stand still and member " + id + " does not answer"
+		}
+		if !isKnown {
+			allKnown = false
+			c.probe(server, plan)
+		}
+	}
+	if allKnown {
+		g.isSuspected = false
+		g.note("suspicion dropped", "all members answer", plan)
+	}
+	return ""
+}
--- /dev/null
+++ b/core/assembly/controller.go
@@ -0,0 +1,274 @@
+package assembly
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"headcourse/core/fleet"
+)
+
+// Times of the controller.
+const (
+	// askAgain is when an order that has shown no effect is given again: an
+	// order takes some milliseconds, its effect on the entry some more.
+	askAgain = 700 * time.Millisecond
+	// probeAgain is the time between two probes of one server.
+	probeAgain = 150 * time.Millisecond
+	// probeValid is how long a sign of life counts.
+	probeValid = time.Second
+	// silences is how many probes in a row must be silent for a server to count
+	// as dead.
+	silences = 2
+	// closeTime is how long a group whose members leave may finish its work.
+	closeTime = 2500 * time.Millisecond
+	// formSlack is how much longer than its load a group may take to form.
+	formSlack = 12 * time.Second
+	// stallMargin is added to the time after which a silent head is broken.
+	stallMargin = time.Second
+)
+
+// Controller decides for all groups. The zero value has none.
+type Controller struct {
+	groups map[string]*group
+	// creating are records being written; their servers are not free.
+	creating map[string]Record
+	signs    map[string]sign
+	// staged are the stage orders given, by server, and when.
+	staged map[string]stageOrder
+	loads  []time.Time
+	// orphans is when a server was last told to leave a group without record.
+	orphans map[string]time.Time
+	number  int
+}
+
+// stageOrder is a stage order under way.
+type stageOrder struct {
+	model string
+	until time.Time
+}
+
+// sign is the last signs of life of a server.
+type sign struct {
+	last     Sign
+	at       time.Time
+	silences int
+	asked    time.Time
+}
+
+// group is what the controller knows of a group beside its record.
+type group struct {
+	record Record
+	since  time.Time
+	asked  map[string]asked
+	// ending is why the group ends; empty while it is to serve. A gentle end
+	// lets it finish its work.
+	ending      string
+	isGentle    bool
+	endingSince time.Time
+	isSuspected bool
+	wasOpen     bool
+	isRemoving  bool
+	// hasHeadLeft tells that the head itself took the order to leave;
+	// withoutMember since when it is surely without one of its members.
+	hasHeadLeft   bool
+	withoutMember time.Time
+}
+
+// asked is the last order given to a member.
+type asked struct {
+	kind Kind
+	at   time.Time
+}
+
+// Load replaces the groups by the records in the store. What is known of
+// servers is kept; what was ordered is found out from them again.
+func (c *Controller) Load(records []Record) {
+	known := map[string]*group{}
+	for _, record := range records {
+		former, ok := c.groups[record.Name]
+		if ok && former.record.Epoch == record.Epoch {
+			former.isRemoving = false
+			known[record.Name] = former
+			continue
+		}
+		known[record.Name] = newGroup(record)
+	}
+	c.groups = known
+	c.creating = map[string]Record{}
+}
+
+// newGroup returns the group of a record.
+func newGroup(record Record) *group {
+	return &group{
+		record: record,
+		since:  time.Now(),
+		asked:  map[string]asked{},
+	}
+}
+
+// Created notes that records were written at a version.
+func (c *Controller) Created(records []Record, epoch int64) {
+	if c.groups == nil {
+		c.groups = map[string]*group{}
+	}
+	for _, record := range records {
+		delete(c.creating, record.Name)
+		record.Epoch = epoch
+		c.groups[record.Name] = newGroup(record)
+	}
+}
+
+// Removed notes that records were removed.
+func (c *Controller) Removed(names []string) {
+	for _, name := range names {
+		delete(c.groups, name)
+	}
+}
+
+// Suspect notes that a daemon's requests stand still at a group.
+func (c *Controller) Suspect(name string, epoch int64) {
+	if g, ok := c.groups[name]; ok && g.record.Epoch == epoch && g.ending == "" {
+		g.isSuspected = true
+	}
+}
+
+// Probed notes the sign of life of a server.
+func (c *Controller) Probed(id string, found Sign) {
+	if c.signs == nil {
+		c.signs = map[string]sign{}
+	}
+	former := c.signs[id]
+	next := sign{
+		last:  found,
+		at:    time.Now(),
+		asked: former.asked,
+	}
+	if found == Silent {
+		next.silences = former.silences + 1
+	}
+	c.signs[id] = next
+}
+
+// Ordered notes what became of an order.
+func (c *Controller) Ordered(order Order, result Result) {
+	if order.Kind == Stage {
+		if result == Unfit || result == NotKnown || result == OtherServer {
+			delete(c.staged, order.Server.ID)
+		}
+		return
+	}
+	g, ok := c.groups[order.Group]
+	if !ok || g.record.Epoch != order.Epoch {
+		return
+	}
+	if order.Kind == Leave && result == Taken && order.Server.ID == g.record.Members[0] {
+		g.hasHeadLeft = true
+	}
+	if order.Kind == Join && (result == Fenced || result == OtherServer) && g.ending == "" {
+		g.end("member refused to join: "+result.String(), false)
+	}
+}
+
+// Records returns the records of all groups, by name.
+func (c *Controller) Records() []Record {
+	records := make([]Record, 0, len(c.groups))
+	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
+		records = append(records, c.groups[name].record)
+	}
+	return records
+}
+
+// end makes a group end.
+func (g *group) end(reason string, isGentle bool) {
+	g.ending = reason
+	g.isGentle = isGentle
+	g.endingSince = time.Now()
+}
+
+// Step returns what to do now.
+func (c *Controller) Step(world World) Plan {
+	var plan Plan
+	if world.Config == nil {
+		return plan
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
+		g := c.groups[name]
+		if g.ending == "" {
+			c.check(g, world, &plan)
+		}
+		if g.ending != "" {
+			c.finish(g, world, &plan)
+		}
+	}
+	c.endOrphans(world, &plan)
+	c.form(world, &plan)
+	return plan
+}
+
+// probe asks for a sign of life, not too often.
+func (c *Controller) probe(server fleet.Server, plan *Plan) {
+	if c.signs == nil {
+		c.signs = map[string]sign{}
+	}
+	known := c.signs[server.ID]
+	if time.Since(known.asked) < probeAgain {
+		return
+	}
+	known.asked = time.Now()
+	c.signs[server.ID] = known
+	plan.Probes = append(plan.Probes, server)
+}
+
+// isDead tells whether a server's recent signs say that it is gone; isKnown
+// whether there are recent signs.
+func (c *Controller) isDead(id string) (isDead, isKnown bool) {
+	known := c.signs[id]
+	if known.at.IsZero() || time.Since(known.at) > probeValid {
+		return false, false
+	}
+	switch known.last {
+	case Alive:
+		return false, true
+	case Refused:
+		return true, true
+	default:
+		return known.silences >= silences, known.silences >= silences
+	}
+}
+
+// order gives an order to a member unless the same was given just now.
+func (g *group) order(server fleet.Server, kind Kind, cutoff bool, reason string, plan *Plan) {
+	last, ok := g.asked[server.ID]
+	if ok && last.kind == kind && time.Since(last.at) < askAgain {
+		return
+	}
+	g.asked[server.ID] = asked{
+		kind: kind,
+		at:   time.Now(),
+	}
+	order := Order{
+		Server: server,
+		Kind:   kind,
+		Group:  g.record.Name,
+		Epoch:  g.record.Epoch,
+		Cutoff: cutoff,
+		Reason: reason,
+	}
+	if kind == Join {
+		order.Model = g.record.Model
+		order.Members = g.record.Members
+	}
+	plan.Orders = append(plan.Orders, order)
+}
+
+// note adds a change of belief to the plan.
+func (g *group) note(what, reason string, plan *Plan) {
+	plan.Notes = append(plan.Notes, Note{
+		Group:  g.record.Name,
+		Epoch:  g.record.Epoch,
+		Model:  g.record.Model,
+		What:   what,
+		Reason: reason,
+	})
+}
--- /dev/null
+++ b/core/assembly/form.go
@@ -0,0 +1,254 @@
+package assembly
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+)
+
+// Figures of planning.
+const (
+	// usedShare is the part of the servers that groups are made of; the others
+	// stay free, with weights on their hosts, to repair groups quickly.
+	usedShare = 0.75
+)
+
+// form plans new groups and stages weights, for every service of engines.
+func (c *Controller) form(world World, plan *Plan) {
+	if c.creating == nil {
+		c.creating = map[string]Record{}
+	}
+	if c.staged == nil {
+		c.staged = map[string]stageOrder{}
+	}
+	for i := range world.Config.Services {
+		service := &world.Config.Services[i]
+		if service.Engine != nil && len(service.Engine.Models) > 0 {
+			c.formService(service, world, plan)
+		}
+	}
+}
+
+// layout is the state of one service that planning works on.
+type layout struct {
+	service *config.Service
+	free    map[string][]fleet.Server
+	domains []string
+	// live counts the groups of each model, over all and by domain.
+	live     map[string]int
+	inDomain map[string]map[string]int
+	total    int
+}
+
+// formService plans one service.
+func (c *Controller) formService(service *config.Service, world World, plan *Plan) {
+	at := c.layout(service, world)
+	for {
+		model, ok := at.neediest()
+		if !ok {
+			break
+		}
+		if !c.formGroup(at, model, world, plan) {
+			at.live[model.Name] = math.MaxInt32 // not now
+		}
+	}
+	c.stageSpares(c.layout(service, world), world, plan)
+}
+
+// layout returns the state of a service.
+func (c *Controller) layout(service *config.Service, world World) *layout {
+	at := &layout{
+		service:  service,
+		free:     map[string][]fleet.Server{},
+		live:     map[string]int{},
+		inDomain: map[string]map[string]int{},
+	}
+	taken := map[string]bool{}
+	domainOf := map[string]string{}
+	for _, server := range world.Fleet.Servers() {
+		domainOf[server.ID] = server.Domain
+	}
+	note := func(record Record, counts bool) {
+		for _, id := range record.Members {
+			taken[id] = true
+		}
+		if record.Service == service.Name && counts {
+			at.add(domainOf[record.Members[0]], record.Model)
+		}
+	}
+	for _, g := range c.groups {
+		note(g.record, g.ending == "")
+	}
+	for _, record := range c.creating {
+		note(record, true)
+	}
+	for _, server := range world.Fleet.Servers() {
+		if server.Service != service.Name || !server.IsEngine || server.Draining {
+			continue
+		}
+		at.total++
+		if !slices.Contains(at.domains, server.Domain) {
+			at.domains = append(at.domains, server.Domain)
+		}
+		if !taken[server.ID] && c.isFree(server, world) {
+			at.free[server.Domain] = append(at.free[server.Domain], server)
+		}
+	}
+	return at
+}
+
+// add counts a group.
+func (l *layout) add(domain, model string) {
+	l.live[model]++
+	if l.inDomain[domain] == nil {
+		l.inDomain[domain] = map[string]int{}
+	}
+	l.inDomain[domain][model]++
+}
+
+// isFree tells whether a server without a record may join a group: it is not
+// the member of a group that still serves, and it did not fail to answer lately.
+func (c *Controller) isFree(server fleet.Server, world World) bool {
+	if isDead, isKnown := c.isDead(server.ID); isKnown && isDead {
+		return false
+	}
+	m := server.Membership
+	if m.State == fleet.NoGroup {
+		return true
+	}
+	for _, other := range world.Fleet.Servers() {
+		o := other.Membership
+		if o.Rank == 0 && o.In(m.Group, m.Epoch) && (o.State == fleet.Open || o.State == fleet.Closing) {
+			return false
+		}
+	}
+	return true
+}
+
+// target returns how many groups a model should have.
+func (l *layout) target(model config.Model) int {
+	servers := model.Share * usedShare * float64(l.total)
+	return max(1, int(math.Round(servers/float64(model.Size))))
+}
+
+// neediest returns the model that lacks the largest part of its groups.
+func (l *layout) neediest() (config.Model, bool) {
+	var best config.Model
+	bestPart := 1.0
+	for _, model := range l.service.Engine.Models {
+		part := float64(l.live[model.Name]) / float64(l.target(model))
+		if part < bestPart {
+			best, bestPart = model, part
+		}
+	}
+	return best, bestPart < 1
+}
+
+// formGroup plans a group of a model in the domain where it forms soonest, and
+// tells whether it did.
+func (c *Controller) formGroup(at *layout, model config.Model, world World, plan *Plan) bool {
+	var best []fleet.Server
+	bestLoads, bestGroups := math.MaxInt, math.MaxInt
+	for _, domain := range at.domains {
+		members, loads := soonest(at.free[domain], model)
+		if members == nil {
+			continue
+		}
+		groups := at.inDomain[domain][model.Name]
+		if loads < bestLoads || (loads == bestLoads && groups < bestGroups) {
+			best, bestLoads, bestGroups = members, loads, groups
+		}
+	}
+	if best == nil || (bestLoads > 0 && world.HadTraffic) || !c.mayLoad(bestLoads, at.service.Engine, world) {
+		return false
+	}
+	c.number++
+	record := Record{
+		Name:    groupName(world.Fleet.Version, c.number),
+		Service: at.service.Name,
+		Model:   model.Name,
+	}
+	for _, member := range best {
+		record.Members = append(record.Members, member.ID)
+		delete(c.staged, member.ID)
+	}
+	domain := best[0].Domain
+	at.free[domain] = slices.DeleteFunc(at.free[domain], func(server fleet.Server) bool {
+		return slices.Contains(record.Members, server.ID)
+	})
+	at.add(domain, model.Name)
+	c.creating[record.Name] = record
+	plan.Create = append(plan.Create, record)
+	return true
+}
+
+// groupName returns a name that no other group has or had: versions of the
+// store never repeat, and a controller counts its own.
+func groupName(version int64, number int) string {
+	const base = 36
+	return "g" + strconv.FormatInt(version, base) + "-" + strconv.Itoa(number)
+}
+
+// soonest returns the servers that form a group of the model soonest, and how
+// many of them must load its weights first; nil where there are too few.
+func soonest(free []fleet.Server, model config.Model) (members []fleet.Server, loads int) {
+	if len(free) < model.Size {
+		return nil, 0
+	}
+	ranked := slices.Clone(free)
+	slices.SortStableFunc(ranked, func(a, b fleet.Server) int {
+		return cmp.Compare(joinRank(a, model.Name), joinRank(b, model.Name))
+	})
+	members = ranked[:model.Size]
+	for _, member := range members {
+		if joinRank(member, model.Name) >= rankLoad {
+			loads++
+		}
+	}
+	return members, loads
+}
+
+// rankLoad and above are the ranks of servers that must load weights.
+const rankLoad = 2
+
+// joinRank orders servers by how soon they are ready with a model, and among
+// those that must load by how little is lost by it.
+func joinRank(server fleet.Server, model string) int {
+	switch {
+	case server.HasLoaded(model):
+		return 0
+	case server.HasStaged(model):
+		return 1
+	case len(server.Staged) == 0:
+		return rankLoad
+	default:
+		return rankLoad + 1
+	}
+}
+
+// mayLoad tells whether so many loads may begin now.
+func (c *Controller) mayLoad(loads int, engine *config.Engine, world World) bool {
+	if loads == 0 {
+		return true
+	}
+	now := time.Now()
+	c.loads = slices.DeleteFunc(c.loads, func(at time.Time) bool {
+		return now.Sub(at) > world.LoadWindow+time.Second
+	})
+	limit := int(engine.LoadsPerSecond * world.LoadWindow.Seconds())
+	return len(c.loads)+c.reserved()+loads <= max(limit, loads)
+}
+
+// reserved counts the loads of groups being created, whose orders come next.
+func (c *Controller) reserved() int {
+	count := 0
+	for _, record := range c.creating {
+		count += len(record.Members)
+	}
+	return count
+}
--- /dev/null
+++ b/core/balancer/balancer.go
@@ -0,0 +1,199 @@
+// Package balancer chooses the backend server, or the head of a group, that
+// takes a request.
+//
+// Every daemon chooses on its own. Reports of load lag and are priced, so a
+// daemon goes by what it has sent itself: each spreads its own requests evenly
+// by cost, and the sum of even spreads is even. Ties are broken at random, so
+// that daemons do not choose alike.
+//
+// What a daemon sees of a server decides whether it is used at all. A group
+// that lost a member goes on taking requests and answers none; its silence,
+// over all of its streams, is the first sign. It is then rested, with a single
+// request let through from time to time to find out whether it works again.
+package balancer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Figures of a tracker.
+const (
+	// firstRest is how long a server is rested after its first failure; each
+	// further one doubles it up to longestRest. A group that lost a member
+	// breaks after 5 s, and is replaced long before.
+	firstRest   = 400 * time.Millisecond
+	longestRest = 6 * time.Second
+	// tolerated is how many failures in a row are taken for the server's usual
+	// ones: services fail a small part of their requests by themselves.
+	tolerated = 1
+	// paceWeight is the part of a new measurement in the mean pace.
+	paceWeight = 0.2
+)
+
+// Candidate is a server that may take the request.
+type Candidate struct {
+	ID       string
+	Capacity int
+}
+
+// Tracker knows what this daemon has under way at each server. It is safe for
+// concurrent use; the zero value is empty.
+type Tracker struct {
+	mutex   sync.Mutex
+	servers map[string]*tracked
+}
+
+// tracked is what is known of one server.
+type tracked struct {
+	inFlight int
+	cost     float64
+	// pace is the mean time of a unit of work; 0: not measured yet.
+	pace float64
+	// heard is when an answer or an event last came.
+	heard    time.Time
+	failures int
+	restTill time.Time
+	rest     time.Duration
+}
+
+// of returns what is known of a server. The mutex is held.
+func (t *Tracker) of(id string) *tracked {
+	if t.servers == nil {
+		t.servers = map[string]*tracked{}
+	}
+	one, ok := t.servers[id]
+	if !ok {
+		one = &tracked{}
+		t.servers[id] = one
+	}
+	return one
+}
+
+// Pick chooses a candidate that is not excluded, and notes that a request of
+// that cost begins there. done must be called at its end. It returns false
+// where no candidate is left.
+func (t *Tracker) Pick(candidates []Candidate, excluded map[string]bool, cost float64) (chosen Candidate, done func(), ok bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := time.Now()
+	best, bestScore := -1, 0.0
+	for i, candidate := range candidates {
+		if excluded[candidate.ID] {
+			continue
+		}
+		score := t.of(candidate.ID).score(now, candidate, cost)
+		if best < 0 || score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	if best < 0 {
+		return Candidate{}, nil, false
+	}
+	chosen = candidates[best]
+	one := t.of(chosen.ID)
+	one.inFlight++
+	one.cost += cost
+	return chosen, sync.OnceFunc(func() {
+		t.mutex.Lock()
+		defer t.mutex.Unlock()
+		one.inFlight--
+		one.cost -= cost
+	}), true
+}
+
+// score returns how unfit a server is for one more request. Resting servers
+// come after all others, those whose rest ends first before the rest.
+func (s *tracked) score(now time.Time, candidate Candidate, cost float64) float64 {
+	const (
+		// spread is the part of the cost that chance adds, to break ties.
+		spread = 0.5
+		// restScore puts resting servers after any that is not.
+		restScore = 1e9
+		// fullScore puts servers that are full by this daemon's requests alone
+		// after those that are not.
+		fullScore = 1e6
+	)
+	score := s.cost + cost*(1+spread*rand.Float64())
+	if s.pace > 0 {
+		score *= s.pace
+	}
+	if candidate.Capacity > 0 && s.inFlight >= candidate.Capacity {
+		score += fullScore
+	}
+	if now.Before(s.restTill) {
+		score += restScore * (1 + s.restTill.Sub(now).Seconds())
+	}
+	return score
+}
+
+// Heard notes that a server answered or sent an event.
+func (t *Tracker) Heard(id string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	one := t.of(id)
+	one.heard = time.Now()
+}
+
+// SilentFor returns how long nothing was heard of a server.
+func (t *Tracker) SilentFor(id string) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return time.Since(t.of(id).heard)
+}
+
+// Succeeded notes that a server ended a request well, and the time that a unit
+// of work took (0: not measured), relative to what others take.
+func (t *Tracker) Succeeded(id string, pace float64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	one := t.of(id)
+	one.failures = 0
+	one.rest = 0
+	one.restTill = time.Time{}
+	if pace <= 0 {
+		return
+	}
+	if one.pace == 0 {
+		one.pace = pace
+	}
+	one.pace += paceWeight * (pace - one.pace)
+}
+
+// Failed notes that a server failed a request in a way that it may fail others
+// in, and rests it. Failures that servers have now and then count from the
+// second in a row.
+func (t *Tracker) Failed(id string, isUsual bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	one := t.of(id)
+	one.failures++
+	if isUsual && one.failures <= tolerated {
+		return
+	}
+	now := time.Now()
+	if now.Before(one.restTill) {
+		return
+	}
+	one.rest = min(max(firstRest, 2*one.rest), longestRest)
+	one.restTill = now.Add(one.rest)
+}
+
+// IsResting tells whether a server is rested.
+func (t *Tracker) IsResting(id string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return time.Now().Before(t.of(id).restTill)
+}
+
+// Sweep forgets servers that have nothing under way and are not known any more.
+func (t *Tracker) Sweep(isKnown func(id string) bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for id, one := range t.servers {
+		if one.inFlight == 0 && !isKnown(id) {
+			delete(t.servers, id)
+		}
+	}
+}
--- /dev/null
+++ b/core/fleet/fleet.go
@@ -0,0 +1,244 @@
+// Package fleet holds what an entry VM knows of the backend servers: where
+// they are, what they serve and which group each belongs to.
+//
+// The servers describe themselves in the platform's table. A View is one state
+// of that table and is never changed; With methods return the next state.
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// MemberState is how far a server has got in its group.
+type MemberState int
+
+// The states of a member, in the order in which a group forms and ends.
+const (
+	NoGroup MemberState = iota
+	Joining
+	Ready
+	Open
+	Closing
+	Broken
+)
+
+// String returns the state as it stands in logs.
+func (m MemberState) String() string {
+	return [...]string{"none", "joining", "ready", "open", "closing", "broken"}[m]
+}
+
+// Membership is a server's place in a group, as the server tells it.
+type Membership struct {
+	Group string
+	Epoch int64
+	// Rank is the place in the member list; rank 0, the head, takes requests.
+	Rank  int
+	State MemberState
+}
+
+// In tells whether the membership is of that group and epoch.
+func (m Membership) In(group string, epoch int64) bool {
+	return m.Group == group && m.Epoch == epoch && m.State != NoGroup
+}
+
+// Server is one start of a backend server; each start has a new ID.
+type Server struct {
+	ID       string
+	Service  string
+	Address  string
+	Zone     string
+	Capacity int
+	// Draining servers finish what they have and then leave.
+	Draining bool
+	// Models are loaded; Staged are kept on the host, quick to load.
+	Models []string
+	Staged []string
+	// Domain is the fabric domain; members of a group should share it.
+	Domain     string
+	Membership Membership
+	// IsEngine tells that the server can be a member of groups.
+	IsEngine bool
+}
+
+// HasStaged tells whether the host keeps a model's weights.
+func (s Server) HasStaged(model string) bool {
+	return slices.Contains(s.Staged, model)
+}
+
+// HasLoaded tells whether the model is the one loaded last.
+func (s Server) HasLoaded(model string) bool {
+	return slices.Contains(s.Models, model)
+}
+
+// View is one state of the server table. The zero value is empty.
+type View struct {
+	// Version is the table's version that the view shows.
+	Version int64
+	servers map[string]Server
+	// lost holds servers whose entry is gone, with the time until which they
+	// may still be sent requests.
+	lost map[string]lostServer
+}
+
+// lostServer is a server whose entry is gone. It may be sent requests until
+// until, and is remembered, with its address, until forget.
+type lostServer struct {
+	server Server
+	until  time.Time
+	forget time.Time
+}
+
+// rememberLost is how long a server is remembered after its entry went: longer
+// than the end of a group whose head is lost takes.
+const rememberLost = 30 * time.Second
+
+// Change is one changed entry: a server, or the ID of one that is gone.
+type Change struct {
+	ID     string
+	Server Server
+	Gone   bool
+}
+
+// WithChanges returns the view after changes. Servers whose entry goes may be
+// sent requests until lostUntil: an entry can lapse although its server lives.
+func (v View) WithChanges(version int64, changes []Change, lostUntil time.Time) View {
+	next := View{
+		Version: version,
+		servers: maps.Clone(v.servers),
+		lost:    maps.Clone(v.lost),
+	}
+	if next.servers == nil {
+		next.servers = map[string]Server{}
+	}
+	if next.lost == nil {
+		next.lost = map[string]lostServer{}
+	}
+	for _, change := range changes {
+		next.apply(change, lostUntil)
+	}
+	now := time.Now()
+	maps.DeleteFunc(next.lost, func(_ string, one lostServer) bool {
+		return now.After(one.forget)
+	})
+	return next
+}
+
+// apply makes one change in a view that nobody else sees yet.
+func (v *View) apply(change Change, lostUntil time.Time) {
+	if !change.Gone {
+		v.servers[change.ID] = change.Server
+		delete(v.lost, change.ID)
+		return
+	}
+	former, wasThere := v.servers[change.ID]
+	delete(v.servers, change.ID)
+	if !wasThere {
+		return
+	}
+	v.lost[change.ID] = lostServer{
+		server: former,
+		until:  lostUntil,
+		forget: time.Now().Add(rememberLost),
+	}
+}
+
+// WithAll returns the view that shows exactly the servers given, read whole at
+// a version. Servers that were there and are not any more count as lost.
+func (v View) WithAll(version int64, servers []Server, lostUntil time.Time) View {
+	present := map[string]bool{}
+	changes := make([]Change, 0, len(servers))
+	for _, server := range servers {
+		present[server.ID] = true
+		changes = append(changes, Change{
+			ID:     server.ID,
+			Server: server,
+		})
+	}
+	for id := range v.servers {
+		if !present[id] {
+			changes = append(changes, Change{
+				ID:   id,
+				Gone: true,
+			})
+		}
+	}
+	return v.WithChanges(version, changes, lostUntil)
+}
+
+// Server returns a server whose entry is in the table.
+func (v View) Server(id string) (Server, bool) {
+	server, ok := v.servers[id]
+	return server, ok
+}
+
+// Servers returns all servers with an entry, ordered by ID.
+func (v View) Servers() []Server {
+	all := make([]Server, 0, len(v.servers))
+	for _, id := range slices.Sorted(maps.Keys(v.servers)) {
+		all = append(all, v.servers[id])
+	}
+	return all
+}
+
+// Serving returns the servers of a service that take requests now. For a model
+// engine these are the heads of open groups of the model none of whose members
+// is leaving; for other services all servers that are not leaving.
+func (v View) Serving(service, model string) []Server {
+	leaving := map[string]bool{}
+	for _, server := range v.servers {
+		if server.Draining && server.Membership.State != NoGroup {
+			leaving[server.Membership.Group] = true
+		}
+	}
+	now := time.Now()
+	var serving []Server
+	for _, server := range v.servers {
+		if server.serves(service, model, leaving) {
+			serving = append(serving, server)
+		}
+	}
+	for _, one := range v.lost {
+		if now.Before(one.until) && !one.server.Draining && one.server.serves(service, model, leaving) {
+			serving = append(serving, one.server)
+		}
+	}
+	slices.SortFunc(serving, func(a, b Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return serving
+}
+
+// serves tells whether the server takes requests of a service and model.
+func (s Server) serves(service, model string, leaving map[string]bool) bool {
+	if s.Service != service || s.Draining {
+		return false
+	}
+	if !s.IsEngine {
+		return true
+	}
+	m := s.Membership
+	return m.State == Open && m.Rank == 0 && !leaving[m.Group] && (model == "" || s.HasLoaded(model))
+}
+
+// IsUsable tells whether a server is known, or its entry went only lately.
+func (v View) IsUsable(id string) bool {
+	if _, ok := v.servers[id]; ok {
+		return true
+	}
+	_, ok := v.lost[id]
+	return ok
+}
+
+// Known returns a server that is known or whose entry went only lately.
+func (v View) Known(id string) (Server, bool) {
+	if server, ok := v.servers[id]; ok {
+		return server, true
+	}
+	one, ok := v.lost[id]
+	return one.server, ok
+}
--- /dev/null
+++ b/core/leader/leader.go
@@ -0,0 +1,318 @@
+// Package leader decides which daemon may change groups.
+//
+// One row of the platform's store is the lease. Its holder rewrites it before
+// its term ends, and every change that the holder makes carries the condition
+// that the row is as it wrote it last, so a holder that was paused past its term
+// changes nothing (a fencing token). Another daemon takes the lease when it has
+// seen the row unchanged for a whole term by its own clock; no two clocks are
+// compared. The holder counts its term from before it sent its last rewrite, so
+// it stops before anyone else can begin.
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"headcourse/core/rowstore"
+)
+
+// Where the lease stands.
+const (
+	// Table is the table of the lease and key its row.
+	Table = "control"
+	key   = "lease"
+)
+
+// Times of the lease.
+const (
+	// Term is how long a lease holds after its last rewrite. It bounds how long
+	// groups go without repair when the leader dies.
+	Term = 2500 * time.Millisecond
+	// renewEvery leaves time for two lost rewrites within a term.
+	renewEvery = 800 * time.Millisecond
+	// lookEvery is the time between two looks of those that do not hold it; a
+	// look is a priced call of each daemon.
+	lookEvery = 1500 * time.Millisecond
+	// callTime bounds one call.
+	callTime = 900 * time.Millisecond
+	// safety is kept away from the end of the term: the time from a decision to
+	// its order.
+	safety = 300 * time.Millisecond
+)
+
+// ErrLost reports that the lease is lost, or may be.
+var ErrLost = errors.New("lease lost")
+
+// value is the lease row's value. Holder is empty when the lease is free.
+type value struct {
+	Holder string `json:"holder"`
+	// Start tells two starts of one daemon apart; Count its rewrites.
+	Start string `json:"start"`
+	Count int64  `json:"count"`
+}
+
+// Elector takes part in the choice of the leader. Fields are set before Run.
+type Elector struct {
+	Store rowstore.Store
+	// Name is the daemon's, the same after a restart; Start is new with each.
+	Name  string
+	Start string
+	// Changed is told when this daemon gains or loses the lease, and why.
+	Changed func(isLeader bool, epoch int64, reason string)
+
+	seen      int64
+	seenSince time.Time
+}
+
+// Run calls lead whenever this daemon holds the lease, with a context that ends
+// with it, until ctx ends. Then it gives the lease up.
+func (e *Elector) Run(ctx context.Context, lead func(ctx context.Context, lease *Lease)) {
+	for ctx.Err() == nil {
+		lease := e.take(ctx)
+		if lease == nil {
+			sleep(ctx, lookEvery*3/4+rand.N(lookEvery/2))
+			continue
+		}
+		e.Changed(true, lease.version, "taken")
+		e.serve(ctx, lease, lead)
+	}
+}
+
+// serve leads until the lease is lost.
+func (e *Elector) serve(ctx context.Context, lease *Lease, lead func(ctx context.Context, lease *Lease)) {
+	leading, stop := context.WithCancel(ctx)
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		lead(leading, lease)
+	}()
+	reason := "stopped"
+	for leading.Err() == nil {
+		sleep(leading, renewEvery/4)
+		if !lease.Holds() {
+			reason = "its term ended"
+			break
+		}
+		if lease.age() < renewEvery {
+			continue
+		}
+		if err := lease.Commit(leading, nil, nil, nil); errors.Is(err, ErrLost) {
+			reason = "another daemon holds it"
+			break
+		}
+	}
+	stop()
+	<-done
+	if ctx.Err() != nil {
+		lease.release()
+	}
+	e.Changed(false, lease.version, reason)
+}
+
+// sleep waits, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// take looks at the lease and takes it if it is free, or was this daemon's own
+// before a restart, or was not rewritten for a term.
+func (e *Elector) take(ctx context.Context) *Lease {
+	version, held, err := read(ctx, e.Store)
+	if err != nil {
+		return nil
+	}
+	if version != e.seen || e.seenSince.IsZero() {
+		e.seen = version
+		e.seenSince = time.Now()
+	}
+	isFree := version == 0 || held.Holder == "" || held.Holder == e.Name
+	if !isFree && time.Since(e.seenSince) < Term {
+		return nil
+	}
+	lease := &Lease{
+		store:   e.Store,
+		holder:  e.Name,
+		start:   e.Start,
+		version: version,
+		granted: time.Now(),
+	}
+	if err = lease.Commit(ctx, nil, nil, nil); err != nil {
+		return nil
+	}
+	return lease
+}
+
+// read returns the lease row; version 0: there is none.
+func read(ctx context.Context, store rowstore.Store) (int64, value, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	result, err := store.Read(ctx, Table)
+	if err != nil {
+		return 0, value{}, errors.Wrap(err, "read lease")
+	}
+	for _, row := range result.Rows {
+		if row.Key != key {
+			continue
+		}
+		var held value
+		if err = json.Unmarshal(row.Value, &held); err != nil {
+			return 0, value{}, errors.Wrap(err, "decode lease")
+		}
+		return row.Version, held, nil
+	}
+	return 0, value{}, nil
+}
+
+// Lease is the right to change groups while it holds.
+type Lease struct {
+	store  rowstore.Store
+	holder string
+	start  string
+
+	// committing allows one change at a time, since each changes the version
+	// that the next is conditional on.
+	committing sync.Mutex
+	mutex      sync.Mutex
+	version    int64
+	count      int64
+	granted    time.Time
+	isLost     bool
+}
+
+// Holds tells whether the holder may still act.
+func (l *Lease) Holds() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return !l.isLost && time.Since(l.granted) < Term-safety
+}
+
+// age returns the time since the last rewrite.
+func (l *Lease) age() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return time.Since(l.granted)
+}
+
+// lose marks the lease as lost.
+func (l *Lease) lose() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.isLost = true
+}
+
+// Commit makes a change under the lease and renews it by the same transaction.
+// It sets version to the version of the change's rows. ErrLost says that nothing
+// was or will be done; rowstore.ErrUnknown that the change may have been done
+// but cannot be done any more.
+func (l *Lease) Commit(ctx context.Context, writes, removes []rowstore.Row, version *int64) error {
+	l.committing.Lock()
+	defer l.committing.Unlock()
+	sent := time.Now()
+	l.count++
+	committed, err := l.commitOnce(ctx, writes, removes)
+	if err == nil {
+		l.renewed(committed, sent)
+		if version != nil {
+			*version = committed
+		}
+		return nil
+	}
+	var conflict *rowstore.Conflict
+	switch {
+	case errors.As(err, &conflict):
+		l.lose()
+		return errors.Wrap(ErrLost, "commit under lease")
+	case errors.Is(err, rowstore.ErrUnknown):
+		return l.settle(ctx)
+	default:
+		return errors.Wrap(err, "commit under lease")
+	}
+}
+
+// renewed notes a rewrite.
+func (l *Lease) renewed(version int64, sent time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.version = version
+	l.granted = sent
+}
+
+// commitOnce makes one transaction, conditional on the lease row.
+func (l *Lease) commitOnce(ctx context.Context, writes, removes []rowstore.Row) (int64, error) {
+	encoded, err := json.Marshal(value{
+		Holder: l.holder,
+		Start:  l.start,
+		Count:  l.count,
+	})
+	if err != nil {
+		return 0, errors.Wrap(err, "encode lease")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return l.store.Commit(ctx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{
+			{
+				Table:   Table,
+				Key:     key,
+				Version: l.version,
+			},
+		},
+		Writes: append([]rowstore.Row{
+			{
+				Table: Table,
+				Key:   key,
+				Value: encoded,
+			},
+		}, writes...),
+		Removes: removes,
+	})
+}
+
+// settle makes sure that a change whose answer was lost cannot be done any
+// more: it rewrites the lease row, on whose version the change depends.
+func (l *Lease) settle(ctx context.Context) error {
+	version, held, err := read(ctx, l.store)
+	if err != nil {
+		return errors.Wrap(rowstore.ErrUnknown, "settle change")
+	}
+	if version != 0 && (held.Holder != l.holder || held.Start != l.start) && version != l.version {
+		l.lose()
+		return errors.Wrap(ErrLost, "settle change")
+	}
+	l.mutex.Lock()
+	l.version = version
+	l.mutex.Unlock()
+	sent := time.Now()
+	l.count++
+	committed, err := l.commitOnce(ctx, nil, nil)
+	var conflict *rowstore.Conflict
+	if errors.As(err, &conflict) {
+		// The lost change has been done in between; the next settle sees it.
+		return errors.Wrap(rowstore.ErrUnknown, "settle change")
+	}
+	if err == nil {
+		l.renewed(committed, sent)
+	}
+	return errors.Wrap(rowstore.ErrUnknown, "settle change")
+}
+
+// release gives the lease up, so that another daemon takes it at its next look.
+func (l *Lease) release() {
+	if !l.Holds() {
+		return
+	}
+	l.holder = ""
+	ctx, cancel := context.WithTimeout(context.Background(), callTime)
+	defer cancel()
+	// A failure costs the others the rest of the term.
+	_, _ = l.commitOnce(ctx, nil, nil)
+}
--- /dev/null
+++ b/core/rowstore/follow.go
@@ -0,0 +1,116 @@
+package rowstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Times of a follower.
+const (
+	// feedMargin is how much longer than the wait an answer may take: the
+	// store's own 4 ms, links, and a slow store's twentyfold.
+	feedMargin = 700 * time.Millisecond
+	// retryWait is the pause after a failed call, so that a store that refuses
+	// costs each VM three calls a second.
+	retryWait = 300 * time.Millisecond
+)
+
+// Follower keeps up with one table: it reads the table once and then follows
+// its changes. A table never goes back: answers older than what was seen, as a
+// lagging copy of the store gives them, are dropped.
+type Follower struct {
+	Store Store
+	Table string
+	// Wait is how long one call waits for changes; Settle is a pause after
+	// changes, which lets further changes come with the next call.
+	Wait   time.Duration
+	Settle time.Duration
+	// Whole is told all rows after a read, Changed the rows of a feed, both with
+	// the version and the time as of which it is true. A feed without changes
+	// calls Changed with none.
+	Whole   func(rows []Row, version int64, asOf time.Time)
+	Changed func(rows []Row, version int64, asOf time.Time)
+	// Failed is told each failed call, Restored the first good one after it.
+	Failed   func(err error)
+	Restored func(away time.Duration)
+	Clock    *Freshness
+
+	version   int64
+	isRead    bool
+	failingAt time.Time
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := f.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// step makes one call and returns the pause after it.
+func (f *Follower) step(ctx context.Context) time.Duration {
+	sent := time.Now()
+	result, err := f.call(ctx)
+	if errors.Is(err, ErrCompacted) {
+		f.isRead = false
+		return 0
+	}
+	if err != nil {
+		f.noteFailure(err, sent)
+		return retryWait
+	}
+	f.noteSuccess()
+	asOf := f.Clock.Prove(sent, result.Now)
+	if result.Version < f.version {
+		return retryWait
+	}
+	f.version = result.Version
+	if !f.isRead {
+		f.isRead = true
+		f.Whole(result.Rows, result.Version, asOf)
+		return 0
+	}
+	f.Changed(result.Rows, result.Version, asOf)
+	if len(result.Rows) > 0 {
+		return f.Settle
+	}
+	return 0
+}
+
+// call reads the table, or waits for its changes.
+func (f *Follower) call(ctx context.Context) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+feedMargin)
+	defer cancel()
+	if !f.isRead {
+		return f.Store.Read(ctx, f.Table)
+	}
+	return f.Store.Feed(ctx, f.Table, f.version, f.Wait)
+}
+
+// noteFailure tells a failed call.
+func (f *Follower) noteFailure(err error, at time.Time) {
+	if f.failingAt.IsZero() {
+		f.failingAt = at
+	}
+	if f.Failed != nil {
+		f.Failed(err)
+	}
+}
+
+// noteSuccess tells the first good call after failed ones.
+func (f *Follower) noteSuccess() {
+	if f.failingAt.IsZero() {
+		return
+	}
+	away := time.Since(f.failingAt)
+	f.failingAt = time.Time{}
+	if f.Restored != nil {
+		f.Restored(away)
+	}
+}
--- /dev/null
+++ b/core/rowstore/freshness.go
@@ -0,0 +1,53 @@
+package rowstore
+
+import (
+	"sync"
+	"time"
+)
+
+// Freshness tells how old a view of the store is, without comparing clocks.
+//
+// Every answer carries the store's steady clock. An answer cannot have been
+// produced before its call was sent; so a call sent at s whose answer shows n
+// proves that the store's clock shows n no earlier than s, and that it shows
+// n+d no earlier than s+d. The latest such proof dates every later answer, also
+// one that was long on its way. The zero value knows nothing.
+type Freshness struct {
+	mutex sync.Mutex
+	// zero is the latest proven local time at which the store's clock was 0.
+	zero    time.Time
+	isKnown bool
+	asOf    time.Time
+}
+
+// Prove notes that a call sent at sent was answered when the store's clock
+// showed now, and returns a local time at which the answer was surely true.
+func (f *Freshness) Prove(sent time.Time, now time.Duration) time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	zero := sent.Add(-now)
+	if !f.isKnown || zero.After(f.zero) {
+		f.zero = zero
+		f.isKnown = true
+	}
+	return f.zero.Add(now)
+}
+
+// Confirm notes that the view is complete as of a time.
+func (f *Freshness) Confirm(asOf time.Time) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if asOf.After(f.asOf) {
+		f.asOf = asOf
+	}
+}
+
+// Age returns how old the view may be, and false if nothing was ever confirmed.
+func (f *Freshness) Age() (time.Duration, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.asOf.IsZero() {
+		return 0, false
+	}
+	return time.Since(f.asOf), true
+}
--- /dev/null
+++ b/core/rowstore/rowstore.go
@@ -0,0 +1,81 @@
+// Package rowstore names what the platform's table store does for headcourse:
+// rows that are written under conditions, read, and followed as they change.
+//
+// A write has three outcomes. ErrRefused and *Conflict say that nothing was
+// done. ErrUnknown says that the write may have been done, or may be done yet
+// if its conditions still hold; whoever sees it reads the rows again before it
+// acts on them.
+package rowstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Errors of a store.
+var (
+	// ErrRefused reports that the store did nothing: it is down or overloaded.
+	ErrRefused = errors.New("store refused the call")
+	// ErrUnknown reports that no answer came, so that a write may have been done.
+	ErrUnknown = errors.New("store did not answer")
+	// ErrCompacted reports that the history asked for is gone; read the table.
+	ErrCompacted = errors.New("store has forgotten the history")
+)
+
+// Conflict reports that a condition of a write did not hold, so that nothing
+// was done. It carries the rows of the conditions as they are.
+type Conflict struct {
+	Rows []Row
+}
+
+// Error names the conflict.
+func (c *Conflict) Error() string {
+	return "condition of a write did not hold"
+}
+
+// Row is one row.
+type Row struct {
+	Table string
+	Key   string
+	Value []byte
+	// Version rises with every change of any row. 0 means: not there.
+	Version int64
+	// Deleted rows are told by Feed only.
+	Deleted bool
+}
+
+// Condition says which version a row must have; 0: it must not exist.
+type Condition struct {
+	Table   string
+	Key     string
+	Version int64
+}
+
+// Transaction is a set of changes, all done or none.
+type Transaction struct {
+	Conditions []Condition
+	Writes     []Row
+	Removes    []Row
+}
+
+// Result is what a read or a feed returned.
+type Result struct {
+	Rows []Row
+	// Version is the newest version; Now is the store's steady clock.
+	Version int64
+	Now     time.Duration
+}
+
+// Store is the table store. Implementations are safe for concurrent use.
+type Store interface {
+	// Read returns all rows of a table as of one moment.
+	Read(ctx context.Context, table string) (Result, error)
+	// Feed returns the rows that changed since a version, as soon as there is
+	// one, or nothing after wait. It fails with ErrCompacted.
+	Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error)
+	// Commit does a transaction and returns the version of its rows. It fails
+	// with *Conflict, ErrRefused or ErrUnknown.
+	Commit(ctx context.Context, transaction Transaction) (int64, error)
+}
--- /dev/null
+++ b/entry/control.go
@@ -0,0 +1,254 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"headcourse/core/assembly"
+	"headcourse/core/leader"
+	"headcourse/core/rowstore"
+)
+
+// Figures of control.
+const (
+	// stepEvery is the time between two steps without news.
+	stepEvery = 100 * time.Millisecond
+	// newsQueue bounds news that wait for the control goroutine.
+	newsQueue = 256
+	// stallWait is how long one call waits for words of stalls.
+	stallWait = 5 * time.Second
+	// readTime bounds reading the records.
+	readTime = time.Second
+)
+
+// control takes part in the choice of the leader and leads while chosen.
+func (d *Daemon) control(ctx context.Context) {
+	elector := &leader.Elector{
+		Store: d.store,
+		Name:  d.settings.Name,
+		Start: d.start,
+		Changed: func(isLeader bool, epoch int64, reason string) {
+			d.log.Info("control: lease changed", zap.Bool("is_leader", isLeader), zap.Int64("lease_version", epoch), zap.String("reason", reason))
+		},
+	}
+	elector.Run(ctx, d.lead)
+}
+
+// steward is one term of leading: one goroutine owns the controller; orders,
+// probes and followers hand it what they learn as functions.
+type steward struct {
+	daemon     *Daemon
+	lease      *leader.Lease
+	controller assembly.Controller
+	news       chan func()
+	mustLoad   bool
+}
+
+// lead forms and repairs groups until ctx ends.
+func (d *Daemon) lead(ctx context.Context, lease *leader.Lease) {
+	s := &steward{
+		daemon:   d,
+		lease:    lease,
+		news:     make(chan func(), newsQueue),
+		mustLoad: true,
+	}
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		s.stallFollower(ctx).Run(ctx)
+	}()
+	ticker := time.NewTicker(stepEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		s.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-d.changed:
+		case news := <-s.news:
+			news()
+		}
+		s.drain()
+	}
+	<-followed
+}
+
+// drain takes all news that wait.
+func (s *steward) drain() {
+	for {
+		select {
+		case news := <-s.news:
+			news()
+		default:
+			return
+		}
+	}
+}
+
+// tell hands news to the control goroutine.
+func (s *steward) tell(ctx context.Context, news func()) {
+	select {
+	case s.news <- news:
+	case <-ctx.Done():
+	}
+}
+
+// step decides once and does what was decided. Nothing is ordered unless the
+// lease holds and the records are known.
+func (s *steward) step(ctx context.Context) {
+	d := s.daemon
+	if !s.lease.Holds() || !d.serversRead.Load() {
+		return
+	}
+	if s.mustLoad && !s.load(ctx) {
+		return
+	}
+	view := d.view.Load()
+	plan := s.controller.Step(assembly.World{
+		Config:     view.Config,
+		Fleet:      view.Fleet,
+		IsSteady:   d.isStoreSteady(),
+		HadTraffic: d.gateway.HadRequests(),
+		StallTime:  d.settings.StallTime,
+		LoadWindow: d.settings.LoadWindow,
+		LoadExcess: d.settings.LoadExcess,
+	})
+	for _, note := range plan.Notes {
+		d.log.Info("groups: "+note.What, zap.String("group", note.Group), zap.Int64("epoch", note.Epoch), zap.String("model", note.Model), zap.String("reason", note.Reason))
+	}
+	for _, server := range plan.Probes {
+		go func() {
+			sign := d.workers.Probe(server)
+			s.tell(ctx, func() {
+				s.controller.Probed(server.ID, sign)
+			})
+			if sign != assembly.Alive {
+				d.log.Info("groups: server probed", zap.String("server", server.ID), zap.String("sign", sign.String()))
+			}
+		}()
+	}
+	for _, order := range plan.Orders {
+		go s.give(ctx, order)
+	}
+	if len(plan.Create) > 0 || len(plan.Remove) > 0 {
+		s.commit(ctx, plan.Create, plan.Remove)
+	}
+}
+
+// give gives one order.
+func (s *steward) give(ctx context.Context, order assembly.Order) {
+	if !s.lease.Holds() {
+		return
+	}
+	began := time.Now()
+	result, err := s.daemon.workers.Order(order)
+	s.daemon.observe("order_ms", time.Since(began))
+	s.daemon.log.Info("groups: order given",
+		zap.String("order", order.Kind.String()),
+		zap.String("server", order.Server.ID),
+		zap.String("group", order.Group),
+		zap.Int64("epoch", order.Epoch),
+		zap.String("model", order.Model),
+		zap.String("reason", order.Reason),
+		zap.String("result", result.String()),
+		zap.Error(err))
+	s.tell(ctx, func() {
+		s.controller.Ordered(order, result)
+	})
+}
+
+// load reads the records of all groups.
+func (s *steward) load(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	result, err := s.daemon.store.Read(ctx, assembly.Table)
+	if err != nil {
+		s.daemon.noteTrouble(assembly.Table)(err)
+		return false
+	}
+	var records []assembly.Record
+	for _, row := range result.Rows {
+		record, decodeErr := assembly.DecodeRecord(row.Value, row.Version)
+		if decodeErr != nil {
+			s.daemon.log.Error("groups: record not taken", zap.String("group", row.Key), zap.Error(decodeErr))
+			continue
+		}
+		records = append(records, record)
+	}
+	s.controller.Load(records)
+	s.mustLoad = false
+	s.daemon.log.Info("groups: records read", zap.Int("groups", len(records)), zap.Int64("table_version", result.Version))
+	return true
+}
+
+// commit writes and removes records. Where it is not known whether it was done,
+// the records are read again.
+func (s *steward) commit(ctx context.Context, create []assembly.Record, remove []string) {
+	var writes, removes []rowstore.Row
+	for _, record := range create {
+		value, err := record.Encode()
+		if err != nil {
+			s.daemon.log.Error("groups: record not written", zap.Error(err))
+			s.mustLoad = true
+			return
+		}
+		writes = append(writes, rowstore.Row{
+			Table: assembly.Table,
+			Key:   record.Name,
+			Value: value,
+		})
+	}
+	for _, name := range remove {
+		removes = append(removes, rowstore.Row{
+			Table: assembly.Table,
+			Key:   name,
+		}, rowstore.Row{
+			Table: stallTable,
+			Key:   name,
+		})
+	}
+	var version int64
+	if err := s.lease.Commit(ctx, writes, removes, &version); err != nil {
+		s.mustLoad = true
+		s.daemon.log.Warn("groups: change not confirmed, records are read again", zap.Error(err))
+		return
+	}
+	s.controller.Created(create, version)
+	s.controller.Removed(remove)
+	for _, record := range create {
+		s.daemon.log.Info("groups: created", zap.String("group", record.Name), zap.Int64("epoch", version), zap.String("model", record.Model), zap.Strings("members", record.Members))
+	}
+}
+
+// stallFollower follows the words of stalls.
+func (s *steward) stallFollower(ctx context.Context) *rowstore.Follower {
+	take := func(rows []rowstore.Row, _ int64, _ time.Time) {
+		for _, row := range rows {
+			if row.Deleted {
+				continue
+			}
+			var told stall
+			if err := json.Unmarshal(row.Value, &told); err != nil {
+				s.daemon.log.Error("groups: stall not taken", zap.String("group", row.Key), zap.Error(errors.Wrap(err, "decode stall")))
+				continue
+			}
+			s.tell(ctx, func() {
+				s.controller.Suspect(row.Key, told.Epoch)
+			})
+		}
+	}
+	return &rowstore.Follower{
+		Store:    s.daemon.store,
+		Table:    stallTable,
+		Wait:     stallWait,
+		Whole:    take,
+		Changed:  take,
+		Failed:   s.daemon.noteTrouble(stallTable),
+		Restored: s.daemon.noteRestored(stallTable),
+		Clock:    &rowstore.Freshness{},
+	}
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,222 @@
+// Package entry runs one daemon of headcourse on an entry VM: it joins the
+// decisions of core/ with clients, backend servers and the platform's store.
+//
+// All daemons are alike. Each follows the tables of the configuration and of
+// the servers, serves clients by them, and takes part in the choice of the one
+// that forms groups. Data flows one way:
+//
+//	store → followers → view → clients' requests
+//	                       ↘ group control (leader only) → orders to servers
+//
+// A daemon keeps nothing: after a restart everything is read again.
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"headcourse/core/fleet"
+	"headcourse/core/retry"
+	"headcourse/core/rowstore"
+	"headcourse/core/settings"
+	"headcourse/io/gateway"
+	"headcourse/platform"
+)
+
+// Figures of a daemon.
+const (
+	// configWait is how long one call waits for a new configuration. It bounds
+	// the age of the view that decides on keys.
+	configWait = time.Second
+	// serverWait is the same for servers, whose view may be older.
+	serverWait = 4 * time.Second
+	// serverSettle lets changes of servers come together: groups form by many
+	// small steps, and each call is priced.
+	serverSettle = 40 * time.Millisecond
+	// revokeMargin is kept away from the bound of withdrawn keys: a store that
+	// drops its history may tell nothing for a second before.
+	revokeMargin = 1200 * time.Millisecond
+	// lostGrace is how long a server without an entry is still sent requests;
+	// lostGraceAway the same after the store was away, when entries of live
+	// servers come back within about two seconds.
+	lostGrace     = 800 * time.Millisecond
+	lostGraceAway = 2500 * time.Millisecond
+)
+
+// Daemon is one running daemon. Use Start.
+type Daemon struct {
+	settings settings.Settings
+	log      *zap.Logger
+	registry metrics.Registry
+	start    string
+	store    rowstore.Store
+	workers  *platform.Workers
+	gateway  *gateway.Server
+	ready    *readiness
+	budget   retry.Budget
+	fresh    rowstore.Freshness
+
+	mutex sync.Mutex
+	view  atomic.Pointer[gateway.View]
+	// serversRead tells that the servers' table was read once.
+	serversRead atomic.Bool
+	// troubleAt is when the store last failed a call, in Unix nanoseconds.
+	troubleAt atomic.Int64
+	stalls    chan fleet.Server
+	changed   chan struct{}
+
+	stop  context.CancelFunc
+	tasks conc.WaitGroup
+}
+
+// Start starts a daemon. Settings have been checked.
+func Start(known settings.Settings, log *zap.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: known,
+		log:      log,
+		registry: metrics.NewRegistry(),
+		start:    uuid.NewString(),
+		store:    platform.NewStore(known.Store),
+		workers:  platform.NewWorkers(),
+		stalls:   make(chan fleet.Server, stallQueue),
+		changed:  make(chan struct{}, 1),
+	}
+	d.view.Store(&gateway.View{})
+	d.budget.SetFigures(known.RetryShare, budgetBurst(known, fewestDaemons))
+	served, err := gateway.Listen(gateway.Options{
+		Address:  known.Clients,
+		Source:   d,
+		Dialect:  platform.Dialect{},
+		Budget:   &d.budget,
+		Registry: d.registry,
+		Log:      log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.gateway = served
+	d.ready, err = listenReady(known.Readiness, d.isReady)
+	if err != nil {
+		return nil, errors.Wrap(err, "start daemon")
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	d.tasks.Go(func() { d.configFollower().Run(ctx) })
+	d.tasks.Go(func() { d.serverFollower().Run(ctx) })
+	d.tasks.Go(func() { d.tellStalls(ctx) })
+	d.tasks.Go(func() { d.countDaemons(ctx) })
+	d.tasks.Go(func() { d.control(ctx) })
+	log.Info("daemon: started", zap.String("name", known.Name), zap.String("zone", known.Zone), zap.String("start", d.start))
+	return d, nil
+}
+
+// View returns what the daemon knows now.
+func (d *Daemon) View() gateway.View {
+	return *d.view.Load()
+}
+
+// Age returns how old the view of the configuration may be.
+func (d *Daemon) Age() time.Duration {
+	age, _ := d.fresh.Age()
+	return age
+}
+
+// KeysFresh tells whether the view is young enough to accept keys by: a key
+// that was withdrawn must be dead within the bound, also where the daemon was
+// frozen or cut off.
+func (d *Daemon) KeysFresh() bool {
+	age, isKnown := d.fresh.Age()
+	return isKnown && age < d.settings.RevokeWithin-revokeMargin
+}
+
+// isReady tells whether clients should be sent here.
+func (d *Daemon) isReady() bool {
+	return d.view.Load().Config != nil && d.serversRead.Load() && d.KeysFresh()
+}
+
+// change replaces the view by what edit makes of it.
+func (d *Daemon) change(edit func(view *gateway.View)) {
+	d.mutex.Lock()
+	next := *d.view.Load()
+	edit(&next)
+	d.view.Store(&next)
+	d.mutex.Unlock()
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
+
+// noteTrouble notes a failed call of the store.
+func (d *Daemon) noteTrouble(table string) func(error) {
+	return func(err error) {
+		d.troubleAt.Store(time.Now().UnixNano())
+		metrics.GetOrRegisterCounter("store_failed."+table, d.registry).Inc(1)
+		d.log.Warn("store: call failed", zap.String("table", table), zap.Error(err))
+	}
+}
+
+// noteRestored notes that the store answers again.
+func (d *Daemon) noteRestored(table string) func(time.Duration) {
+	return func(away time.Duration) {
+		d.troubleAt.Store(time.Now().UnixNano())
+		d.log.Info("store: answers again", zap.String("table", table), zap.Int64("away_ms", away.Milliseconds()))
+	}
+}
+
+// isStoreSteady tells whether the store has worked for long enough that a
+// missing entry means a missing server.
+func (d *Daemon) isStoreSteady() bool {
+	return time.Since(time.Unix(0, d.troubleAt.Load())) > lostGraceAway
+}
+
+// lostUntil returns until when servers whose entry goes now get requests.
+func (d *Daemon) lostUntil() time.Time {
+	if d.isStoreSteady() {
+		return time.Now().Add(lostGrace)
+	}
+	return time.Now().Add(lostGraceAway)
+}
+
+// Reload takes new settings that can change while the daemon runs.
+func (d *Daemon) Reload(known settings.Settings) {
+	d.log.Info("daemon: settings read again", zap.String("name", known.Name))
+	if known.Clients != d.settings.Clients || known.Store != d.settings.Store {
+		d.log.Warn("daemon: changed addresses hold after the next start")
+	}
+}
+
+// Times of stopping.
+const (
+	// noticeTime is how long a stopping daemon still takes requests: the
+	// balancer asks once a second and believes the second refusal.
+	noticeTime = 2600 * time.Millisecond
+	// stopMargin is kept away from the end of the time to stop.
+	stopMargin = 700 * time.Millisecond
+)
+
+// Stop ends the daemon: it tells the balancer, takes requests until the
+// balancer has noticed, and lets those under way end.
+func (d *Daemon) Stop() error {
+	began := time.Now()
+	d.log.Info("daemon: stopping", zap.Int64("requests_open", d.gateway.Open()))
+	d.ready.leave()
+	d.gateway.Leave()
+	time.Sleep(min(noticeTime, d.settings.StopTime/2))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.StopTime-stopMargin))
+	defer cancel()
+	err := d.gateway.Close(ctx)
+	d.stop()
+	d.tasks.Wait()
+	d.ready.close()
+	d.log.Info("daemon: stopped", zap.Int64("took_ms", time.Since(began).Milliseconds()), zap.Error(err))
+	return err
+}
--- /dev/null
+++ b/entry/followers.go
@@ -0,0 +1,170 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+	"headcourse/core/rowstore"
+	"headcourse/io/gateway"
+	"headcourse/platform"
+)
+
+// configFollower follows the operator's configuration.
+func (d *Daemon) configFollower() *rowstore.Follower {
+	take := func(rows []rowstore.Row, _ int64, asOf time.Time) {
+		for _, row := range rows {
+			if platform.IsConfig(row.Key) && !row.Deleted {
+				d.takeConfig(row)
+			}
+		}
+		d.fresh.Confirm(asOf)
+	}
+	return &rowstore.Follower{
+		Store:    d.store,
+		Table:    platform.ConfigTable,
+		Wait:     configWait,
+		Whole:    take,
+		Changed:  take,
+		Failed:   d.noteTrouble(platform.ConfigTable),
+		Restored: d.noteRestored(platform.ConfigTable),
+		Clock:    &rowstore.Freshness{},
+	}
+}
+
+// takeConfig puts a configuration in force unless a newer one is. One that
+// cannot be read leaves the last good one in force.
+func (d *Daemon) takeConfig(row rowstore.Row) {
+	read, err := platform.DecodeConfig(row.Value)
+	if err != nil {
+		d.log.Error("configuration: not taken, the last good one stays in force", zap.Int64("row_version", row.Version), zap.Error(err))
+		return
+	}
+	former := d.view.Load().Config
+	if former != nil && read.Version <= former.Version {
+		return
+	}
+	d.change(func(view *gateway.View) {
+		view.Config = read
+	})
+	d.log.Info("configuration: taken",
+		zap.Int64("config_version", read.Version),
+		zap.Int64("former_version", versionOf(former)),
+		zap.Int("routes", len(read.Routes)),
+		zap.Int("keys_withdrawn", countWithdrawn(former, read)))
+}
+
+// versionOf returns a configuration's version; 0: none.
+func versionOf(known *config.Config) int64 {
+	if known == nil {
+		return 0
+	}
+	return known.Version
+}
+
+// countWithdrawn returns how many keys of the former configuration are gone.
+func countWithdrawn(former, next *config.Config) int {
+	if former == nil {
+		return 0
+	}
+	count := 0
+	for _, organisation := range former.Organisations {
+		for _, key := range organisation.Keys {
+			if next.Organisation(key) == nil {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// serverFollower follows the servers' entries.
+func (d *Daemon) serverFollower() *rowstore.Follower {
+	return &rowstore.Follower{
+		Store:    d.store,
+		Table:    platform.ServerTable,
+		Wait:     serverWait,
+		Settle:   serverSettle,
+		Whole:    d.takeServers,
+		Changed:  d.takeServerChanges,
+		Failed:   d.noteTrouble(platform.ServerTable),
+		Restored: d.noteRestored(platform.ServerTable),
+		Clock:    &rowstore.Freshness{},
+	}
+}
+
+// takeServers replaces the view of the servers.
+func (d *Daemon) takeServers(rows []rowstore.Row, version int64, _ time.Time) {
+	servers := make([]fleet.Server, 0, len(rows))
+	for _, row := range rows {
+		if server, ok := d.decodeServer(row); ok {
+			servers = append(servers, server)
+		}
+	}
+	d.change(func(view *gateway.View) {
+		view.Fleet = view.Fleet.WithAll(version, servers, d.lostUntil())
+	})
+	d.serversRead.Store(true)
+	d.log.Info("servers: read", zap.Int("servers", len(servers)), zap.Int64("table_version", version))
+}
+
+// takeServerChanges takes changed entries.
+func (d *Daemon) takeServerChanges(rows []rowstore.Row, version int64, _ time.Time) {
+	if len(rows) == 0 {
+		return
+	}
+	changes := make([]fleet.Change, 0, len(rows))
+	for _, row := range rows {
+		if row.Deleted {
+			changes = append(changes, fleet.Change{
+				ID:   row.Key,
+				Gone: true,
+			})
+			continue
+		}
+		if server, ok := d.decodeServer(row); ok {
+			changes = append(changes, fleet.Change{
+				ID:     row.Key,
+				Server: server,
+			})
+		}
+	}
+	former := d.view.Load().Fleet
+	d.change(func(view *gateway.View) {
+		view.Fleet = view.Fleet.WithChanges(version, changes, d.lostUntil())
+	})
+	d.logChanges(former, changes)
+}
+
+// decodeServer decodes an entry; one that cannot be read leaves the last good
+// one in force.
+func (d *Daemon) decodeServer(row rowstore.Row) (fleet.Server, bool) {
+	server, err := platform.DecodeServer(row.Key, row.Value)
+	if err != nil {
+		d.log.Error("servers: entry not taken", zap.Int64("row_version", row.Version), zap.Error(err))
+		return fleet.Server{}, false
+	}
+	return server, true
+}
+
+// logChanges writes a line for each server that came, went, or changed in a way
+// that decides about requests.
+func (d *Daemon) logChanges(former fleet.View, changes []fleet.Change) {
+	for _, change := range changes {
+		before, wasThere := former.Server(change.ID)
+		m := change.Server.Membership
+		switch {
+		case change.Gone && wasThere:
+			d.log.Info("servers: gone", zap.String("server", change.ID), zap.String("group", before.Membership.Group), zap.Bool("was_leaving", before.Draining))
+		case change.Gone:
+		case !wasThere:
+			d.log.Info("servers: up", zap.String("server", change.ID), zap.String("service", change.Server.Service), zap.String("address", change.Server.Address))
+		case change.Server.Draining && !before.Draining:
+			d.log.Info("servers: leaving", zap.String("server", change.ID), zap.String("group", m.Group))
+		case m.Rank == 0 && m != before.Membership:
+			d.log.Info("servers: head changed", zap.String("server", change.ID), zap.String("group", m.Group), zap.Int64("epoch", m.Epoch), zap.String("state", m.State.String()))
+		}
+	}
+}
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -59,7 +59,7 @@
 // run serves a job to its end, or gives its refusal.
 func (s *Server) run(c fiber.Ctx, made *job, refusal *outcome.Failure) error {
 	s.open.Add(1)
-	forget := s.gone.watch(c.RequestCtx().Conn(), func() {
+	forget := s.gone.Watch(c.RequestCtx().Conn(), func() {
 		made.isGone.Store(true)
 		if made.cancel != nil {
 			made.cancel()
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -29,6 +29,7 @@
 	"headcourse/core/route"
 	"headcourse/core/table"
 	"headcourse/io/engine"
+	"headcourse/io/tcp"
 )
 
 // Source is what the callers' side needs of the daemon.
@@ -53,7 +54,7 @@
 	policy   route.Policy
 	budget   retry.Budget
 	keeper   idempotency.Keeper
-	gone     watcher
+	gone     tcp.Watcher
 	// conns holds the open connections; refused holds, by group, the time of the
 	// evidence that the group itself has disproved.
 	conns   sync.Map
@@ -97,7 +98,7 @@
 		stop: stop,
 	}
 	go batcher.Run(ctx)
-	go server.gone.run(ctx)
+	go server.gone.Run(ctx)
 	source.OnChange(server.queue.Wake)
 	server.app = fiber.New(fiber.Config{
 		AppName:                  "headcourse",
--- /dev/null
+++ b/io/gateway/gateway.go
@@ -0,0 +1,227 @@
+// Package gateway is the entry for clients: it takes a request, finds its
+// route, sends it to a backend server and gives the client that server's whole
+// answer.
+//
+// What may be said of a request depends on what may have become of it. "Not
+// run" (503) is said only while no byte of the request can have been run by
+// any server, or every server that had it said that it ran nothing. Anything
+// else ends with 502 or 504. A request is sent again only if it was not run,
+// or its route allows it to run more than once; and only within the budget
+// that all daemons share.
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"headcourse/core/balancer"
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+	"headcourse/core/request"
+	"headcourse/core/retry"
+	"headcourse/io/backend"
+	"headcourse/io/tcp"
+)
+
+// Dialect reads and writes what clients and backend servers speak.
+type Dialect interface {
+	ReadRequest(ctx *fasthttp.RequestCtx) (*request.Request, error)
+	WriteHead(r *request.Request, attempt request.Attempt) []byte
+	ReadAnswer(head *fasthttp.ResponseHeader) request.Answer
+	Name(ctx *fasthttp.RequestCtx, id string)
+}
+
+// View is what a daemon knows when it serves a request.
+type View struct {
+	// Config is nil until one is known.
+	Config *config.Config
+	Fleet  fleet.View
+}
+
+// Source gives the view and takes what requests find out.
+type Source interface {
+	View() View
+	// Age is how old the view of configuration and keys may be; KeysFresh
+	// whether keys may still be accepted by it.
+	Age() time.Duration
+	KeysFresh() bool
+	// Stalled is told of a server that stands still with requests under way.
+	Stalled(server fleet.Server)
+}
+
+// Server serves clients. Use Listen.
+type Server struct {
+	source   Source
+	dialect  Dialect
+	log      *zap.Logger
+	registry metrics.Registry
+	backends *backend.Client
+	tracker  balancer.Tracker
+	budget   *retry.Budget
+	http     *fasthttp.Server
+	listener net.Listener
+	gone     tcp.Watcher
+	stop     context.CancelFunc
+	leaving  atomic.Bool
+	open     atomic.Int64
+	hadAny   atomic.Bool
+	thinning thinner
+}
+
+// Figures of the HTTP server.
+const (
+	// bodyLimit bounds what is read of any client; the configuration's own
+	// limit is checked after reading.
+	bodyLimit = 8 << 20
+	// headLimit holds the largest head the configuration allows, twice over.
+	headLimit = 32 << 10
+	// readTime bounds reading one request; the slowest clients send a body of
+	// some KB over seconds.
+	readTime = 30 * time.Second
+	// idleTime is longer than any limit the operator sets, so that a client
+	// that keeps within the limit is never cut off.
+	idleTime = 3 * time.Minute
+	// sweepEvery is the time between two clean-ups of kept connections.
+	sweepEvery = 2 * time.Second
+)
+
+// Options are what a Server needs.
+type Options struct {
+	Address  string
+	Source   Source
+	Dialect  Dialect
+	Budget   *retry.Budget
+	Registry metrics.Registry
+	Log      *zap.Logger
+}
+
+// Listen serves clients at IP:port.
+func Listen(options Options) (*Server, error) {
+	listener, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for clients on %s", options.Address)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	server := &Server{
+		source:   options.Source,
+		dialect:  options.Dialect,
+		log:      options.Log,
+		registry: options.Registry,
+		backends: &backend.Client{},
+		budget:   options.Budget,
+		listener: listener,
+		stop:     stop,
+	}
+	server.http = &fasthttp.Server{
+		Handler:                      server.handle,
+		ErrorHandler:                 server.handleBadRequest,
+		MaxRequestBodySize:           bodyLimit,
+		ReadBufferSize:               headLimit,
+		ReadTimeout:                  readTime,
+		IdleTimeout:                  idleTime,
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		NoDefaultContentType:         true,
+		DisablePreParseMultipartForm: true,
+		Logger:                       quietLogger{},
+	}
+	go server.gone.Run(ctx)
+	go server.sweep(ctx)
+	go func() {
+		if serveErr := server.http.Serve(listener); serveErr != nil && !server.leaving.Load() {
+			server.log.Error("clients: server ended", zap.Error(serveErr))
+		}
+	}()
+	return server, nil
+}
+
+// quietLogger drops what the HTTP library says of broken connections: each
+// request's own line tells it.
+type quietLogger struct{}
+
+// Printf drops a line.
+func (quietLogger) Printf(string, ...any) {}
+
+// Address returns the IP:port listened on.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// HadRequests tells whether any request has come since the start.
+func (s *Server) HadRequests() bool {
+	return s.hadAny.Load()
+}
+
+// Open returns how many requests are under way.
+func (s *Server) Open() int64 {
+	return s.open.Load()
+}
+
+// Leave makes every further answer ask its client to use another connection.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+}
+
+// Close takes no more requests and waits until those under way have ended, or
+// ctx ends.
+func (s *Server) Close(ctx context.Context) error {
+	s.leaving.Store(true)
+	err := s.http.ShutdownWithContext(ctx)
+	s.stop()
+	return errors.Wrapf(err, "stop clients' server with %d requests under way", s.open.Load())
+}
+
+// sweep closes old connections to servers until ctx ends.
+func (s *Server) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			isKnown := s.source.View().Fleet.IsUsable
+			s.backends.Sweep(isKnown)
+			s.tracker.Sweep(isKnown)
+		}
+	}
+}
+
+// count adds one to a counter.
+func (s *Server) count(prefix string, reason request.Reason) {
+	metrics.GetOrRegisterCounter(prefix+string(reason), s.registry).Inc(1)
+}
+
+// Prefixes of counters; a reason follows.
+const (
+	countRefused   = "requests_refused."
+	countSentAgain = "requests_sent_again."
+	countFailed    = "requests_failed."
+	countResumed   = "streams_resumed."
+	countDone      = "requests_done."
+)
+
+// observe adds a time to a histogram, in milliseconds.
+func (s *Server) observe(name string, took time.Duration) {
+	const reservoir, alpha = 1028, 0.015
+	histogram := s.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, alpha))
+	})
+	if known, ok := histogram.(metrics.Histogram); ok {
+		known.Update(took.Milliseconds())
+	}
+}
+
+// Names of histograms, in milliseconds.
+const (
+	timeFirstEvent  = "first_event_ms"
+	timeWholeAnswer = "whole_answer_ms"
+	timePause       = "longest_pause_ms"
+)
--- /dev/null
+++ b/io/gateway/handle.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"headcourse/core/config"
+	"headcourse/core/request"
+)
+
+// comeBack is when a refused client should try again: soon enough for its
+// goal, and long enough for another daemon's choice or a freed place.
+const comeBack = 250 * time.Millisecond
+
+// handle serves one request.
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	read, err := s.dialect.ReadRequest(ctx)
+	s.open.Add(1)
+	s.hadAny.Store(true)
+	j := &job{
+		server:   s,
+		request:  read,
+		excluded: map[string]bool{},
+		priority: noPriority,
+		last:     read.LastEvent,
+	}
+	if s.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
+	if err != nil {
+		j.refuse(ctx, fasthttp.StatusBadRequest, request.ReasonBadRequest)
+		return
+	}
+	status, reason := j.admit()
+	if reason != request.ReasonNone {
+		j.refuse(ctx, status, reason)
+		return
+	}
+	j.forget = s.gone.Watch(ctx.Conn(), j.clientGone)
+	s.budget.Earn()
+	j.serve(ctx)
+}
+
+// handleBadRequest answers what is no request.
+func (s *Server) handleBadRequest(ctx *fasthttp.RequestCtx, err error) {
+	status := fasthttp.StatusBadRequest
+	switch err.(type) { //nolint:errorlint // the library returns it bare
+	case *fasthttp.ErrSmallBuffer:
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	}
+	if err == fasthttp.ErrBodyTooLarge { //nolint:errorlint // the library returns it bare
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	s.count(countRefused, request.ReasonBadRequest)
+	ctx.SetConnectionClose()
+	ctx.SetStatusCode(status)
+}
+
+// admit finds the route, the organisation and the service of a request, or
+// returns the status and the reason of its refusal.
+func (j *job) admit() (int, request.Reason) {
+	view := j.server.source.View()
+	if view.Config == nil {
+		return fasthttp.StatusServiceUnavailable, request.ReasonNotConfigured
+	}
+	j.config = view.Config
+	if limit := view.Config.Limits.MaxBodyBytes; limit > 0 && len(j.request.Body) > limit {
+		return fasthttp.StatusRequestEntityTooLarge, request.ReasonBadRequest
+	}
+	j.route = view.Config.Route(j.request.Host, j.request.Path())
+	if j.route == nil {
+		if !j.server.source.KeysFresh() {
+			return fasthttp.StatusServiceUnavailable, request.ReasonStale
+		}
+		return fasthttp.StatusNotFound, request.ReasonNoRoute
+	}
+	j.priority = j.route.Priority
+	if view.Config.NeedsKey(j.route) {
+		if !j.server.source.KeysFresh() {
+			return fasthttp.StatusServiceUnavailable, request.ReasonStale
+		}
+		organisation := view.Config.Organisation(j.request.Key)
+		if organisation == nil {
+			return fasthttp.StatusUnauthorized, request.ReasonNoKey
+		}
+		j.organisation = organisation.Name
+		if organisation.HasPriority {
+			j.priority = organisation.Priority
+		}
+	}
+	j.service = pickService(j.route)
+	wait := j.request.Wait
+	if j.route.Timeout > 0 {
+		wait = min(wait, j.route.Timeout)
+	}
+	j.deadline = j.request.Arrived.Add(wait)
+	return 0, request.ReasonNone
+}
+
+// pickService draws one of a route's services by weight.
+func pickService(route *config.Route) string {
+	total := 0
+	for _, backend := range route.Backends {
+		total += max(0, backend.Weight)
+	}
+	if total == 0 {
+		if len(route.Backends) == 0 {
+			return ""
+		}
+		return route.Backends[0].Service
+	}
+	drawn := rand.IntN(total)
+	for _, backend := range route.Backends {
+		drawn -= max(0, backend.Weight)
+		if drawn < 0 {
+			return backend.Service
+		}
+	}
+	return route.Backends[0].Service
+}
+
+// refuse answers a request that was not run, and ends it.
+func (j *job) refuse(ctx *fasthttp.RequestCtx, status int, reason request.Reason) {
+	j.server.count(countRefused, reason)
+	j.answerOwn(ctx, status, reason)
+}
+
+// answerOwn answers with a status of the system's own, and ends the request.
+func (j *job) answerOwn(ctx *fasthttp.RequestCtx, status int, reason request.Reason) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain")
+	j.server.dialect.Name(ctx, j.request.ID)
+	if status == fasthttp.StatusServiceUnavailable {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(comeBack.Seconds(), 'f', -1, 64))
+	}
+	ctx.SetBodyString(string(reason) + "\n")
+	j.end(status, reason)
+}
--- /dev/null
+++ b/io/gateway/job.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"headcourse/core/balancer"
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+	"headcourse/core/request"
+	"headcourse/io/backend"
+)
+
+// Figures of a job.
+const (
+	// maxSends bounds how many servers are asked for one request, those that
+	// refuse it included.
+	maxSends = 3
+	// noPriority leaves the priority to the server.
+	noPriority = -1
+	// leastLeft is the least time that must remain for a send.
+	leastLeft = 5 * time.Millisecond
+	// answerLimit bounds an answer that is not a stream.
+	answerLimit = 32 << 20
+)
+
+// job is one request on its way.
+type job struct {
+	server       *Server
+	request      *request.Request
+	config       *config.Config
+	route        *config.Route
+	organisation string
+	service      string
+	priority     int
+	deadline     time.Time
+	forget       func()
+
+	// excluded are servers that were asked; sends counts them, runs those that
+	// may have run the request.
+	excluded map[string]bool
+	sends    int
+	runs     int
+	trail    []string
+	// last is the id of the last event that the client has.
+	last int64
+
+	mutex    sync.Mutex
+	exchange *backend.Exchange
+	isGone   atomic.Bool
+	ended    atomic.Bool
+
+	firstEvent   time.Duration
+	longestPause time.Duration
+	events       int
+}
+
+// tried is the end of one send.
+type tried struct {
+	server fleet.Server
+	// reason is why the send failed; none when answer is the server's answer.
+	reason request.Reason
+	// mayHaveRun tells that the server may have begun to run the request.
+	mayHaveRun bool
+	answer     request.Answer
+	body       []byte
+	stream     *stream
+}
+
+// clientGone stops the work for a client that has closed its connection.
+func (j *job) clientGone() {
+	j.isGone.Store(true)
+	j.mutex.Lock()
+	exchange := j.exchange
+	j.mutex.Unlock()
+	if exchange != nil {
+		exchange.Abort()
+	}
+}
+
+// hold notes the exchange under way, so that it ends if the client goes.
+func (j *job) hold(exchange *backend.Exchange) {
+	j.mutex.Lock()
+	j.exchange = exchange
+	j.mutex.Unlock()
+	if j.isGone.Load() && exchange != nil {
+		exchange.Abort()
+	}
+}
+
+// serve sends the request until there is an answer for the client, or no
+// further send is allowed.
+func (j *job) serve(ctx *fasthttp.RequestCtx) {
+	for {
+		result := j.try(j.last)
+		if result.reason == request.ReasonNone {
+			j.deliver(ctx, result)
+			return
+		}
+		if !j.maySendAgain(result) {
+			j.fail(ctx, result)
+			return
+		}
+	}
+}
+
+// deliver gives the client a server's answer.
+func (j *job) deliver(ctx *fasthttp.RequestCtx, result tried) {
+	ctx.SetStatusCode(result.answer.Status)
+	for _, header := range result.answer.Headers {
+		ctx.Response.Header.Add(header.Name, header.Value)
+	}
+	if result.stream != nil {
+		ctx.Response.SetBodyStream(result.stream, -1)
+		return
+	}
+	ctx.Response.SetBodyRaw(result.body)
+	j.end(result.answer.Status, request.ReasonNone)
+}
+
+// fail tells the client that there is no answer, as exactly as is known.
+func (j *job) fail(ctx *fasthttp.RequestCtx, result tried) {
+	switch {
+	case j.isGone.Load():
+		ctx.SetConnectionClose()
+		j.answerOwn(ctx, fasthttp.StatusServiceUnavailable, request.ReasonClientGone)
+	case result.answer.Status >= fasthttp.StatusInternalServerError && result.reason == request.ReasonServerError:
+		j.deliver(ctx, result)
+	case j.runs == 0:
+		j.refuse(ctx, fasthttp.StatusServiceUnavailable, result.reason)
+	case result.reason == request.ReasonDeadline:
+		j.server.count(countFailed, result.reason)
+		j.answerOwn(ctx, fasthttp.StatusGatewayTimeout, result.reason)
+	default:
+		j.server.count(countFailed, result.reason)
+		j.answerOwn(ctx, fasthttp.StatusBadGateway, result.reason)
+	}
+}
+
+// maySendAgain tells whether a failed request may go to another server, and
+// counts it if so.
+func (j *job) maySendAgain(result tried) bool {
+	if j.isGone.Load() || j.sends >= maxSends || time.Until(j.deadline) < leastLeft {
+		return false
+	}
+	switch result.reason {
+	case request.ReasonNoServer, request.ReasonStale, request.ReasonDeadline, request.ReasonClientGone:
+		return false
+	}
+	if j.runs > 0 && (!j.route.Repeatable() || j.runs >= j.route.MaxAttempts) {
+		return false
+	}
+	if !j.hasOtherServer() {
+		return false
+	}
+	if !j.server.budget.Spend() {
+		j.server.count(countRefused, request.ReasonNoBudget)
+		return false
+	}
+	j.server.count(countSentAgain, result.reason)
+	return true
+}
+
+// hasOtherServer tells whether there is a server that was not asked yet.
+func (j *job) hasOtherServer() bool {
+	for _, server := range j.server.source.View().Fleet.Serving(j.service, j.request.Model) {
+		if !j.excluded[server.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+// pick chooses the server for the next send.
+func (j *job) pick() (fleet.Server, func(), bool) {
+	serving := j.server.source.View().Fleet.Serving(j.service, j.request.Model)
+	candidates := make([]balancer.Candidate, len(serving))
+	for i, server := range serving {
+		candidates[i] = balancer.Candidate{
+			ID:       server.ID,
+			Capacity: server.Capacity,
+		}
+	}
+	chosen, done, ok := j.server.tracker.Pick(candidates, j.excluded, j.request.Cost())
+	if !ok {
+		return fleet.Server{}, nil, false
+	}
+	for _, server := range serving {
+		if server.ID == chosen.ID {
+			return server, done, true
+		}
+	}
+	done()
+	return fleet.Server{}, nil, false
+}
+
+// note adds a send to the trail that the request's log line shows.
+func (j *job) note(server fleet.Server, reason request.Reason) {
+	step := server.ID
+	if server.Membership.Group != "" {
+		step += "/" + server.Membership.Group
+	}
+	if reason != request.ReasonNone {
+		step += ":" + string(reason)
+	}
+	j.trail = append(j.trail, step)
+}
+
+// end writes the request's log line and forgets the request.
+func (j *job) end(status int, reason request.Reason) {
+	if j.ended.Swap(true) {
+		return
+	}
+	if j.forget != nil {
+		j.forget()
+	}
+	j.server.open.Add(-1)
+	took := time.Since(j.request.Arrived)
+	isGood := reason == request.ReasonNone && status < fasthttp.StatusInternalServerError
+	if isGood {
+		j.server.count(countDone, "whole")
+		j.server.observe(timeWholeAnswer, took)
+		if j.events > 0 {
+			j.server.observe(timeFirstEvent, j.firstEvent)
+			j.server.observe(timePause, j.longestPause)
+		}
+	}
+	mayWrite, leftOut := true, 0
+	if isGood {
+		mayWrite, leftOut = j.server.thinning.pass()
+	}
+	if mayWrite {
+		j.write(status, reason, took, leftOut)
+	}
+}
+
+// write writes the request's log line.
+func (j *job) write(status int, reason request.Reason, took time.Duration, leftOut int) {
+	fields := []zap.Field{
+		zap.String("request_id", j.request.ID),
+		zap.Int("status", status),
+		zap.String("reason", string(reason)),
+		zap.Int64("took_ms", took.Milliseconds()),
+		zap.String("sent_to", strings.Join(j.trail, " ")),
+		zap.Int("runs", j.runs),
+		zap.Int64("view_age_ms", j.server.source.Age().Milliseconds()),
+	}
+	if j.config != nil {
+		fields = append(fields, zap.Int64("config_version", j.config.Version))
+	}
+	if j.route != nil {
+		fields = append(fields, zap.String("route", j.route.Name), zap.String("organisation", j.organisation))
+	}
+	if j.events > 0 {
+		fields = append(fields,
+			zap.Int("events", j.events),
+			zap.Int64("first_event_ms", j.firstEvent.Milliseconds()),
+			zap.Int64("longest_pause_ms", j.longestPause.Milliseconds()))
+	}
+	if leftOut > 0 {
+		fields = append(fields, zap.Int("successes_not_logged", leftOut))
+	}
+	j.server.log.Info("clients: request ended", fields...)
+}
--- /dev/null
+++ b/io/gateway/try.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+	"headcourse/core/request"
+	"headcourse/io/backend"
+	"headcourse/io/http1"
+)
+
+// maxMisplaced bounds how many answers to other requests are read past.
+const maxMisplaced = 3
+
+// try sends the request to one server, after the last event that the client
+// has, and reads its answer, or a stream's up to its first event.
+func (j *job) try(last int64) tried {
+	if j.config.NeedsKey(j.route) && !j.server.source.KeysFresh() {
+		return tried{
+			reason: request.ReasonStale,
+		}
+	}
+	left := time.Until(j.deadline)
+	if left < leastLeft {
+		return tried{
+			reason: request.ReasonDeadline,
+		}
+	}
+	server, done, ok := j.pick()
+	if !ok {
+		return tried{
+			reason: request.ReasonNoServer,
+		}
+	}
+	j.sends++
+	j.excluded[server.ID] = true
+	head := j.server.dialect.WriteHead(j.request, request.Attempt{
+		Server:       server.ID,
+		Organisation: j.organisation,
+		Left:         left,
+		Priority:     j.priority,
+		LastEvent:    last,
+	})
+	result := j.exchangeWith(server, head)
+	result.server = server
+	if result.mayHaveRun || result.reason == request.ReasonNone {
+		j.runs++
+	}
+	if result.stream != nil {
+		result.stream.done = done
+	} else {
+		done()
+		j.hold(nil)
+	}
+	j.judge(server, result)
+	j.note(server, result.reason)
+	return result
+}
+
+// exchangeWith sends the request and reads the answer.
+func (j *job) exchangeWith(server fleet.Server, head []byte) tried {
+	exchange, err := j.server.backends.Send(server.ID, server.Address, head, j.request.Body)
+	if err != nil {
+		var failed *http1.Error
+		sent := errors.As(err, &failed) && failed.Sent
+		return tried{
+			reason:     request.ReasonConnect,
+			mayHaveRun: sent,
+		}
+	}
+	j.hold(exchange)
+	watch := j.watchFirst(server, exchange)
+	defer watch.stop()
+	if err = exchange.SetReadDeadline(j.deadline); err != nil {
+		exchange.Abort()
+		return j.broken(watch)
+	}
+	answer, isMisplaced, err := j.readHead(exchange)
+	if err != nil {
+		exchange.Abort()
+		return j.broken(watch)
+	}
+	mayKeep := !answer.Close && !isMisplaced
+	if answer.NotRun {
+		return j.refusedBy(exchange, answer, mayKeep)
+	}
+	if !isProper(answer, j.request) {
+		exchange.Abort()
+		return tried{
+			reason:     request.ReasonBadAnswer,
+			mayHaveRun: true,
+		}
+	}
+	if j.isStream(answer) {
+		return j.begin(server, exchange, answer, mayKeep, watch)
+	}
+	body, err := exchange.ReadAll(answerLimit)
+	if err != nil {
+		exchange.Abort()
+		return j.broken(watch)
+	}
+	exchange.Finish(mayKeep, answer.KeepFor)
+	result := tried{
+		answer: answer,
+		body:   body,
+	}
+	if answer.Status >= fasthttp.StatusInternalServerError {
+		result.reason = request.ReasonServerError
+		result.mayHaveRun = true
+	}
+	return result
+}
+
+// readHead reads the head of the request's own answer. Answers to earlier
+// requests may stand before it; they are read past, and the connection is not
+// used again.
+func (j *job) readHead(exchange *backend.Exchange) (answer request.Answer, isMisplaced bool, err error) {
+	for range maxMisplaced {
+		var head fasthttp.ResponseHeader
+		if err = exchange.ReadHead(&head); err != nil {
+			return answer, isMisplaced, err
+		}
+		answer = j.server.dialect.ReadAnswer(&head)
+		if answer.ID == j.request.ID || answer.ID == "" {
+			return answer, isMisplaced, nil
+		}
+		isMisplaced = true
+		if _, err = exchange.ReadAll(answerLimit); err != nil {
+			return answer, isMisplaced, err
+		}
+	}
+	return answer, isMisplaced, errors.New("read answer: only answers to other requests")
+}
+
+// refusedBy returns the end of a send that the server says it did not run.
+func (j *job) refusedBy(exchange *backend.Exchange, answer request.Answer, mayKeep bool) tried {
+	if _, err := exchange.ReadAll(answerLimit); err != nil {
+		exchange.Abort()
+	} else {
+		exchange.Finish(mayKeep, answer.KeepFor)
+	}
+	reason := request.ReasonRefused
+	if answer.Status == fasthttp.StatusMisdirectedRequest {
+		reason = request.ReasonOtherServer
+	}
+	return tried{
+		reason: reason,
+	}
+}
+
+// isProper tells whether an answer is the server's own to this request.
+func isProper(answer request.Answer, r *request.Request) bool {
+	if answer.Status >= fasthttp.StatusOK && answer.Status < fasthttp.StatusMultipleChoices {
+		return answer.Signed && answer.ID == r.ID && !answer.Encoded
+	}
+	return true
+}
+
+// isStream tells whether an answer is passed on event by event.
+func (j *job) isStream(answer request.Answer) bool {
+	if j.route.Kind != config.Stream || answer.Status != fasthttp.StatusOK {
+		return false
+	}
+	for _, header := range answer.Headers {
+		if header.Name == fasthttp.HeaderContentType {
+			return bytes.HasPrefix([]byte(header.Value), []byte("text/event-stream"))
+		}
+	}
+	return false
+}
+
+// broken returns the end of a send that broke off or ran out of time.
+func (j *job) broken(watch *watchdog) tried {
+	reason := request.ReasonBroken
+	switch {
+	case j.isGone.Load():
+		reason = request.ReasonClientGone
+	case watch.hasBitten():
+		reason = request.ReasonStalled
+	case time.Until(j.deadline) < leastLeft:
+		reason = request.ReasonDeadline
+	}
+	return tried{
+		reason:     reason,
+		mayHaveRun: true,
+	}
+}
+
+// judge tells the tracker how the server did.
+func (j *job) judge(server fleet.Server, result tried) {
+	tracker := &j.server.tracker
+	switch result.reason {
+	case request.ReasonNone:
+		tracker.Heard(server.ID)
+		if result.stream == nil {
+			tracker.Succeeded(server.ID, time.Since(j.request.Arrived).Seconds())
+		}
+	case request.ReasonConnect, request.ReasonOtherServer, request.ReasonRefused:
+		tracker.Failed(server.ID, false)
+	case request.ReasonStalled:
+		tracker.Failed(server.ID, false)
+		j.server.source.Stalled(server)
+	case request.ReasonServerError, request.ReasonBroken, request.ReasonBadAnswer:
+		tracker.Heard(server.ID)
+		tracker.Failed(server.ID, true)
+	}
+}
+
+// begin reads a stream up to its first event.
+func (j *job) begin(server fleet.Server, exchange *backend.Exchange, answer request.Answer, mayKeep bool, watch *watchdog) tried {
+	started := &stream{
+		job:      j,
+		server:   server,
+		exchange: exchange,
+		answer:   answer,
+		mayKeep:  mayKeep,
+		began:    time.Now(),
+	}
+	for len(started.ready) == 0 && !started.isWhole {
+		if err := started.read(); err != nil && !errors.Is(err, io.EOF) {
+			exchange.Abort()
+			return j.broken(watch)
+		}
+	}
+	return tried{
+		answer: answer,
+		stream: started,
+	}
+}
