Learn how long servers are silent; rest before moving

Change: the tracker learns mean and deviation of silences for each route's servers; an unusual silence only rests the server until it is heard, a much longer one moves the request and tells the leader.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -41,8 +41,9 @@
 // Tracker knows what this daemon has under way at each server. It is safe for
 // concurrent use; the zero value is empty.
 type Tracker struct {
-	mutex   sync.Mutex
-	servers map[string]*tracked
+	mutex    sync.Mutex
+	servers  map[string]*tracked
+	silences map[silenceKey]*estimate
 }
 
 // tracked is what is known of one server.
@@ -56,6 +57,8 @@
 	failures int
 	restTill time.Time
 	rest     time.Duration
+	// isSilent tells that the rest is for silence, and ends with it.
+	isSilent bool
 }
 
 // of returns what is known of a server. The mutex is held.
@@ -128,12 +131,33 @@
 	return score
 }
 
-// Heard notes that a server answered or sent an event.
+// Heard notes that a server answered or sent an event. A server that was
+// rested for its silence is used again.
 func (t *Tracker) Heard(id string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	one := t.of(id)
 	one.heard = time.Now()
+	if one.isSilent {
+		one.isSilent = false
+		one.rest = 0
+		one.restTill = time.Time{}
+	}
+}
+
+// Rest notes that a server with requests under way is unusually silent, and
+// rests it until it is heard.
+func (t *Tracker) Rest(id string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	one := t.of(id)
+	now := time.Now()
+	if now.Before(one.restTill) {
+		return
+	}
+	one.isSilent = true
+	one.rest = min(max(firstRest, 2*one.rest), longestRest)
+	one.restTill = now.Add(one.rest)
 }
 
 // SilentFor returns how long nothing was heard of a server.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,11 +84,16 @@
 		log:      log,
 		registry: metrics.NewRegistry(),
 		start:    uuid.NewString(),
-		store:    platform.NewStore(known.Store),
 		workers:  platform.NewWorkers(),
 		stalls:   make(chan fleet.Server, stallQueue),
 		changed:  make(chan struct{}, 1),
 	}
+	store := platform.NewStore(known.Store)
+	store.Called = func(call string, took time.Duration) {
+		metrics.GetOrRegisterCounter("store_calls."+call, d.registry).Inc(1)
+		d.observe("store_call_ms."+call, took)
+	}
+	d.store = store
 	d.view.Store(&gateway.View{})
 	d.budget.SetFigures(known.RetryShare, budgetBurst(known, fewestDaemons))
 	served, err := gateway.Listen(gateway.Options{
@@ -114,6 +119,7 @@
 	d.tasks.Go(func() { d.tellStalls(ctx) })
 	d.tasks.Go(func() { d.countDaemons(ctx) })
 	d.tasks.Go(func() { d.control(ctx) })
+	d.tasks.Go(func() { d.logFigures(ctx) })
 	log.Info("daemon: started", zap.String("name", known.Name), zap.String("zone", known.Zone), zap.String("start", d.start))
 	return d, nil
 }
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -55,6 +55,8 @@
 	isGone   atomic.Bool
 	ended    atomic.Bool
 
+	sentAt       time.Time
+	lastEventAt  time.Time
 	firstEvent   time.Duration
 	longestPause time.Duration
 	events       int
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"headcourse/core/balancer"
 	"headcourse/core/eventstream"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
@@ -16,6 +17,9 @@
 // readSize is how much of a stream is read at once.
 const readSize = 4 << 10
 
+// joined is the pause below which two events came together.
+const joined = time.Millisecond
+
 // stream passes a server's events on to the client, whole events only and each
 // at once. When the server breaks off or falls silent, the stream goes on at
 // another server after the last event passed on, within the same answer. A
@@ -35,10 +39,12 @@
 	// isUnnumbered tells that an event had no id, so that nobody could go on
 	// after it.
 	isUnnumbered bool
-	began        time.Time
-	heard        time.Time
-	buffer       [readSize]byte
-	closed       bool
+	// sent is when the request was sent; heard is when this server's last event
+	// came.
+	sent   time.Time
+	heard  time.Time
+	buffer [readSize]byte
+	closed bool
 }
 
 // Read returns the next whole events. Its error ends the client's connection
@@ -106,12 +112,19 @@
 	if s.watch != nil {
 		s.watch.feed()
 	}
+	tracker := &s.job.server.tracker
+	if s.heard.IsZero() {
+		tracker.Silence(s.job.kind(), balancer.First, now.Sub(s.sent))
+	} else if pause := now.Sub(s.heard); pause > joined {
+		tracker.Silence(s.job.kind(), balancer.Pause, pause)
+	}
 	if s.job.events == 0 {
 		s.job.firstEvent = now.Sub(s.job.request.Arrived)
 	} else {
-		s.job.longestPause = max(s.job.longestPause, now.Sub(s.heard))
+		s.job.longestPause = max(s.job.longestPause, now.Sub(s.job.lastEventAt))
 	}
 	s.job.events++
+	s.job.lastEventAt = now
 	s.heard = now
 }
 
@@ -151,6 +164,7 @@
 	s.ready = next.stream.ready
 	s.isWhole = next.stream.isWhole
 	s.isUnnumbered = next.stream.isUnnumbered
+	s.sent = next.stream.sent
 	s.heard = next.stream.heard
 	s.watch = nil
 }
@@ -178,7 +192,7 @@
 		s.job.end(fasthttp.StatusOK, request.ReasonClientGone)
 		return nil
 	}
-	perEvent := s.heard.Sub(s.began).Seconds() / float64(max(1, s.job.events))
+	perEvent := s.heard.Sub(s.sent).Seconds() / float64(max(1, s.job.events))
 	s.job.server.tracker.Succeeded(s.server.ID, perEvent)
 	s.job.end(fasthttp.StatusOK, request.ReasonNone)
 	return nil
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"headcourse/core/balancer"
 	"headcourse/core/config"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
@@ -39,6 +40,7 @@
 		}
 	}
 	j.sends++
+	j.sentAt = time.Now()
 	j.excluded[server.ID] = true
 	head := j.server.dialect.WriteHead(j.request, request.Attempt{
 		Server:       server.ID,
@@ -199,13 +201,14 @@
 	case request.ReasonNone:
 		tracker.Heard(server.ID)
 		if result.stream == nil {
-			tracker.Succeeded(server.ID, time.Since(j.request.Arrived).Seconds())
+			took := time.Since(j.sentAt)
+			tracker.Succeeded(server.ID, took.Seconds())
+			tracker.Silence(j.kind(), balancer.First, took)
 		}
 	case request.ReasonConnect, request.ReasonOtherServer, request.ReasonRefused:
 		tracker.Failed(server.ID, false)
 	case request.ReasonStalled:
-		tracker.Failed(server.ID, false)
-		j.server.source.Stalled(server)
+		tracker.Rest(server.ID)
 	case request.ReasonServerError, request.ReasonBroken, request.ReasonBadAnswer:
 		tracker.Heard(server.ID)
 		tracker.Failed(server.ID, true)
@@ -220,7 +223,7 @@
 		exchange: exchange,
 		answer:   answer,
 		mayKeep:  mayKeep,
-		began:    time.Now(),
+		sent:     watch.fed,
 	}
 	for len(started.ready) == 0 && !started.isWhole {
 		if err := started.read(); err != nil && !errors.Is(err, io.EOF) {
--- a/io/gateway/watchdog.go
+++ b/io/gateway/watchdog.go
@@ -5,114 +5,112 @@
 	"sync/atomic"
 	"time"
 
-	"headcourse/core/config"
+	"headcourse/core/balancer"
 	"headcourse/core/fleet"
 	"headcourse/io/backend"
 )
 
-// Parts of a route's goals after which silence counts as a stall. They leave
-// the rest of the goal for another server to read the prompt and go on.
-const (
-	firstShare = 0.55
-	pauseShare = 0.5
-	// safeShare is the same for requests that are answered whole.
-	safeShare = 0.7
-	// leastSilence is the shortest silence that counts: an engine reads a long
-	// prompt between two events of the others.
-	leastSilence = 80 * time.Millisecond
-	// longestCalm bounds how often a stall is put off because the server is
-	// heard by other requests.
-	longestCalm = 6
-)
-
-// watchdog aborts an exchange whose server falls silent, if the request can go
-// to another server. A server that is heard by other requests meanwhile is only
-// busy, and is given more time.
+// watchdog looks after an exchange whose server may fall silent.
+//
+// What silence means depends on the model and the load, so the tracker learns
+// how long servers of the same kind are usually silent. After an unusual
+// silence the server is rested: others take the new requests until it is heard
+// again, which costs little when it was only busy. After a much longer one the
+// request itself goes to another server, if it may: there it begins anew, which
+// costs the other server's time, so this must not be done to a busy server.
 type watchdog struct {
 	job      *job
 	server   fleet.Server
 	exchange *backend.Exchange
-	limit    time.Duration
+	// phase is what is waited for; kind is the servers that are compared.
+	phase balancer.Phase
+	kind  string
 	// mayMove tells that the request may run at another server as well.
 	mayMove bool
 
-	mutex   sync.Mutex
-	timer   *time.Timer
-	fed     time.Time
-	putOff  int
-	stopped bool
-	bitten  atomic.Bool
+	mutex    sync.Mutex
+	timer    *time.Timer
+	fed      time.Time
+	isRested bool
+	stopped  bool
+	bitten   atomic.Bool
 }
 
 // watchFirst watches for the beginning of an answer. The send is not counted
 // among the job's runs yet.
 func (j *job) watchFirst(server fleet.Server, exchange *backend.Exchange) *watchdog {
-	var limit time.Duration
-	switch j.route.Kind {
-	case config.Stream:
-		limit = time.Duration(firstShare * float64(j.route.Goal))
-	case config.Safe:
-		limit = time.Duration(safeShare * float64(j.route.Goal))
-	case config.Unsafe:
-	}
-	return j.watch(server, exchange, limit, j.runs+1)
+	return j.watch(server, exchange, balancer.First, j.runs+1)
 }
 
 // watchPauses watches for the next event of a stream, whose send is counted.
 func (j *job) watchPauses(server fleet.Server, exchange *backend.Exchange) *watchdog {
-	return j.watch(server, exchange, time.Duration(pauseShare*float64(j.route.PauseGoal)), j.runs)
+	return j.watch(server, exchange, balancer.Pause, j.runs)
 }
 
-// watch starts a watchdog; without a limit it never bites.
-func (j *job) watch(server fleet.Server, exchange *backend.Exchange, limit time.Duration, runs int) *watchdog {
+// watch starts a watchdog. Requests that are not repeated have none: nothing
+// can be done for them, and their length tells little.
+func (j *job) watch(server fleet.Server, exchange *backend.Exchange, phase balancer.Phase, runs int) *watchdog {
 	w := &watchdog{
 		job:      j,
 		server:   server,
 		exchange: exchange,
-		limit:    max(limit, leastSilence),
+		phase:    phase,
+		kind:     j.kind(),
 		mayMove:  j.route.Repeatable() && runs < j.route.MaxAttempts && j.sends < maxSends,
 		fed:      time.Now(),
 	}
-	if limit > 0 {
-		w.mutex.Lock()
-		w.timer = time.AfterFunc(w.limit, w.look)
-		w.mutex.Unlock()
+	if !j.route.Repeatable() {
+		return w
 	}
+	limits := j.server.tracker.Limits(w.kind, phase)
+	w.mutex.Lock()
+	w.timer = time.AfterFunc(limits.Rest, w.look)
+	w.mutex.Unlock()
 	return w
 }
 
+// kind names the servers whose silences are alike.
+func (j *job) kind() string {
+	return j.service + "/" + j.request.Model + "/" + j.route.Name
+}
+
 // feed notes that the server sent something for this request.
 func (w *watchdog) feed() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.fed = time.Now()
-	w.putOff = 0
+	w.isRested = false
 }
 
-// look runs when the limit may have passed.
+// look runs when a limit may have passed.
 func (w *watchdog) look() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.stopped {
 		return
 	}
-	silent := time.Since(w.fed)
-	if silent < w.limit {
-		w.timer.Reset(w.limit - silent)
+	tracker := &w.job.server.tracker
+	limits := tracker.Limits(w.kind, w.phase)
+	silent := min(time.Since(w.fed), tracker.SilentFor(w.server.ID))
+	switch {
+	case silent < limits.Rest:
+		w.timer.Reset(limits.Rest - silent)
 		return
+	case !w.isRested:
+		w.isRested = true
+		tracker.Rest(w.server.ID)
 	}
-	if w.job.server.tracker.SilentFor(w.server.ID) < w.limit && w.putOff < longestCalm {
-		w.putOff++
-		w.timer.Reset(w.limit / 2)
+	if silent < limits.Move {
+		w.timer.Reset(limits.Move - silent)
 		return
 	}
+	w.job.server.source.Stalled(w.server)
 	if w.mayMove && w.hasOther() {
 		w.bitten.Store(true)
 		w.exchange.Abort()
 		return
 	}
-	w.job.server.tracker.Failed(w.server.ID, false)
-	w.job.server.source.Stalled(w.server)
+	w.timer.Reset(limits.Move)
 }
 
 // hasBitten tells whether the exchange was aborted for its silence.
