--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -136,9 +136,9 @@
 	// IsSteady tells that the store has worked for long enough that a missing
 	// entry means a missing server.
 	IsSteady bool
-	// HadTraffic tells that clients have sent requests: until then loads are
-	// quick and disturb nobody.
-	HadTraffic bool
+	// IsStart tells that the whole system has just been started and no client
+	// has sent a request: until then loads are quick and disturb nobody.
+	IsStart bool
 	// StallTime is how long a group without one of its members stands still.
 	StallTime time.Duration
 	// LoadWindow and LoadExcess bound the loads that may begin.
@@ -152,6 +152,9 @@
 	Remove []string
 	Orders []Order
 	Probes []fleet.Server
+	// Cleared are groups whose suspicion was dropped, so that daemons may tell
+	// of them again.
+	Cleared []string
 	// Notes are changes of what the controller believes, for the log.
 	Notes []Note
 }
--- a/core/assembly/check.go
+++ b/core/assembly/check.go
@@ -161,6 +161,7 @@
 	}
 	if allKnown {
 		g.isSuspected = false
+		plan.Cleared = append(plan.Cleared, g.record.Name)
 		g.note("suspicion dropped", "all members answer", plan)
 	}
 	return ""
--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -14,7 +14,9 @@
 	// order takes some milliseconds, its effect on the entry some more.
 	askAgain = 700 * time.Millisecond
 	// probeAgain is the time between two probes of one server.
-	probeAgain = 150 * time.Millisecond
+	probeAgain = 120 * time.Millisecond
+	// probeDeadAgain is the same for a free server that did not answer.
+	probeDeadAgain = time.Second
 	// probeValid is how long a sign of life counts.
 	probeValid = time.Second
 	// silences is how many probes in a row must be silent for a server to count
@@ -24,6 +26,9 @@
 	closeTime = 2500 * time.Millisecond
 	// formSlack is how much longer than its load a group may take to form.
 	formSlack = 12 * time.Second
+	// stageAgain is when a server that did not take an order to load is asked
+	// again: it is loading, perhaps by another daemon's order.
+	stageAgain = 3 * time.Second
 	// stallMargin is added to the time after which a silent head is broken.
 	stallMargin = time.Second
 )
@@ -39,6 +44,8 @@
 	loads  []time.Time
 	// orphans is when a server was last told to leave a group without record.
 	orphans map[string]time.Time
+	// counted is how many servers each service had when last looked at.
+	counted map[string]count
 	number  int
 }
 
@@ -144,7 +151,7 @@
 		at:    time.Now(),
 		asked: former.asked,
 	}
-	if found == Silent {
+	if found != Alive {
 		next.silences = former.silences + 1
 	}
 	c.signs[id] = next
@@ -154,7 +161,9 @@
 func (c *Controller) Ordered(order Order, result Result) {
 	if order.Kind == Stage {
 		if result == Unfit || result == NotKnown || result == OtherServer {
-			delete(c.staged, order.Server.ID)
+			c.staged[order.Server.ID] = stageOrder{
+				until: time.Now().Add(stageAgain),
+			}
 		}
 		return
 	}
--- a/core/assembly/finish.go
+++ b/core/assembly/finish.go
@@ -66,32 +66,40 @@
 	}
 	if server, ok := world.Fleet.Known(id); ok {
 		c.probe(server, plan)
-		isPatient := g.isGentle && time.Since(g.endingSince) < closeTime
+		isDead, _ := c.isDead(id)
+		isPatient := g.isGentle && !isDead && time.Since(g.endingSince) < closeTime
 		if isPatient {
 			g.order(server, Close, false, g.ending, plan)
 			return false
 		}
 		g.order(server, Leave, false, g.ending, plan)
 	}
-	c.withdrawMembers(g, world, plan)
+	if c.withdrawMembers(g, world, plan) {
+		return true
+	}
 	return !g.withoutMember.IsZero() && time.Since(g.withoutMember) > world.StallTime+stallMargin
 }
 
 // withdrawMembers orders the other members of a group to leave, and notes since
-// when one of them is surely out.
-func (c *Controller) withdrawMembers(g *group, world World, plan *Plan) {
-	isAnyOut := len(g.record.Members) == 1
+// when one of them is surely out. It tells whether all that are there say that
+// they are: then the group has no members left that could be in two groups, and
+// its head can serve nothing without them.
+func (c *Controller) withdrawMembers(g *group, world World, plan *Plan) bool {
+	out, in := 0, 0
 	for _, id := range g.record.Members[1:] {
 		member, ok := world.Fleet.Server(id)
-		if !ok || !member.Membership.In(g.record.Name, g.record.Epoch) {
-			isAnyOut = isAnyOut || ok || c.isRefused(id) || world.IsSteady
-			continue
+		switch {
+		case ok && member.Membership.In(g.record.Name, g.record.Epoch):
+			in++
+			g.order(member, Leave, false, g.ending, plan)
+		case ok || c.isRefused(id) || world.IsSteady:
+			out++
 		}
-		g.order(member, Leave, false, g.ending, plan)
 	}
-	if isAnyOut && g.withoutMember.IsZero() {
+	if (out > 0 || len(g.record.Members) == 1) && g.withoutMember.IsZero() {
 		g.withoutMember = time.Now()
 	}
+	return out > 0 && in == 0
 }
 
 // endOrphans ends groups at servers that have no record, as a late order can
--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -16,6 +16,11 @@
 	// usedShare is the part of the servers that groups are made of; the others
 	// stay free, with weights on their hosts, to repair groups quickly.
 	usedShare = 0.75
+	// loadSlack is how many loads beyond the weight store's bound may begin in
+	// a window; the platform allows three.
+	loadSlack = 2
+	// loadMargin is added to the window: orders do not all travel alike.
+	loadMargin = 250 * time.Millisecond
 )
 
 // form plans new groups and stages weights, for every service of engines.
@@ -34,6 +39,33 @@
 	}
 }
 
+// settleTime is how long no server must have come for all to count as there
+// when the system starts: they write their first entries within one heartbeat.
+const settleTime = 350 * time.Millisecond
+
+// hasSettled tells whether all servers of a new system seem to be there, so
+// that groups can be spread evenly over the domains.
+func (c *Controller) hasSettled(at *layout) bool {
+	if c.counted == nil {
+		c.counted = map[string]count{}
+	}
+	known := c.counted[at.service.Name]
+	if known.servers != at.total {
+		c.counted[at.service.Name] = count{
+			servers: at.total,
+			since:   time.Now(),
+		}
+		return false
+	}
+	return at.total > 0 && time.Since(known.since) > settleTime
+}
+
+// count is how many servers there are, and since when.
+type count struct {
+	servers int
+	since   time.Time
+}
+
 // layout is the state of one service that planning works on.
 type layout struct {
 	service *config.Service
@@ -47,7 +79,10 @@
 
 // formService plans one service.
 func (c *Controller) formService(service *config.Service, world World, plan *Plan) {
-	at := c.layout(service, world)
+	at := c.layout(service, world, plan)
+	if world.IsStart && !c.hasSettled(at) {
+		return
+	}
 	for {
 		model, ok := at.neediest()
 		if !ok {
@@ -57,11 +92,11 @@
 			at.live[model.Name] = math.MaxInt32 // not now
 		}
 	}
-	c.stageSpares(c.layout(service, world), world, plan)
+	c.stageFree(c.layout(service, world, plan), world, plan)
 }
 
 // layout returns the state of a service.
-func (c *Controller) layout(service *config.Service, world World) *layout {
+func (c *Controller) layout(service *config.Service, world World, plan *Plan) *layout {
 	at := &layout{
 		service:  service,
 		free:     map[string][]fleet.Server{},
@@ -95,7 +130,7 @@
 		if !slices.Contains(at.domains, server.Domain) {
 			at.domains = append(at.domains, server.Domain)
 		}
-		if !taken[server.ID] && c.isFree(server, world) {
+		if !taken[server.ID] && c.isFree(server, world, plan) {
 			at.free[server.Domain] = append(at.free[server.Domain], server)
 		}
 	}
@@ -113,8 +148,11 @@
 
 // isFree tells whether a server without a record may join a group: it is not
 // the member of a group that still serves, and it did not fail to answer lately.
-func (c *Controller) isFree(server fleet.Server, world World) bool {
-	if isDead, isKnown := c.isDead(server.ID); isKnown && isDead {
+func (c *Controller) isFree(server fleet.Server, world World, plan *Plan) bool {
+	if known := c.signs[server.ID]; known.last != Alive && known.silences >= silences {
+		if time.Since(known.asked) > probeDeadAgain {
+			c.probe(server, plan)
+		}
 		return false
 	}
 	m := server.Membership
@@ -164,7 +202,7 @@
 			best, bestLoads, bestGroups = members, loads, groups
 		}
 	}
-	if best == nil || (bestLoads > 0 && world.HadTraffic) || !c.mayLoad(bestLoads, at.service.Engine, world) {
+	if best == nil || (bestLoads > 0 && !world.IsStart) || !c.mayLoad(bestLoads, at.service.Engine, world) {
 		return false
 	}
 	c.number++
@@ -238,9 +276,9 @@
 	}
 	now := time.Now()
 	c.loads = slices.DeleteFunc(c.loads, func(at time.Time) bool {
-		return now.Sub(at) > world.LoadWindow+time.Second
+		return now.Sub(at) > world.LoadWindow+loadMargin
 	})
-	limit := int(engine.LoadsPerSecond * world.LoadWindow.Seconds())
+	limit := int(engine.LoadsPerSecond*world.LoadWindow.Seconds()*max(1, world.LoadExcess)) + loadSlack
 	return len(c.loads)+c.reserved()+loads <= max(limit, loads)
 }
 
--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -11,43 +11,89 @@
 // is given again.
 const stageMargin = 3 * time.Second
 
-// stageSpares has free servers load weights to their hosts, so that a repair
-// takes no load. In each domain, models that lack groups come first, then those
-// whose groups there have no staged server to replace a member.
-func (c *Controller) stageSpares(at *layout, world World, plan *Plan) {
-	if !c.isFormed(at) {
+// stageFree has free servers load weights to their hosts, so that a repair
+// takes no load: first for models that lack groups, then as spares.
+func (c *Controller) stageFree(at *layout, world World, plan *Plan) {
+	if len(c.creating) > 0 {
 		return
 	}
+	for _, model := range at.service.Engine.Models {
+		if at.live[model.Name] >= at.target(model) {
+			continue
+		}
+		if world.IsStart {
+			// Loads are quick now, so groups load as they form.
+			return
+		}
+		c.stageMissing(at, model, world, plan)
+	}
 	for _, domain := range at.domains {
 		for _, server := range at.free[domain] {
-			if len(server.Staged) > 0 || len(server.Models) > 0 {
-				continue
+			if len(server.Staged) == 0 && len(server.Models) == 0 && !c.isStaging(server) {
+				c.stageSpare(at, domain, server, world, plan)
 			}
-			c.stage(at, domain, server, world, plan)
 		}
 	}
 }
 
-// isFormed tells whether no group is waiting for loads, which come first.
-func (c *Controller) isFormed(at *layout) bool {
-	if len(c.creating) > 0 {
-		return false
+// isStaging tells whether a stage order of a server is under way.
+func (c *Controller) isStaging(server fleet.Server) bool {
+	order, ok := c.staged[server.ID]
+	return ok && time.Now().Before(order.until)
+}
+
+// willHave tells whether a free server has a model's weights, or is loading
+// them.
+func (c *Controller) willHave(server fleet.Server, model string) bool {
+	if c.isStaging(server) {
+		return c.staged[server.ID].model == model
 	}
-	for _, g := range c.groups {
-		if g.ending == "" && !g.wasOpen && g.record.Service == at.service.Name {
-			return false
+	return server.HasStaged(model) || server.HasLoaded(model)
+}
+
+// stageMissing completes the weights for one more group of a model, in the
+// domain where the fewest servers must load them.
+func (c *Controller) stageMissing(at *layout, model config.Model, world World, plan *Plan) {
+	var best []fleet.Server
+	isPossible := false
+	for _, domain := range at.domains {
+		missing := model.Size
+		var others []fleet.Server
+		for _, server := range at.free[domain] {
+			switch {
+			case c.willHave(server, model.Name):
+				missing--
+			case c.isStaging(server):
+			case len(server.Staged) == 0:
+				others = append([]fleet.Server{server}, others...)
+			default:
+				others = append(others, server)
+			}
+		}
+		if missing <= 0 {
+			return // a group forms as soon as the loads under way are done
+		}
+		if len(others) >= missing && (!isPossible || missing < len(best)) {
+			best = others[:missing]
+			isPossible = true
 		}
 	}
-	return true
+	for _, server := range best {
+		c.stage(server, model, at.service.Engine, "a group lacks its weights", world, plan)
+	}
 }
 
-// stage orders one empty server to load the weights that its domain lacks most.
-func (c *Controller) stage(at *layout, domain string, server fleet.Server, world World, plan *Plan) {
-	if order, ok := c.staged[server.ID]; ok && time.Now().Before(order.until) {
-		return
+// stageSpare has an empty server load the weights that its domain lacks most.
+func (c *Controller) stageSpare(at *layout, domain string, server fleet.Server, world World, plan *Plan) {
+	if model, ok := c.lacking(at, domain); ok {
+		c.stage(server, model, at.service.Engine, "the domain has no spare with them", world, plan)
 	}
-	model, ok := c.lacking(at, domain)
-	if !ok || !c.mayLoad(1, at.service.Engine, world) || c.stagesUnderWay() >= max(1, at.service.Engine.LoadsAtOnce) {
+}
+
+// stage orders a server to load weights, unless too many loads are under way.
+func (c *Controller) stage(server fleet.Server, model config.Model, engine *config.Engine, reason string, world World, plan *Plan) {
+	isCrowded := !world.IsStart && c.stagesUnderWay() >= max(1, engine.LoadsAtOnce)
+	if isCrowded || !c.mayLoad(1, engine, world) {
 		return
 	}
 	c.loads = append(c.loads, time.Now())
@@ -59,7 +105,7 @@
 		Server: server,
 		Kind:   Stage,
 		Model:  model.Name,
-		Reason: "the domain has no spare with it",
+		Reason: reason,
 	})
 }
 
@@ -82,13 +128,12 @@
 	for _, model := range at.service.Engine.Models {
 		spares := 0
 		for _, server := range at.free[domain] {
-			order, isStaging := c.staged[server.ID]
-			if server.HasStaged(model.Name) || (isStaging && order.model == model.Name) {
+			if c.willHave(server, model.Name) {
 				spares++
 			}
 		}
 		used := float64(at.inDomain[domain][model.Name]*model.Size) + model.Share
-		score := used / float64(1+spares*spares)
+		score := used / float64((1+spares)*(1+spares))
 		if score > bestScore {
 			best, bestScore = model, score
 		}
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -82,11 +82,12 @@
 	defer t.mutex.Unlock()
 	now := time.Now()
 	best, bestScore := -1, 0.0
+	usual := t.usualPace(candidates)
 	for i, candidate := range candidates {
 		if excluded[candidate.ID] {
 			continue
 		}
-		score := t.of(candidate.ID).score(now, candidate, cost)
+		score := t.of(candidate.ID).score(now, candidate, cost, usual)
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
@@ -106,9 +107,25 @@
 	}), true
 }
 
+// usualPace returns the mean pace of the candidates that were measured, or 0. A
+// server that was not measured counts as usual. The mutex is held.
+func (t *Tracker) usualPace(candidates []Candidate) float64 {
+	sum, measured := 0.0, 0
+	for _, candidate := range candidates {
+		if one := t.of(candidate.ID); one.pace > 0 {
+			sum += one.pace
+			measured++
+		}
+	}
+	if measured == 0 {
+		return 0
+	}
+	return sum / float64(measured)
+}
+
 // score returns how unfit a server is for one more request. Resting servers
 // come after all others, those whose rest ends first before the rest.
-func (s *tracked) score(now time.Time, candidate Candidate, cost float64) float64 {
+func (s *tracked) score(now time.Time, candidate Candidate, cost, usual float64) float64 {
 	const (
 		// spread is the part of the cost that chance adds, to break ties.
 		spread = 0.5
@@ -119,8 +136,8 @@
 		fullScore = 1e6
 	)
 	score := s.cost + cost*(1+spread*rand.Float64())
-	if s.pace > 0 {
-		score *= s.pace
+	if s.pace > 0 && usual > 0 {
+		score *= s.pace / usual
 	}
 	if candidate.Capacity > 0 && s.inFlight >= candidate.Capacity {
 		score += fullScore
--- /dev/null
+++ b/core/balancer/balancer_test.go
@@ -0,0 +1,125 @@
+package balancer_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/balancer"
+)
+
+// candidates returns two servers of equal capacity.
+func candidates() []balancer.Candidate {
+	return []balancer.Candidate{
+		{
+			ID:       "a",
+			Capacity: 26,
+		},
+		{
+			ID:       "b",
+			Capacity: 26,
+		},
+	}
+}
+
+// picks returns how often each server is chosen for n requests that stay open.
+func picks(tracker *balancer.Tracker, n int) map[string]int {
+	count := map[string]int{}
+	for range n {
+		chosen, _, ok := tracker.Pick(candidates(), nil, 100)
+		if ok {
+			count[chosen.ID]++
+		}
+	}
+	return count
+}
+
+// A new group was given almost nothing, because its pace was not known and
+// counted as one second a unit; quick ones measured 30 ms.
+func TestServerNotMeasuredGetsItsShare(t *testing.T) {
+	var tracker balancer.Tracker
+	tracker.Succeeded("a", 0.03)
+
+	count := picks(&tracker, 20)
+
+	qt.Assert(t, count["b"] >= 8, qt.IsTrue, qt.Commentf("%v", count))
+}
+
+func TestSlowServerGetsLess(t *testing.T) {
+	var tracker balancer.Tracker
+	tracker.Succeeded("a", 0.03)
+	tracker.Succeeded("b", 0.15)
+
+	count := picks(&tracker, 24)
+
+	qt.Assert(t, count["b"] < count["a"]/2, qt.IsTrue, qt.Commentf("%v", count))
+}
+
+func TestSilentServerRestsUntilItIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tracker balancer.Tracker
+		tracker.Rest("a")
+		qt.Assert(t, tracker.IsResting("a"), qt.IsTrue)
+		qt.Assert(t, picks(&tracker, 10)["a"], qt.Equals, 0)
+
+		tracker.Heard("a")
+
+		qt.Assert(t, tracker.IsResting("a"), qt.IsFalse)
+	})
+}
+
+func TestRestsGrowAndEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tracker balancer.Tracker
+		tracker.Failed("a", false)
+		time.Sleep(500 * time.Millisecond)
+		qt.Assert(t, tracker.IsResting("a"), qt.IsFalse)
+
+		tracker.Failed("a", false)
+		time.Sleep(500 * time.Millisecond)
+
+		qt.Assert(t, tracker.IsResting("a"), qt.IsTrue)
+	})
+}
+
+func TestOneUsualFailureRestsNobody(t *testing.T) {
+	var tracker balancer.Tracker
+	tracker.Failed("a", true)
+	qt.Assert(t, tracker.IsResting("a"), qt.IsFalse)
+	tracker.Failed("a", true)
+	qt.Assert(t, tracker.IsResting("a"), qt.IsTrue)
+}
+
+func TestWhereAllRestOneIsStillChosen(t *testing.T) {
+	var tracker balancer.Tracker
+	tracker.Failed("a", false)
+	tracker.Failed("b", false)
+	_, _, ok := tracker.Pick(candidates(), nil, 100)
+	qt.Assert(t, ok, qt.IsTrue)
+}
+
+func TestExcludedServersAreNotChosen(t *testing.T) {
+	var tracker balancer.Tracker
+	_, _, ok := tracker.Pick(candidates(), map[string]bool{
+		"a": true,
+		"b": true,
+	}, 100)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+func TestLimitsFollowWhatIsUsual(t *testing.T) {
+	var tracker balancer.Tracker
+	for range 200 {
+		tracker.Silence("steady", balancer.Pause, 40*time.Millisecond)
+		tracker.Silence("uneven", balancer.Pause, 40*time.Millisecond)
+		tracker.Silence("uneven", balancer.Pause, 200*time.Millisecond)
+	}
+	steady := tracker.Limits("steady", balancer.Pause)
+	uneven := tracker.Limits("uneven", balancer.Pause)
+
+	qt.Assert(t, steady.Rest < 150*time.Millisecond, qt.IsTrue, qt.Commentf("%v", steady))
+	qt.Assert(t, uneven.Rest > 400*time.Millisecond, qt.IsTrue, qt.Commentf("%v", uneven))
+	qt.Assert(t, steady.Move > steady.Rest, qt.IsTrue)
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -21,6 +21,8 @@
 	Readiness string
 	Store     string
 	MaxFiles  int
+	// IsFirstStart tells that the whole system is started for the first time.
+	IsFirstStart bool
 	// StopTime passes between SIGTERM and SIGKILL.
 	StopTime time.Duration
 	// RevokeWithin is when a withdrawn key must be dead everywhere.
--- a/entry/control.go
+++ b/entry/control.go
@@ -112,7 +112,7 @@
 		Config:     view.Config,
 		Fleet:      view.Fleet,
 		IsSteady:   d.isStoreSteady(),
-		HadTraffic: d.gateway.HadRequests(),
+		IsStart:    d.settings.IsFirstStart && !d.gateway.HadRequests(),
 		StallTime:  d.settings.StallTime,
 		LoadWindow: d.settings.LoadWindow,
 		LoadExcess: d.settings.LoadExcess,
@@ -134,8 +134,8 @@
 	for _, order := range plan.Orders {
 		go s.give(ctx, order)
 	}
-	if len(plan.Create) > 0 || len(plan.Remove) > 0 {
-		s.commit(ctx, plan.Create, plan.Remove)
+	if len(plan.Create)+len(plan.Remove)+len(plan.Cleared) > 0 {
+		s.commit(ctx, plan)
 	}
 }
 
@@ -187,9 +187,9 @@
 
 // commit writes and removes records. Where it is not known whether it was done,
 // the records are read again.
-func (s *steward) commit(ctx context.Context, create []assembly.Record, remove []string) {
+func (s *steward) commit(ctx context.Context, plan assembly.Plan) {
 	var writes, removes []rowstore.Row
-	for _, record := range create {
+	for _, record := range plan.Create {
 		value, err := record.Encode()
 		if err != nil {
 			s.daemon.log.Error("groups: record not written", zap.Error(err))
@@ -202,11 +202,14 @@
 			Value: value,
 		})
 	}
-	for _, name := range remove {
+	for _, name := range plan.Remove {
 		removes = append(removes, rowstore.Row{
 			Table: assembly.Table,
 			Key:   name,
-		}, rowstore.Row{
+		})
+	}
+	for _, name := range append(plan.Cleared, plan.Remove...) {
+		removes = append(removes, rowstore.Row{
 			Table: stallTable,
 			Key:   name,
 		})
@@ -217,9 +220,9 @@
 		s.daemon.log.Warn("groups: change not confirmed, records are read again", zap.Error(err))
 		return
 	}
-	s.controller.Created(create, version)
-	s.controller.Removed(remove)
-	for _, record := range create {
+	s.controller.Created(plan.Create, version)
+	s.controller.Removed(plan.Remove)
+	for _, record := range plan.Create {
 		s.daemon.log.Info("groups: created", zap.String("group", record.Name), zap.Int64("epoch", version), zap.String("model", record.Model), zap.Strings("members", record.Members))
 	}
 }
--- a/io/gateway/watchdog.go
+++ b/io/gateway/watchdog.go
@@ -99,6 +99,7 @@
 	case !w.isRested:
 		w.isRested = true
 		tracker.Rest(w.server.ID)
+		w.job.server.source.Stalled(w.server)
 	}
 	if silent < limits.Move {
 		w.timer.Reset(limits.Move - silent)
