--- a/command/entry.go
+++ b/command/entry.go
@@ -80,7 +80,7 @@
 		}
 		next, err := platform.ReadSettings(path)
 		if err != nil {
-			log.Error("daemon: settings not taken, the last good ones stay in force", zap.Error(err))
+			log.Error("daemon: settings not taken, the last good ones stay in force", logline.Err(err))
 			continue
 		}
 		if next != known {
--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -42,6 +42,9 @@
 	// staged are the stage orders given, by server, and when.
 	staged map[string]stageOrder
 	loads  []time.Time
+	// closed are ended groups whose head is known to be out of them: their
+	// members may join others without leaving first.
+	closed map[membershipKey]bool
 	// orphans is when a server was last told to leave a group without record.
 	orphans map[string]time.Time
 	// counted is how many servers each service had when last looked at.
@@ -49,6 +52,12 @@
 	number  int
 }
 
+// membershipKey names a group of one epoch.
+type membershipKey struct {
+	group string
+	epoch int64
+}
+
 // stageOrder is a stage order under way.
 type stageOrder struct {
 	model string
@@ -76,6 +85,8 @@
 	isSuspected bool
 	wasOpen     bool
 	isRemoving  bool
+	// isHeadOut tells that the group ended because its head is known to be out.
+	isHeadOut bool
 	// hasHeadLeft tells that the head itself took the order to leave;
 	// withoutMember since when it is surely without one of its members.
 	hasHeadLeft   bool
@@ -128,7 +139,16 @@
 
 // Removed notes that records were removed.
 func (c *Controller) Removed(names []string) {
+	if c.closed == nil {
+		c.closed = map[membershipKey]bool{}
+	}
 	for _, name := range names {
+		if g, ok := c.groups[name]; ok && g.isHeadOut {
+			c.closed[membershipKey{
+				group: name,
+				epoch: g.record.Epoch,
+			}] = true
+		}
 		delete(c.groups, name)
 	}
 }
--- a/core/assembly/finish.go
+++ b/core/assembly/finish.go
@@ -25,10 +25,9 @@
 func (c *Controller) isHeadDone(g *group, world World, plan *Plan) bool {
 	id := g.record.Members[0]
 	head, ok := world.Fleet.Server(id)
-	if ok && !head.Membership.In(g.record.Name, g.record.Epoch) {
-		return true
-	}
-	if c.isRefused(id) {
+	isOut := ok && !head.Membership.In(g.record.Name, g.record.Epoch)
+	if isOut || g.hasHeadLeft || c.isRefused(id) {
+		g.isHeadOut = true
 		return true
 	}
 	isDead, _ := c.isDead(id)
@@ -61,9 +60,6 @@
 // leave; and its members are: without them it stands still, and is broken after
 // the stall time whether it lives or not.
 func (c *Controller) isLostHeadDone(g *group, id string, world World, plan *Plan) bool {
-	if g.hasHeadLeft {
-		return true
-	}
 	if server, ok := world.Fleet.Known(id); ok {
 		c.probe(server, plan)
 		isDead, _ := c.isDead(id)
@@ -82,8 +78,8 @@
 
 // withdrawMembers orders the other members of a group to leave, and notes since
 // when one of them is surely out. It tells whether all that are there say that
-// they are: then the group has no members left that could be in two groups, and
-// its head can serve nothing without them.
+// they are out: then none of them could be in two groups. One without an entry
+// may come back and still be a member; it leaves before it is used again.
 func (c *Controller) withdrawMembers(g *group, world World, plan *Plan) bool {
 	out, in := 0, 0
 	for _, id := range g.record.Members[1:] {
@@ -92,7 +88,7 @@
 		case ok && member.Membership.In(g.record.Name, g.record.Epoch):
 			in++
 			g.order(member, Leave, false, g.ending, plan)
-		case ok || c.isRefused(id) || world.IsSteady:
+		case ok || c.isRefused(id):
 			out++
 		}
 	}
@@ -102,21 +98,21 @@
 	return out > 0 && in == 0
 }
 
-// endOrphans ends groups at servers that have no record, as a late order can
-// leave them behind.
+// endOrphans has servers leave groups that have no record: the rest of a group
+// whose head was lost, or what a late order has left behind. Members of a group
+// whose head is known to be out of it are left alone: they just join another.
 func (c *Controller) endOrphans(world World, plan *Plan) {
+	if c.orphans == nil {
+		c.orphans = map[string]time.Time{}
+	}
 	for _, server := range world.Fleet.Servers() {
 		m := server.Membership
-		isServing := m.State == fleet.Open || m.State == fleet.Closing
-		if !isServing || m.Rank != 0 || c.hasRecord(m.Group, m.Epoch) {
+		if m.State == fleet.NoGroup || c.hasRecord(m.Group, m.Epoch) || c.isClosed(m) {
 			continue
 		}
 		if time.Since(c.orphans[server.ID]) < askAgain {
 			continue
 		}
-		if c.orphans == nil {
-			c.orphans = map[string]time.Time{}
-		}
 		c.orphans[server.ID] = time.Now()
 		plan.Orders = append(plan.Orders, Order{
 			Server: server,
@@ -128,6 +124,14 @@
 	}
 }
 
+// isClosed tells whether a membership is of an ended group whose head is out.
+func (c *Controller) isClosed(m fleet.Membership) bool {
+	return c.closed[membershipKey{
+		group: m.Group,
+		epoch: m.Epoch,
+	}]
+}
+
 // hasRecord tells whether a group is known.
 func (c *Controller) hasRecord(name string, epoch int64) bool {
 	g, ok := c.groups[name]
--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -130,7 +130,7 @@
 		if !slices.Contains(at.domains, server.Domain) {
 			at.domains = append(at.domains, server.Domain)
 		}
-		if !taken[server.ID] && c.isFree(server, world, plan) {
+		if !taken[server.ID] && c.isFree(server, plan) {
 			at.free[server.Domain] = append(at.free[server.Domain], server)
 		}
 	}
@@ -146,26 +146,16 @@
 	l.inDomain[domain][model]++
 }
 
-// isFree tells whether a server without a record may join a group: it is not
-// the member of a group that still serves, and it did not fail to answer lately.
-func (c *Controller) isFree(server fleet.Server, world World, plan *Plan) bool {
+// isFree tells whether a server without a record may join a group: it is in no
+// group that could still serve, and it did not fail to answer lately.
+func (c *Controller) isFree(server fleet.Server, plan *Plan) bool {
 	if known := c.signs[server.ID]; known.last != Alive && known.silences >= silences {
 		if time.Since(known.asked) > probeDeadAgain {
 			c.probe(server, plan)
 		}
 		return false
 	}
-	m := server.Membership
-	if m.State == fleet.NoGroup {
-		return true
-	}
-	for _, other := range world.Fleet.Servers() {
-		o := other.Membership
-		if o.Rank == 0 && o.In(m.Group, m.Epoch) && (o.State == fleet.Open || o.State == fleet.Closing) {
-			return false
-		}
-	}
-	return true
+	return server.Membership.State == fleet.NoGroup || c.isClosed(server.Membership)
 }
 
 // target returns how many groups a model should have.
--- /dev/null
+++ b/core/assembly/sim_test.go
@@ -0,0 +1,409 @@
+package assembly_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"headcourse/core/assembly"
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+)
+
+// Times of the simulated fleet, as the platform's pages give them.
+const (
+	simStep   = 50 * time.Millisecond
+	simLapse  = 3600 * time.Millisecond
+	simStall  = 5 * time.Second
+	simForm   = 300 * time.Millisecond
+	simLoad   = 12 * time.Second
+	simWarm   = 1500 * time.Millisecond
+	simRejoin = 200 * time.Millisecond
+)
+
+// simServer is one start of a simulated model engine.
+type simServer struct {
+	id       string
+	domain   string
+	isDead   bool
+	goneAt   time.Time
+	isCut    bool
+	cutAt    time.Time
+	drains   bool
+	seen     int64
+	group    string
+	epoch    int64
+	members  []string
+	model    string
+	loaded   string
+	staged   string
+	state    fleet.MemberState
+	dueAt    time.Time
+	stillAt  time.Time
+	staging  string
+	stagedAt time.Time
+	wasReady map[string]bool
+}
+
+// simFleet is a fleet with a store of records. It checks what must always hold:
+// a head opens only if every member was ready under the group's name and epoch;
+// and no server joins a group while the head of its own group, which it has not
+// left, serves or stands still.
+type simFleet struct {
+	servers  map[string]*simServer
+	records  map[string]assembly.Record
+	epoch    int64
+	next     int
+	late     []lateOrder
+	violated []string
+	view     fleet.View
+	orders   map[string]int
+}
+
+// lateOrder is an order that is carried out later.
+type lateOrder struct {
+	order assembly.Order
+	at    time.Time
+}
+
+// newSim returns a fleet of domains with servers each.
+func newSim(domains, servers int) *simFleet {
+	s := &simFleet{
+		servers: map[string]*simServer{},
+		records: map[string]assembly.Record{},
+		epoch:   10,
+		orders:  map[string]int{},
+	}
+	for d := range domains {
+		for range servers {
+			s.add(fmt.Sprintf("d%d", d), "")
+		}
+	}
+	return s
+}
+
+// add starts a server in a domain whose host keeps a model's weights.
+func (s *simFleet) add(domain, staged string) *simServer {
+	s.next++
+	one := &simServer{
+		id:       fmt.Sprintf("i-%03d", s.next),
+		domain:   domain,
+		staged:   staged,
+		wasReady: map[string]bool{},
+	}
+	s.servers[one.id] = one
+	return one
+}
+
+// simConfig is a service of two models, of four and of two servers.
+func simConfig() *config.Config {
+	return config.New(config.Config{
+		Version: 1,
+		Services: []config.Service{
+			{
+				Name: "engines",
+				Engine: &config.Engine{
+					Capacity:       26,
+					LoadsPerSecond: 4,
+					LoadsAtOnce:    6,
+					Models: []config.Model{
+						{
+							Name:  "large",
+							Size:  4,
+							Share: 0.67,
+							Load:  simLoad,
+							Warm:  simWarm,
+						},
+						{
+							Name:  "small",
+							Size:  2,
+							Share: 0.33,
+							Load:  simLoad,
+							Warm:  simWarm,
+						},
+					},
+				},
+			},
+		},
+	})
+}
+
+// head returns the head of a server's group, or nil.
+func (s *simFleet) head(of *simServer) *simServer {
+	if of.state == fleet.NoGroup || len(of.members) == 0 {
+		return nil
+	}
+	head := s.servers[of.members[0]]
+	if head == nil || head.isDead || head.group != of.group || head.epoch != of.epoch {
+		return nil
+	}
+	return head
+}
+
+// apply carries out an order and returns its result.
+func (s *simFleet) apply(order assembly.Order) assembly.Result {
+	one := s.servers[order.Server.ID]
+	if one == nil || one.isDead {
+		return assembly.NoAnswer
+	}
+	isSame := one.group == order.Group && one.epoch == order.Epoch && one.state != fleet.NoGroup
+	switch order.Kind {
+	case assembly.Join:
+		return s.join(one, order, isSame)
+	case assembly.Open:
+		return s.open(one, isSame)
+	case assembly.Close:
+		if isSame && (one.state == fleet.Open || one.state == fleet.Closing) {
+			one.state = fleet.Ready
+		}
+	case assembly.Leave:
+		if isSame {
+			one.state = fleet.NoGroup
+			one.group = ""
+		}
+	case assembly.Stage:
+		if !one.stagedAt.IsZero() {
+			return assembly.Unfit
+		}
+		one.staging = order.Model
+		one.stagedAt = time.Now().Add(simLoad)
+	}
+	return assembly.Taken
+}
+
+// join makes a server a member.
+func (s *simFleet) join(one *simServer, order assembly.Order, isSame bool) assembly.Result {
+	if isSame {
+		return assembly.Taken
+	}
+	if order.Epoch < one.seen {
+		return assembly.Fenced
+	}
+	if head := s.head(one); head != nil && (head.state == fleet.Open || head.state == fleet.Closing) {
+		s.violated = append(s.violated, fmt.Sprintf("%s joins %s while %s of %s serves", one.id, order.Group, one.group, head.id))
+	}
+	wait := simLoad
+	switch {
+	case one.loaded == order.Model:
+		wait = simRejoin
+	case one.staged == order.Model:
+		wait = simWarm
+	}
+	one.seen = order.Epoch
+	one.group = order.Group
+	one.epoch = order.Epoch
+	one.members = order.Members
+	one.model = order.Model
+	one.state = fleet.Joining
+	one.dueAt = time.Now().Add(wait)
+	one.stillAt = time.Time{}
+	return assembly.Taken
+}
+
+// open lets a ready head serve.
+func (s *simFleet) open(one *simServer, isSame bool) assembly.Result {
+	if !isSame || one.state != fleet.Ready {
+		return assembly.Unfit
+	}
+	key := fmt.Sprintf("%s/%d", one.group, one.epoch)
+	for _, id := range one.members {
+		member := s.servers[id]
+		if member == nil || !member.wasReady[key] {
+			s.violated = append(s.violated, fmt.Sprintf("%s opens %s, but %s was never ready in it", one.id, one.group, id))
+		}
+	}
+	one.state = fleet.Open
+	return assembly.Taken
+}
+
+// tick lets time pass: loads end, groups without a member break, late orders
+// are carried out.
+func (s *simFleet) tick() {
+	time.Sleep(simStep)
+	now := time.Now()
+	for _, one := range s.servers {
+		if one.state == fleet.Joining && now.After(one.dueAt) {
+			one.state = fleet.Ready
+			one.loaded = one.model
+			one.staged = one.model
+			one.wasReady[fmt.Sprintf("%s/%d", one.group, one.epoch)] = true
+		}
+		if !one.stagedAt.IsZero() && now.After(one.stagedAt) {
+			one.staged = one.staging
+			one.stagedAt = time.Time{}
+		}
+		s.breakStill(one)
+	}
+	due := s.late
+	s.late = nil
+	for _, late := range due {
+		if now.Before(late.at) {
+			s.late = append(s.late, late)
+			continue
+		}
+		s.apply(late.order)
+	}
+}
+
+// breakStill breaks a head that has been without a member for the stall time.
+func (s *simFleet) breakStill(one *simServer) {
+	if one.state != fleet.Open && one.state != fleet.Closing {
+		return
+	}
+	isWhole := true
+	for _, id := range one.members {
+		member := s.servers[id]
+		isWhole = isWhole && member != nil && !member.isDead && member.group == one.group && member.epoch == one.epoch
+	}
+	switch {
+	case isWhole:
+		one.stillAt = time.Time{}
+	case one.stillAt.IsZero():
+		one.stillAt = time.Now()
+	case time.Since(one.stillAt) > simStall:
+		one.state = fleet.Broken
+	}
+}
+
+// look returns the fleet as its entries show it.
+func (s *simFleet) look() fleet.View {
+	now := time.Now()
+	var entries []fleet.Server
+	for _, id := range slices.Sorted(maps.Keys(s.servers)) {
+		one := s.servers[id]
+		if one.isDead && now.Sub(one.goneAt) > simLapse {
+			continue
+		}
+		if one.isCut && now.Sub(one.cutAt) > simLapse {
+			continue
+		}
+		if one.isDead || one.isCut {
+			// The entry stays as it was.
+			if former, ok := s.view.Server(id); ok {
+				entries = append(entries, former)
+			}
+			continue
+		}
+		entries = append(entries, s.entry(one))
+	}
+	s.epoch++
+	s.view = s.view.WithAll(s.epoch, entries, now)
+	return s.view
+}
+
+// entry returns a server's entry.
+func (s *simFleet) entry(one *simServer) fleet.Server {
+	entry := fleet.Server{
+		ID:       one.id,
+		Service:  "engines",
+		Address:  "10.0.0.1:1",
+		Domain:   one.domain,
+		Draining: one.drains,
+		IsEngine: true,
+	}
+	if one.loaded != "" {
+		entry.Models = []string{one.loaded}
+	}
+	if one.staged != "" {
+		entry.Staged = []string{one.staged}
+	}
+	if one.state != fleet.NoGroup {
+		entry.Membership = fleet.Membership{
+			Group: one.group,
+			Epoch: one.epoch,
+			Rank:  slices.Index(one.members, one.id),
+			State: one.state,
+		}
+	}
+	return entry
+}
+
+// probe returns a server's sign of life.
+func (s *simFleet) probe(id string) assembly.Sign {
+	one := s.servers[id]
+	if one == nil || one.isDead {
+		return assembly.Silent
+	}
+	return assembly.Alive
+}
+
+// stored returns the records, as a new leader reads them.
+func (s *simFleet) stored() []assembly.Record {
+	var all []assembly.Record
+	for _, name := range slices.Sorted(maps.Keys(s.records)) {
+		all = append(all, s.records[name])
+	}
+	return all
+}
+
+// fate says what becomes of one order: its answer may be lost, and it may be
+// carried out late or not at all.
+type fate struct {
+	isLost bool
+	delay  time.Duration
+	isNone bool
+}
+
+// run has the controller decide once and carries out what it decides. fateOf
+// gives each order's fate.
+func (s *simFleet) run(c *assembly.Controller, isStart bool, fateOf func(assembly.Order) fate) {
+	plan := c.Step(assembly.World{
+		Config:     simConfig(),
+		Fleet:      s.look(),
+		IsSteady:   true,
+		IsStart:    isStart,
+		StallTime:  simStall,
+		LoadWindow: 5 * time.Second,
+		LoadExcess: 1.1,
+	})
+	for _, server := range plan.Probes {
+		c.Probed(server.ID, s.probe(server.ID))
+	}
+	for _, order := range plan.Orders {
+		s.orders[order.Kind.String()]++
+		c.Ordered(order, s.give(order, fateOf(order)))
+	}
+	if len(plan.Create) > 0 {
+		s.epoch++
+		for _, record := range plan.Create {
+			record.Epoch = s.epoch
+			s.records[record.Name] = record
+		}
+		c.Created(plan.Create, s.epoch)
+	}
+	for _, name := range plan.Remove {
+		delete(s.records, name)
+	}
+	c.Removed(plan.Remove)
+}
+
+// give gives an order its fate.
+func (s *simFleet) give(order assembly.Order, f fate) assembly.Result {
+	switch {
+	case f.isNone:
+		return assembly.NoAnswer
+	case f.delay > 0:
+		s.late = append(s.late, lateOrder{
+			order: order,
+			at:    time.Now().Add(f.delay),
+		})
+		return assembly.NoAnswer
+	case f.isLost:
+		s.apply(order)
+		return assembly.NoAnswer
+	default:
+		return s.apply(order)
+	}
+}
+
+// open counts the groups of a model that serve whole.
+func (s *simFleet) serving(model string) int {
+	count := 0
+	for _, one := range s.servers {
+		if one.state == fleet.Open && one.model == model && !one.isDead && one.stillAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -11,6 +11,7 @@
 	"headcourse/core/assembly"
 	"headcourse/core/leader"
 	"headcourse/core/rowstore"
+	"headcourse/io/logline"
 )
 
 // Figures of control.
@@ -111,7 +112,7 @@
 	plan := s.controller.Step(assembly.World{
 		Config:     view.Config,
 		Fleet:      view.Fleet,
-		IsSteady:   d.isStoreSteady(),
+		IsSteady:   d.outage.Load().IsSteady(),
 		IsStart:    d.settings.IsFirstStart && !d.gateway.HadRequests(),
 		StallTime:  d.settings.StallTime,
 		LoadWindow: d.settings.LoadWindow,
@@ -155,7 +156,7 @@
 		zap.String("model", order.Model),
 		zap.String("reason", order.Reason),
 		zap.String("result", result.String()),
-		zap.Error(err))
+		logline.Err(err))
 	s.tell(ctx, func() {
 		s.controller.Ordered(order, result)
 	})
@@ -174,7 +175,7 @@
 	for _, row := range result.Rows {
 		record, decodeErr := assembly.DecodeRecord(row.Value, row.Version)
 		if decodeErr != nil {
-			s.daemon.log.Error("groups: record not taken", zap.String("group", row.Key), zap.Error(decodeErr))
+			s.daemon.log.Error("groups: record not taken", zap.String("group", row.Key), logline.Err(decodeErr))
 			continue
 		}
 		records = append(records, record)
@@ -192,7 +193,7 @@
 	for _, record := range plan.Create {
 		value, err := record.Encode()
 		if err != nil {
-			s.daemon.log.Error("groups: record not written", zap.Error(err))
+			s.daemon.log.Error("groups: record not written", logline.Err(err))
 			s.mustLoad = true
 			return
 		}
@@ -217,7 +218,7 @@
 	var version int64
 	if err := s.lease.Commit(ctx, writes, removes, &version); err != nil {
 		s.mustLoad = true
-		s.daemon.log.Warn("groups: change not confirmed, records are read again", zap.Error(err))
+		s.daemon.log.Warn("groups: change not confirmed, records are read again", logline.Err(err))
 		return
 	}
 	s.controller.Created(plan.Create, version)
@@ -236,7 +237,7 @@
 			}
 			var told stall
 			if err := json.Unmarshal(row.Value, &told); err != nil {
-				s.daemon.log.Error("groups: stall not taken", zap.String("group", row.Key), zap.Error(errors.Wrap(err, "decode stall")))
+				s.daemon.log.Error("groups: stall not taken", zap.String("group", row.Key), logline.Err(errors.Wrap(err, "decode stall")))
 				continue
 			}
 			s.tell(ctx, func() {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	"headcourse/core/rowstore"
 	"headcourse/core/settings"
 	"headcourse/io/gateway"
+	"headcourse/io/logline"
 	"headcourse/platform"
 )
 
@@ -44,11 +45,6 @@
 	// revokeMargin is kept away from the bound of withdrawn keys: a store that
 	// drops its history may tell nothing for a second before.
 	revokeMargin = 1200 * time.Millisecond
-	// lostGrace is how long a server without an entry is still sent requests;
-	// lostGraceAway the same after the store was away, when entries of live
-	// servers come back within about two seconds.
-	lostGrace     = 800 * time.Millisecond
-	lostGraceAway = 2500 * time.Millisecond
 )
 
 // Daemon is one running daemon. Use Start.
@@ -68,10 +64,10 @@
 	view  atomic.Pointer[gateway.View]
 	// serversRead tells that the servers' table was read once.
 	serversRead atomic.Bool
-	// troubleAt is when the store last failed a call, in Unix nanoseconds.
-	troubleAt atomic.Int64
-	stalls    chan fleet.Server
-	changed   chan struct{}
+	// outage is the last time that the servers' table could not be followed.
+	outage  atomic.Pointer[fleet.Outage]
+	stalls  chan fleet.Server
+	changed chan struct{}
 
 	stop  context.CancelFunc
 	tasks conc.WaitGroup
@@ -95,6 +91,7 @@
 	}
 	d.store = store
 	d.view.Store(&gateway.View{})
+	d.outage.Store(&fleet.Outage{})
 	d.budget.SetFigures(known.RetryShare, budgetBurst(known, fewestDaemons))
 	served, err := gateway.Listen(gateway.Options{
 		Address:  known.Clients,
@@ -164,32 +161,41 @@
 // noteTrouble notes a failed call of the store.
 func (d *Daemon) noteTrouble(table string) func(error) {
 	return func(err error) {
-		d.troubleAt.Store(time.Now().UnixNano())
 		metrics.GetOrRegisterCounter("store_failed."+table, d.registry).Inc(1)
-		d.log.Warn("store: call failed", zap.String("table", table), zap.Error(err))
+		d.log.Warn("store: call failed", zap.String("table", table), logline.Err(err))
 	}
 }
 
 // noteRestored notes that the store answers again.
 func (d *Daemon) noteRestored(table string) func(time.Duration) {
 	return func(away time.Duration) {
-		d.troubleAt.Store(time.Now().UnixNano())
 		d.log.Info("store: answers again", zap.String("table", table), zap.Int64("away_ms", away.Milliseconds()))
 	}
 }
 
-// isStoreSteady tells whether the store has worked for long enough that a
-// missing entry means a missing server.
-func (d *Daemon) isStoreSteady() bool {
-	return time.Since(time.Unix(0, d.troubleAt.Load())) > lostGraceAway
+// noteOutage notes that a table that is always followed cannot be.
+func (d *Daemon) noteOutage(table string) func(error) {
+	return func(err error) {
+		if known := d.outage.Load(); known.Began.IsZero() || !known.Ended.IsZero() {
+			d.outage.Store(&fleet.Outage{
+				Began: time.Now(),
+			})
+		}
+		d.noteTrouble(table)(err)
+	}
 }
 
-// lostUntil returns until when servers whose entry goes now get requests.
-func (d *Daemon) lostUntil() time.Time {
-	if d.isStoreSteady() {
-		return time.Now().Add(lostGrace)
+// noteReturn notes that such a table can be followed again. It is called before
+// what was read is taken.
+func (d *Daemon) noteReturn(table string) func(time.Duration) {
+	return func(away time.Duration) {
+		now := time.Now()
+		d.outage.Store(&fleet.Outage{
+			Began: now.Add(-away),
+			Ended: now,
+		})
+		d.noteRestored(table)(away)
 	}
-	return time.Now().Add(lostGraceAway)
 }
 
 // Reload takes new settings that can change while the daemon runs.
@@ -223,6 +229,6 @@
 	d.stop()
 	d.tasks.Wait()
 	d.ready.close()
-	d.log.Info("daemon: stopped", zap.Int64("took_ms", time.Since(began).Milliseconds()), zap.Error(err))
+	d.log.Info("daemon: stopped", zap.Int64("took_ms", time.Since(began).Milliseconds()), logline.Err(err))
 	return err
 }
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -9,6 +9,7 @@
 	"headcourse/core/fleet"
 	"headcourse/core/rowstore"
 	"headcourse/io/gateway"
+	"headcourse/io/logline"
 	"headcourse/platform"
 )
 
@@ -28,8 +29,8 @@
 		Wait:     configWait,
 		Whole:    take,
 		Changed:  take,
-		Failed:   d.noteTrouble(platform.ConfigTable),
-		Restored: d.noteRestored(platform.ConfigTable),
+		Failed:   d.noteOutage(platform.ConfigTable),
+		Restored: d.noteReturn(platform.ConfigTable),
 		Clock:    &rowstore.Freshness{},
 	}
 }
@@ -39,7 +40,7 @@
 func (d *Daemon) takeConfig(row rowstore.Row) {
 	read, err := platform.DecodeConfig(row.Value)
 	if err != nil {
-		d.log.Error("configuration: not taken, the last good one stays in force", zap.Int64("row_version", row.Version), zap.Error(err))
+		d.log.Error("configuration: not taken, the last good one stays in force", zap.Int64("row_version", row.Version), logline.Err(err))
 		return
 	}
 	former := d.view.Load().Config
@@ -89,8 +90,8 @@
 		Settle:   serverSettle,
 		Whole:    d.takeServers,
 		Changed:  d.takeServerChanges,
-		Failed:   d.noteTrouble(platform.ServerTable),
-		Restored: d.noteRestored(platform.ServerTable),
+		Failed:   d.noteOutage(platform.ServerTable),
+		Restored: d.noteReturn(platform.ServerTable),
 		Clock:    &rowstore.Freshness{},
 	}
 }
@@ -104,7 +105,7 @@
 		}
 	}
 	d.change(func(view *gateway.View) {
-		view.Fleet = view.Fleet.WithAll(version, servers, d.lostUntil())
+		view.Fleet = view.Fleet.WithAll(version, servers, d.outage.Load().LostUntil())
 	})
 	d.serversRead.Store(true)
 	d.log.Info("servers: read", zap.Int("servers", len(servers)), zap.Int64("table_version", version))
@@ -133,7 +134,7 @@
 	}
 	former := d.view.Load().Fleet
 	d.change(func(view *gateway.View) {
-		view.Fleet = view.Fleet.WithChanges(version, changes, d.lostUntil())
+		view.Fleet = view.Fleet.WithChanges(version, changes, d.outage.Load().LostUntil())
 	})
 	d.logChanges(former, changes)
 }
@@ -143,7 +144,7 @@
 func (d *Daemon) decodeServer(row rowstore.Row) (fleet.Server, bool) {
 	server, err := platform.DecodeServer(row.Key, row.Value)
 	if err != nil {
-		d.log.Error("servers: entry not taken", zap.Int64("row_version", row.Version), zap.Error(err))
+		d.log.Error("servers: entry not taken", zap.Int64("row_version", row.Version), logline.Err(err))
 		return fleet.Server{}, false
 	}
 	return server, true
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -12,6 +12,7 @@
 	"headcourse/core/fleet"
 	"headcourse/core/rowstore"
 	"headcourse/core/settings"
+	"headcourse/io/logline"
 )
 
 // stallTable tells the leader which groups stand still; the key is the group.
@@ -71,7 +72,7 @@
 		By:    d.settings.Name,
 	})
 	if err != nil {
-		d.log.Error("groups: stall not told", zap.Error(err))
+		d.log.Error("groups: stall not told", logline.Err(err))
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
@@ -95,7 +96,7 @@
 	if errors.As(err, &conflict) {
 		return
 	}
-	d.log.Info("groups: requests stand still", zap.String("group", m.Group), zap.Int64("epoch", m.Epoch), zap.String("head", server.ID), zap.Error(err))
+	d.log.Info("groups: requests stand still", zap.String("group", m.Group), zap.Int64("epoch", m.Epoch), zap.String("head", server.ID), logline.Err(err))
 }
 
 // daemonTable lists the daemons, so that each knows its part of the retries.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"headcourse/core/request"
 	"headcourse/core/retry"
 	"headcourse/io/backend"
+	"headcourse/io/logline"
 	"headcourse/io/tcp"
 )
 
@@ -136,7 +137,7 @@
 	go server.sweep(ctx)
 	go func() {
 		if serveErr := server.http.Serve(listener); serveErr != nil && !server.leaving.Load() {
-			server.log.Error("clients: server ended", zap.Error(serveErr))
+			server.log.Error("clients: server ended", logline.Err(serveErr))
 		}
 	}()
 	return server, nil
--- a/io/logline/logline.go
+++ b/io/logline/logline.go
@@ -99,3 +99,12 @@
 	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
 	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), out, parsed)), nil
 }
+
+// Err returns an error as a field: its text alone, since the library's field
+// adds a stack for each.
+func Err(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
