--- a/core/assembly/assembly_test.go
+++ b/core/assembly/assembly_test.go
@@ -192,6 +192,20 @@
 	})
 }
 
+// Found on a day with many replaced servers: loads of spares that were long done
+// counted as under way, so that new servers loaded nothing for 15 s.
+func TestNewServerLoadsAtOnceAfterTheSparesAreDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(6, 8)
+		c := &assembly.Controller{}
+		settle(s, c, true, 14*time.Second)
+		before := s.orders["stage"]
+		s.add("d0", "")
+		settle(s, c, false, time.Second)
+		qt.Assert(t, s.orders["stage"], qt.Equals, before+1)
+	})
+}
+
 func TestLoadsKeepTheBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSim(12, 8)
--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -31,6 +31,7 @@
 	if c.staged == nil {
 		c.staged = map[string]stageOrder{}
 	}
+	c.forgetStaged(world.Fleet)
 	for i := range world.Config.Services {
 		service := &world.Config.Services[i]
 		if service.Engine != nil && len(service.Engine.Models) > 0 {
--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -1,6 +1,7 @@
 package assembly
 
 import (
+	"maps"
 	"time"
 
 	"headcourse/core/config"
@@ -36,10 +37,19 @@
 	}
 }
 
+// forgetStaged forgets stage orders that are done or past their time, and those
+// of servers that are gone.
+func (c *Controller) forgetStaged(view fleet.View) {
+	maps.DeleteFunc(c.staged, func(id string, order stageOrder) bool {
+		server, ok := view.Server(id)
+		return !ok || server.HasStaged(order.model) || time.Now().After(order.until)
+	})
+}
+
 // isStaging tells whether a stage order of a server is under way.
 func (c *Controller) isStaging(server fleet.Server) bool {
-	order, ok := c.staged[server.ID]
-	return ok && time.Now().Before(order.until)
+	_, ok := c.staged[server.ID]
+	return ok
 }
 
 // willHave tells whether a free server has a model's weights, or is loading
@@ -92,7 +102,7 @@
 
 // stage orders a server to load weights, unless too many loads are under way.
 func (c *Controller) stage(server fleet.Server, model config.Model, engine *config.Engine, reason string, world World, plan *Plan) {
-	isCrowded := !world.IsStart && c.stagesUnderWay() >= max(1, engine.LoadsAtOnce)
+	isCrowded := !world.IsStart && len(c.staged) >= max(1, engine.LoadsAtOnce)
 	if isCrowded || !c.mayLoad(1, engine, world) {
 		return
 	}
@@ -109,17 +119,6 @@
 	})
 }
 
-// stagesUnderWay counts the stage orders that are not done.
-func (c *Controller) stagesUnderWay() int {
-	count := 0
-	for _, order := range c.staged {
-		if time.Now().Before(order.until) {
-			count++
-		}
-	}
-	return count
-}
-
 // lacking returns the model of which a domain has the fewest spares, measured
 // by the servers that its groups there use.
 func (c *Controller) lacking(at *layout, domain string) (config.Model, bool) {
