Look into a stall before telling the store of it; commit beside orders

Change: a daemon asks the group's members for a sign of life first; the leader commits in a goroutine of its own; weights are staged for all groups that lack, not for one domain at a time.

--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"headcourse/core/config"
@@ -61,36 +62,52 @@
 	return server.HasStaged(model) || server.HasLoaded(model)
 }
 
-// stageMissing completes the weights for one more group of a model, in the
-// domain where the fewest servers must load them.
+// stageMissing completes the weights for the groups that a model lacks, in the
+// domains where the fewest servers must load them. Domains where all weights are
+// there, or being loaded, count as groups on their way.
 func (c *Controller) stageMissing(at *layout, model config.Model, world World, plan *Plan) {
-	var best []fleet.Server
-	isPossible := false
+	lacking := at.target(model) - at.live[model.Name]
+	var chosen [][]fleet.Server
 	for _, domain := range at.domains {
-		missing := model.Size
-		var others []fleet.Server
-		for _, server := range at.free[domain] {
-			switch {
-			case c.willHave(server, model.Name):
-				missing--
-			case c.isStaging(server):
-			case len(server.Staged) == 0:
-				others = append([]fleet.Server{server}, others...)
-			default:
-				others = append(others, server)
-			}
+		loads, isPossible := c.missingIn(at.free[domain], model)
+		if isPossible {
+			chosen = append(chosen, loads)
 		}
-		if missing <= 0 {
-			return // a group forms as soon as the loads under way are done
+	}
+	slices.SortStableFunc(chosen, func(a, b []fleet.Server) int {
+		return len(a) - len(b)
+	})
+	for _, servers := range chosen[:min(len(chosen), max(0, lacking))] {
+		for _, server := range servers {
+			c.stage(server, model, at.service.Engine, "a group lacks its weights", world, plan)
 		}
-		if len(others) >= missing && (!isPossible || missing < len(best)) {
-			best = others[:missing]
-			isPossible = true
+	}
+}
+
+// missingIn returns the free servers of a domain that must load a model's
+// weights for one more group, empty ones first, and whether there are enough.
+func (c *Controller) missingIn(free []fleet.Server, model config.Model) ([]fleet.Server, bool) {
+	missing := model.Size
+	var empty, others []fleet.Server
+	for _, server := range free {
+		switch {
+		case c.willHave(server, model.Name):
+			missing--
+		case c.isStaging(server):
+		case len(server.Staged) == 0:
+			empty = append(empty, server)
+		default:
+			others = append(others, server)
 		}
 	}
-	for _, server := range best {
-		c.stage(server, model, at.service.Engine, "a group lacks its weights", world, plan)
+	if missing <= 0 {
+		return nil, true
+	}
+	candidates := append(empty, others...)
+	if len(candidates) < missing {
+		return nil, false
 	}
+	return candidates[:missing], true
 }
 
 // stageSpare has an empty server load the weights that its domain lacks most.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -242,3 +242,14 @@
 	one, ok := v.lost[id]
 	return one.server, ok
 }
+
+// Members returns the servers that say they are in a group.
+func (v View) Members(m Membership) []Server {
+	var members []Server
+	for _, server := range v.servers {
+		if server.Membership.In(m.Group, m.Epoch) {
+			members = append(members, server)
+		}
+	}
+	return members
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -47,6 +47,9 @@
 	controller assembly.Controller
 	news       chan func()
 	mustLoad   bool
+	// pending are changes that wait for the one being committed.
+	pending      assembly.Plan
+	isCommitting bool
 }
 
 // lead forms and repairs groups until ctx ends.
@@ -105,7 +108,7 @@
 	if !s.lease.Holds() || !d.serversRead.Load() {
 		return
 	}
-	if s.mustLoad && !s.load(ctx) {
+	if s.mustLoad && (s.isCommitting || !s.load(ctx)) {
 		return
 	}
 	view := d.view.Load()
@@ -135,8 +138,42 @@
 	for _, order := range plan.Orders {
 		go s.give(ctx, order)
 	}
-	if len(plan.Create)+len(plan.Remove)+len(plan.Cleared) > 0 {
-		s.commit(ctx, plan)
+	s.pending.Create = append(s.pending.Create, plan.Create...)
+	s.pending.Remove = append(s.pending.Remove, plan.Remove...)
+	s.pending.Cleared = append(s.pending.Cleared, plan.Cleared...)
+	s.commitPending(ctx)
+}
+
+// commitPending starts to commit what waits, one change at a time. Orders and
+// probes go on meanwhile: the store may be slow.
+func (s *steward) commitPending(ctx context.Context) {
+	plan := s.pending
+	if s.isCommitting || len(plan.Create)+len(plan.Remove)+len(plan.Cleared) == 0 {
+		return
+	}
+	s.pending = assembly.Plan{}
+	s.isCommitting = true
+	go func() {
+		version, err := s.commit(ctx, plan)
+		s.tell(ctx, func() {
+			s.isCommitting = false
+			s.committed(plan, version, err)
+		})
+	}()
+}
+
+// committed takes what became of a change.
+func (s *steward) committed(plan assembly.Plan, version int64, err error) {
+	if err != nil {
+		s.mustLoad = true
+		s.pending = assembly.Plan{}
+		s.daemon.log.Warn("groups: change not confirmed, records are read again", logline.Err(err))
+		return
+	}
+	s.controller.Created(plan.Create, version)
+	s.controller.Removed(plan.Remove)
+	for _, record := range plan.Create {
+		s.daemon.log.Info("groups: created", zap.String("group", record.Name), zap.Int64("epoch", version), zap.String("model", record.Model), zap.Strings("members", record.Members))
 	}
 }
 
@@ -186,16 +223,13 @@
 	return true
 }
 
-// commit writes and removes records. Where it is not known whether it was done,
-// the records are read again.
-func (s *steward) commit(ctx context.Context, plan assembly.Plan) {
+// commit writes and removes records, and returns the version of those written.
+func (s *steward) commit(ctx context.Context, plan assembly.Plan) (int64, error) {
 	var writes, removes []rowstore.Row
 	for _, record := range plan.Create {
 		value, err := record.Encode()
 		if err != nil {
-			s.daemon.log.Error("groups: record not written", logline.Err(err))
-			s.mustLoad = true
-			return
+			return 0, err
 		}
 		writes = append(writes, rowstore.Row{
 			Table: assembly.Table,
@@ -216,16 +250,8 @@
 		})
 	}
 	var version int64
-	if err := s.lease.Commit(ctx, writes, removes, &version); err != nil {
-		s.mustLoad = true
-		s.daemon.log.Warn("groups: change not confirmed, records are read again", logline.Err(err))
-		return
-	}
-	s.controller.Created(plan.Create, version)
-	s.controller.Removed(plan.Remove)
-	for _, record := range plan.Create {
-		s.daemon.log.Info("groups: created", zap.String("group", record.Name), zap.Int64("epoch", version), zap.String("model", record.Model), zap.Strings("members", record.Members))
-	}
+	err := s.lease.Commit(ctx, writes, removes, &version)
+	return version, err
 }
 
 // stallFollower follows the words of stalls.
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"strconv"
@@ -9,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"headcourse/core/assembly"
 	"headcourse/core/fleet"
 	"headcourse/core/rowstore"
 	"headcourse/core/settings"
@@ -22,7 +24,7 @@
 const (
 	// stallQueue bounds stalls that wait to be told.
 	stallQueue = 64
-	// tellAgain is the time between two words about one group.
+	// tellAgain is the time between two looks into one group.
 	tellAgain = 700 * time.Millisecond
 	// tellTime bounds one call.
 	tellTime = time.Second
@@ -45,27 +47,51 @@
 	}
 }
 
-// tellStalls writes stalls to the store until ctx ends. One daemon's word is
-// enough: while it stands, others' are refused by its condition.
+// tellStalls looks into stalls until ctx ends. Most are only a busy group; so
+// the group's members are asked for a sign of life first, and the store is told
+// only if one of them does not answer.
 func (d *Daemon) tellStalls(ctx context.Context) {
-	told := map[string]time.Time{}
+	looked := map[string]time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case server := <-d.stalls:
 			group := server.Membership.Group
-			if time.Since(told[group]) < tellAgain {
+			if time.Since(looked[group]) < tellAgain {
 				continue
 			}
-			told[group] = time.Now()
-			d.tellStall(ctx, server)
+			looked[group] = time.Now()
+			go d.lookInto(ctx, server)
 		}
 	}
 }
 
+// lookInto asks the members of a server's group for a sign of life, and tells
+// the store if one of them does not answer twice.
+func (d *Daemon) lookInto(ctx context.Context, head fleet.Server) {
+	signs := make(chan string)
+	members := d.view.Load().Fleet.Members(head.Membership)
+	for _, member := range members {
+		go func() {
+			if d.workers.Probe(member) == assembly.Alive || d.workers.Probe(member) == assembly.Alive {
+				signs <- ""
+				return
+			}
+			signs <- member.ID
+		}()
+	}
+	silent := ""
+	for range members {
+		silent = cmp.Or(<-signs, silent)
+	}
+	if silent != "" {
+		d.tellStall(ctx, head, silent)
+	}
+}
+
 // tellStall writes one stall.
-func (d *Daemon) tellStall(ctx context.Context, server fleet.Server) {
+func (d *Daemon) tellStall(ctx context.Context, server fleet.Server, silent string) {
 	m := server.Membership
 	encoded, err := json.Marshal(stall{
 		Epoch: m.Epoch,
@@ -96,7 +122,7 @@
 	if errors.As(err, &conflict) {
 		return
 	}
-	d.log.Info("groups: requests stand still", zap.String("group", m.Group), zap.Int64("epoch", m.Epoch), zap.String("head", server.ID), logline.Err(err))
+	d.log.Info("groups: requests stand still", zap.String("group", m.Group), zap.Int64("epoch", m.Epoch), zap.String("head", server.ID), zap.String("silent_member", silent), logline.Err(err))
 }
 
 // daemonTable lists the daemons, so that each knows its part of the retries.
