Follow the store through relays; a window for the retry budget

Change: three daemons, chosen by hash from the list in the store, follow it and relay their copies by JSON-RPC; a copy tells by the store's clock how old it is, so freshness stays provable; a daemon whose relays fail or are stale asks the store. Only relays look often for the lease; a stall is told once.

--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -38,6 +38,8 @@
 	// lookEvery is the time between two looks of those that do not hold it; a
 	// look is a priced call of each daemon.
 	lookEvery = 1500 * time.Millisecond
+	// lookSeldom is the same for daemons that are no candidates.
+	lookSeldom = 12 * time.Second
 	// callTime bounds one call.
 	callTime = 900 * time.Millisecond
 	// safety is kept away from the end of the term: the time from a decision to
@@ -62,6 +64,9 @@
 	// Name is the daemon's, the same after a restart; Start is new with each.
 	Name  string
 	Start string
+	// IsCandidate tells whether this daemon should look often; the others look
+	// seldom, in case that no candidate is left.
+	IsCandidate func() bool
 	// Changed is told when this daemon gains or loses the lease, and why.
 	Changed func(isLeader bool, epoch int64, reason string)
 
@@ -72,7 +77,13 @@
 // Run calls lead whenever this daemon holds the lease, with a context that ends
 // with it, until ctx ends. Then it gives the lease up.
 func (e *Elector) Run(ctx context.Context, lead func(ctx context.Context, lease *Lease)) {
+	seldom := time.Now()
 	for ctx.Err() == nil {
+		if !e.IsCandidate() && time.Since(seldom) < lookSeldom {
+			sleep(ctx, callTime/2)
+			continue
+		}
+		seldom = time.Now().Add(rand.N(lookSeldom / 2))
 		lease := e.take(ctx)
 		if lease == nil {
 			sleep(ctx, lookEvery*3/4+rand.N(lookEvery/2))
--- /dev/null
+++ b/core/neighbours/neighbours.go
@@ -0,0 +1,112 @@
+// Package neighbours knows the other daemons, and which of them relay the
+// store's tables to the others.
+//
+// Each daemon lists itself in the store when it starts. The relays are the first
+// few by a hash of their names, the same at every daemon that has read the same
+// list. They are spread by chance over the availability zones; which of them a
+// daemon asks first is also chosen by hash, so that relays share the work.
+package neighbours
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Table is the list of the daemons; the key is a daemon's name.
+const Table = "daemons"
+
+// Relays is how many daemons follow the store for the others: one may be gone,
+// another cut off, and the third still serves.
+const Relays = 3
+
+// Daemon is one daemon of the list.
+type Daemon struct {
+	Name string `json:"-"`
+	Zone string `json:"zone"`
+	// Address is where it relays tables, IP:port.
+	Address string `json:"address"`
+}
+
+// Encode returns the daemon's value in the store.
+func (d Daemon) Encode() ([]byte, error) {
+	value, err := json.Marshal(d)
+	return value, errors.Wrapf(err, "encode daemon %s", d.Name)
+}
+
+// Decode returns the daemon in a row of Table.
+func Decode(name string, value []byte) (Daemon, error) {
+	daemon := Daemon{
+		Name: name,
+	}
+	if err := json.Unmarshal(value, &daemon); err != nil {
+		return Daemon{}, errors.Wrapf(err, "decode daemon %s", name)
+	}
+	return daemon, nil
+}
+
+// List is all daemons that are known. The zero value is empty.
+type List struct {
+	daemons []Daemon
+}
+
+// NewList returns the list of some daemons.
+func NewList(daemons []Daemon) List {
+	ranked := slices.Clone(daemons)
+	slices.SortFunc(ranked, func(a, b Daemon) int {
+		return compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+	})
+	return List{
+		daemons: ranked,
+	}
+}
+
+// compare orders numbers.
+func compare(a, b uint64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Len returns how many daemons there are.
+func (l List) Len() int {
+	return len(l.daemons)
+}
+
+// IsRelay tells whether a daemon follows the store for others. One that is not
+// listed yet does not.
+func (l List) IsRelay(name string) bool {
+	return slices.ContainsFunc(l.relays(), func(d Daemon) bool {
+		return d.Name == name
+	})
+}
+
+// Has tells whether a daemon is listed with an address.
+func (l List) Has(self Daemon) bool {
+	return slices.Contains(l.daemons, self)
+}
+
+// relays returns the daemons that relay.
+func (l List) relays() []Daemon {
+	return l.daemons[:min(Relays, len(l.daemons))]
+}
+
+// For returns the relays in the order in which a daemon should ask them; none
+// for a relay itself.
+func (l List) For(name string) []Daemon {
+	if l.IsRelay(name) {
+		return nil
+	}
+	order := slices.Clone(l.relays())
+	slices.SortFunc(order, func(a, b Daemon) int {
+		return compare(xxhash.Sum64String(name+"/"+a.Name), xxhash.Sum64String(name+"/"+b.Name))
+	})
+	return order
+}
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -6,7 +6,10 @@
 // would multiply the load just when it hurts.
 package retry
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Figures of a budget.
 const (
@@ -18,22 +21,41 @@
 
 // Budget is a retry budget, safe for concurrent use. The zero value starts
 // with Burst retries and earns Share of a token a request.
+//
+// With a window, what was earned and spent is forgotten after the window: in any
+// window at most share of the window's requests plus burst is spent. Without
+// one, what was earned is kept, but never more than burst.
 type Budget struct {
 	mutex sync.Mutex
-	// share and burst are the figures of SetFigures; 0 stands for the defaults.
-	share float64
-	burst float64
-	// spent is how far below burst the budget is.
-	spent float64
+	// share, burst and window are the figures of SetFigures; 0 stands for the
+	// defaults, and for no window.
+	share  float64
+	burst  float64
+	window time.Duration
+	// spent is how far below burst the budget is, where there is no window.
+	spent  float64
+	slices [windowSlices]slice
 }
 
-// SetFigures gives the budget a share of the traffic and a burst of its own,
-// such as a daemon's part of what all daemons may send again together.
-func (b *Budget) SetFigures(share, burst float64) {
+// windowSlices is how many slices a window is counted in. One more is kept, so
+// that a whole window is covered at any moment.
+const windowSlices = 21
+
+// slice counts requests and retries during a part of the window.
+type slice struct {
+	number   int64
+	requests float64
+	retries  float64
+}
+
+// SetFigures gives the budget a share of the traffic, a burst and a window of
+// its own, such as a daemon's part of what all daemons may send again together.
+func (b *Budget) SetFigures(share, burst float64, window time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	b.share = share
 	b.burst = burst
+	b.window = window
 }
 
 // figures returns the share and the burst in force. The mutex is held.
@@ -44,10 +66,41 @@
 	return b.share, b.burst
 }
 
+// now returns the slice that counts now. The mutex is held.
+func (b *Budget) now() *slice {
+	number := time.Now().UnixNano() / int64(b.window/(windowSlices-1))
+	current := &b.slices[number%windowSlices]
+	if current.number != number {
+		*current = slice{
+			number: number,
+		}
+	}
+	return current
+}
+
+// sums returns the requests and retries of the last window. The mutex is held.
+func (b *Budget) sums() (requests, retries float64) {
+	newest := b.now().number
+	for _, one := range b.slices {
+		if newest-one.number >= windowSlices {
+			continue
+		}
+		retries += one.retries
+		if newest-one.number < windowSlices-1 {
+			requests += one.requests
+		}
+	}
+	return requests, retries
+}
+
 // Earn notes a first try.
 func (b *Budget) Earn() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	if b.window > 0 {
+		b.now().requests++
+		return
+	}
 	share, _ := b.figures()
 	b.spent = max(0, b.spent-share)
 }
@@ -56,7 +109,15 @@
 func (b *Budget) Spend() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	_, burst := b.figures()
+	share, burst := b.figures()
+	if b.window > 0 {
+		requests, retries := b.sums()
+		if retries+1 > share*requests+burst {
+			return false
+		}
+		b.now().retries++
+		return true
+	}
 	if b.spent+1 > burst {
 		return false
 	}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -26,3 +28,54 @@
 	qt.Assert(t, float64(retries) <= most, qt.IsTrue, qt.Commentf("%d", retries))
 	qt.Assert(t, float64(retries) >= retry.Share*requests-1, qt.IsTrue, qt.Commentf("%d", retries))
 }
+
+func TestWindowBoundsRetriesByItsOwnRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var budget retry.Budget
+		budget.SetFigures(0.2, 2, 10*time.Second)
+		for range 100 {
+			budget.Earn()
+		}
+		spent := 0
+		for budget.Spend() {
+			spent++
+		}
+		qt.Assert(t, spent, qt.Equals, 22)
+
+		// The requests are forgotten with the window, and so are the retries.
+		time.Sleep(11 * time.Second)
+		spent = 0
+		for budget.Spend() {
+			spent++
+		}
+		qt.Assert(t, spent, qt.Equals, 2)
+	})
+}
+
+func TestNoWindowHoldsMoreThanItsBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var budget retry.Budget
+		budget.SetFigures(0.2, 5, 10*time.Second)
+		var requests, retries []time.Time
+		for range 3000 {
+			time.Sleep(10 * time.Millisecond)
+			budget.Earn()
+			requests = append(requests, time.Now())
+			for budget.Spend() {
+				retries = append(retries, time.Now())
+			}
+		}
+		for _, end := range retries {
+			inWindow := func(times []time.Time) float64 {
+				count := 0.0
+				for _, at := range times {
+					if !at.After(end) && end.Sub(at) <= 10*time.Second {
+						count++
+					}
+				}
+				return count
+			}
+			qt.Assert(t, inWindow(retries) <= 0.2*inWindow(requests)+5+1, qt.IsTrue)
+		}
+	})
+}
--- /dev/null
+++ b/core/rowstore/chain.go
@@ -0,0 +1,157 @@
+package rowstore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Times of a chain.
+const (
+	// avoidTime is how long a relay that failed is not asked again.
+	avoidTime = 2 * time.Second
+	// relayTime is how much longer than the wait a relay's answer may take.
+	relayTime = 400 * time.Millisecond
+	// relayReadTime bounds reading a table from a relay.
+	relayReadTime = 600 * time.Millisecond
+	// staleLimit is the age past which a relay's copy is not used: it follows
+	// the configuration with waits of 1 s itself.
+	staleLimit = 2200 * time.Millisecond
+)
+
+// errStale reports that a relay's copy is too old.
+var errStale = errors.New("relay's copy is too old")
+
+// Chain reads tables from the first relay that answers with a young copy, and
+// from the store itself where there is none, or this daemon is a relay. A failed
+// relay costs one short wait; the store is always the last resort, so relays can
+// only save calls, never cost an answer. Use NewChain.
+type Chain struct {
+	store Reader
+	clock *Freshness
+	// Limits says how old a copy of a table may be; tables not in it may be of
+	// any age.
+	limited map[string]bool
+
+	mutex  sync.Mutex
+	relays []Relay
+	avoid  map[string]time.Time
+	// direct and relayed count answers by where they came from.
+	direct  int64
+	relayed int64
+}
+
+// Relay is another daemon that answers from its copy.
+type Relay struct {
+	Name   string
+	Reader Reader
+}
+
+// NewChain returns a chain that has no relays yet. clock must be proved by calls
+// to the store itself. Copies of the tables in limited must be young.
+func NewChain(store Reader, clock *Freshness, limited ...string) *Chain {
+	chain := &Chain{
+		store:   store,
+		clock:   clock,
+		limited: map[string]bool{},
+		avoid:   map[string]time.Time{},
+	}
+	for _, table := range limited {
+		chain.limited[table] = true
+	}
+	return chain
+}
+
+// SetRelays replaces the relays, those to be asked first before the others. A
+// daemon that is a relay itself is given none.
+func (c *Chain) SetRelays(relays []Relay) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.relays = relays
+}
+
+// Counts returns how many answers came from the store, and how many from relays.
+func (c *Chain) Counts() (direct, relayed int64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.direct, c.relayed
+}
+
+// usable returns the relays that did not fail lately.
+func (c *Chain) usable() []Relay {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var usable []Relay
+	for _, relay := range c.relays {
+		if time.Now().After(c.avoid[relay.Name]) {
+			usable = append(usable, relay)
+		}
+	}
+	return usable
+}
+
+// note counts an answer, or avoids a relay that failed.
+func (c *Chain) note(relay string, err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	switch {
+	case relay == "":
+		c.direct++
+	case err != nil:
+		c.avoid[relay] = time.Now().Add(avoidTime)
+	default:
+		c.relayed++
+	}
+}
+
+// Read reads a table.
+func (c *Chain) Read(ctx context.Context, table string) (Result, error) {
+	return c.ask(ctx, table, relayReadTime, func(ctx context.Context, from Reader) (Result, error) {
+		return from.Read(ctx, table)
+	})
+}
+
+// Feed follows a table.
+func (c *Chain) Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error) {
+	return c.ask(ctx, table, wait+relayTime, func(ctx context.Context, from Reader) (Result, error) {
+		return from.Feed(ctx, table, since, wait)
+	})
+}
+
+// ask makes a call to the relays in turn, and then to the store.
+func (c *Chain) ask(ctx context.Context, table string, limit time.Duration, call func(context.Context, Reader) (Result, error)) (Result, error) {
+	for _, relay := range c.usable() {
+		limited, cancel := context.WithTimeout(ctx, limit)
+		result, err := call(limited, relay.Reader)
+		cancel()
+		if errors.Is(err, ErrCompacted) {
+			return result, err
+		}
+		if err == nil {
+			err = c.checkAge(table, result)
+		}
+		c.note(relay.Name, err)
+		if err == nil {
+			return result, nil
+		}
+		if ctx.Err() != nil {
+			return Result{}, ErrUnknown
+		}
+	}
+	c.note("", nil)
+	return call(ctx, c.store)
+}
+
+// checkAge returns errStale for a copy that is too old, or cannot be dated.
+func (c *Chain) checkAge(table string, result Result) error {
+	if !c.limited[table] {
+		return nil
+	}
+	when := c.clock.When(result.Now)
+	if when.IsZero() || time.Since(when) > staleLimit {
+		return errStale
+	}
+	return nil
+}
--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -21,7 +21,7 @@
 // its changes. A table never goes back: answers older than what was seen, as a
 // lagging copy of the store gives them, are dropped.
 type Follower struct {
-	Store Store
+	Store Reader
 	Table string
 	// Wait is how long one call waits for changes; Settle is a pause after
 	// changes, which lets further changes come with the next call.
@@ -32,6 +32,8 @@
 	// calls Changed with none.
 	Whole   func(rows []Row, version int64, asOf time.Time)
 	Changed func(rows []Row, version int64, asOf time.Time)
+	// Hub, if set, is given every result, so that other daemons can follow it.
+	Hub *Hub
 	// Failed is told each failed call, Restored the first good one after it.
 	Failed   func(err error)
 	Restored func(away time.Duration)
@@ -66,11 +68,14 @@
 		return retryWait
 	}
 	f.noteSuccess()
-	asOf := f.Clock.Prove(sent, result.Now)
+	asOf := f.asOf(sent, result)
 	if result.Version < f.version {
 		return retryWait
 	}
 	f.version = result.Version
+	if f.Hub != nil {
+		f.Hub.Take(f.Table, result, !f.isRead)
+	}
 	if !f.isRead {
 		f.isRead = true
 		f.Whole(result.Rows, result.Version, asOf)
@@ -83,6 +88,15 @@
 	return 0
 }
 
+// asOf returns a local time at which a result was surely true. A copy's answer
+// proves nothing about the store's clock, but can be dated by it.
+func (f *Follower) asOf(sent time.Time, result Result) time.Time {
+	if result.IsRelayed {
+		return f.Clock.When(result.Now)
+	}
+	return f.Clock.Prove(sent, result.Now)
+}
+
 // call reads the table, or waits for its changes.
 func (f *Follower) call(ctx context.Context) (Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+feedMargin)
--- a/core/rowstore/freshness.go
+++ b/core/rowstore/freshness.go
@@ -33,6 +33,17 @@
 	return f.zero.Add(now)
 }
 
+// When returns the local time at which the store's clock showed now, or a little
+// before it; the zero time where no call has proved anything yet.
+func (f *Freshness) When(now time.Duration) time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if !f.isKnown {
+		return time.Time{}
+	}
+	return f.zero.Add(now)
+}
+
 // Confirm notes that the view is complete as of a time.
 func (f *Freshness) Confirm(asOf time.Time) {
 	f.mutex.Lock()
--- /dev/null
+++ b/core/rowstore/hub.go
@@ -0,0 +1,156 @@
+package rowstore
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Hub is a copy of tables that other daemons read and follow, so that a few
+// daemons follow the store for all. It implements Reader; what it answers is as
+// old as its copy, and says so by the store's clock. The zero value is empty and
+// safe for concurrent use.
+type Hub struct {
+	mutex  sync.Mutex
+	tables map[string]*copied
+}
+
+// copied is the copy of one table.
+type copied struct {
+	rows    map[string]Row
+	gone    []Row
+	version int64
+	now     time.Duration
+	// floor is the version from which on all changes are known.
+	floor   int64
+	changed chan struct{}
+}
+
+// keepGone bounds how many removed rows are remembered; who asks for older
+// changes reads the table.
+const keepGone = 2000
+
+// Take takes the result of a read, or of a feed, into the copy.
+func (h *Hub) Take(table string, result Result, isWhole bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	known := h.table(table)
+	if isWhole {
+		known.rows = map[string]Row{}
+		known.gone = nil
+		known.floor = result.Version
+	}
+	for _, row := range result.Rows {
+		known.apply(row)
+	}
+	known.version = result.Version
+	known.now = result.Now
+	close(known.changed)
+	known.changed = make(chan struct{})
+}
+
+// table returns the copy of a table. The mutex is held.
+func (h *Hub) table(name string) *copied {
+	if h.tables == nil {
+		h.tables = map[string]*copied{}
+	}
+	known, ok := h.tables[name]
+	if !ok {
+		known = &copied{
+			changed: make(chan struct{}),
+		}
+		h.tables[name] = known
+	}
+	return known
+}
+
+// apply makes one change.
+func (c *copied) apply(row Row) {
+	if !row.Deleted {
+		c.rows[row.Key] = row
+		return
+	}
+	delete(c.rows, row.Key)
+	c.gone = append(c.gone, row)
+	if len(c.gone) > keepGone {
+		c.floor = c.gone[0].Version
+		c.gone = c.gone[1:]
+	}
+}
+
+// Read returns all rows of a table. It fails with ErrRefused before the first
+// Take.
+func (h *Hub) Read(_ context.Context, table string) (Result, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	known := h.table(table)
+	if known.rows == nil {
+		return Result{}, ErrRefused
+	}
+	result := known.result()
+	for _, key := range slices.Sorted(maps.Keys(known.rows)) {
+		result.Rows = append(result.Rows, known.rows[key])
+	}
+	return result, nil
+}
+
+// Feed returns the rows that changed since a version, as soon as there is one,
+// or nothing after wait.
+func (h *Hub) Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error) {
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	for {
+		result, changed, err := h.since(table, since)
+		if err != nil || len(result.Rows) > 0 {
+			return result, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Result{}, ErrUnknown
+		case <-deadline.C:
+			result, _, err = h.since(table, since)
+			return result, err
+		}
+	}
+}
+
+// since returns the changes since a version, and what is closed at the next
+// change.
+func (h *Hub) since(table string, since int64) (Result, <-chan struct{}, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	known := h.table(table)
+	if known.rows == nil {
+		return Result{}, known.changed, ErrRefused
+	}
+	if since < known.floor {
+		return Result{}, known.changed, ErrCompacted
+	}
+	result := known.result()
+	for _, row := range known.rows {
+		if row.Version > since {
+			result.Rows = append(result.Rows, row)
+		}
+	}
+	for _, row := range known.gone {
+		if _, isBack := known.rows[row.Key]; row.Version > since && !isBack {
+			result.Rows = append(result.Rows, row)
+		}
+	}
+	slices.SortFunc(result.Rows, func(a, b Row) int {
+		return int(a.Version - b.Version)
+	})
+	return result, known.changed, nil
+}
+
+// result returns a result without rows.
+func (c *copied) result() Result {
+	return Result{
+		Version:   c.version,
+		Now:       c.now,
+		IsRelayed: true,
+	}
+}
--- a/core/rowstore/rowstore.go
+++ b/core/rowstore/rowstore.go
@@ -63,18 +63,27 @@
 // Result is what a read or a feed returned.
 type Result struct {
 	Rows []Row
-	// Version is the newest version; Now is the store's steady clock.
+	// Version is the newest version; Now is the store's steady clock when the
+	// rows were so.
 	Version int64
 	Now     time.Duration
+	// IsRelayed tells that another daemon answered from its copy, so that Now
+	// may lie before the call.
+	IsRelayed bool
 }
 
-// Store is the table store. Implementations are safe for concurrent use.
-type Store interface {
+// Reader reads tables and follows their changes: the store itself, or a copy.
+type Reader interface {
 	// Read returns all rows of a table as of one moment.
 	Read(ctx context.Context, table string) (Result, error)
 	// Feed returns the rows that changed since a version, as soon as there is
 	// one, or nothing after wait. It fails with ErrCompacted.
 	Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error)
+}
+
+// Store is the table store. Implementations are safe for concurrent use.
+type Store interface {
+	Reader
 	// Commit does a transaction and returns the version of its rows. It fails
 	// with *Conflict, ErrRefused or ErrUnknown.
 	Commit(ctx context.Context, transaction Transaction) (int64, error)
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -20,7 +20,9 @@
 	Clients   string
 	Readiness string
 	Store     string
-	MaxFiles  int
+	// Relay is where other daemons may follow the store's tables.
+	Relay    string
+	MaxFiles int
 	// IsFirstStart tells that the whole system is started for the first time.
 	IsFirstStart bool
 	// StopTime passes between SIGTERM and SIGKILL.
@@ -63,6 +65,10 @@
 			name:  "address for readiness",
 			value: s.Readiness,
 		},
+		{
+			name:  "address for other daemons",
+			value: s.Relay,
+		},
 		{
 			name:  "address of the store",
 			value: s.Store,
--- a/entry/control.go
+++ b/entry/control.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"headcourse/core/assembly"
@@ -20,8 +18,6 @@
 	stepEvery = 100 * time.Millisecond
 	// newsQueue bounds news that wait for the control goroutine.
 	newsQueue = 256
-	// stallWait is how long one call waits for words of stalls.
-	stallWait = 5 * time.Second
 	// readTime bounds reading the records.
 	readTime = time.Second
 )
@@ -29,9 +25,10 @@
 // control takes part in the choice of the leader and leads while chosen.
 func (d *Daemon) control(ctx context.Context) {
 	elector := &leader.Elector{
-		Store: d.store,
-		Name:  d.settings.Name,
-		Start: d.start,
+		Store:       d.store,
+		Name:        d.settings.Name,
+		IsCandidate: d.isRelay,
+		Start:       d.start,
 		Changed: func(isLeader bool, epoch int64, reason string) {
 			d.log.Info("control: lease changed", zap.Bool("is_leader", isLeader), zap.Int64("lease_version", epoch), zap.String("reason", reason))
 		},
@@ -60,11 +57,12 @@
 		news:     make(chan func(), newsQueue),
 		mustLoad: true,
 	}
-	followed := make(chan struct{})
-	go func() {
-		defer close(followed)
-		s.stallFollower(ctx).Run(ctx)
-	}()
+	d.told.listen(func(group string, epoch int64) {
+		s.tell(ctx, func() {
+			s.controller.Suspect(group, epoch)
+		})
+	})
+	defer d.told.listen(nil)
 	ticker := time.NewTicker(stepEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -78,7 +76,6 @@
 		}
 		s.drain()
 	}
-	<-followed
 }
 
 // drain takes all news that wait.
@@ -253,32 +250,3 @@
 	err := s.lease.Commit(ctx, writes, removes, &version)
 	return version, err
 }
-
-// stallFollower follows the words of stalls.
-func (s *steward) stallFollower(ctx context.Context) *rowstore.Follower {
-	take := func(rows []rowstore.Row, _ int64, _ time.Time) {
-		for _, row := range rows {
-			if row.Deleted {
-				continue
-			}
-			var told stall
-			if err := json.Unmarshal(row.Value, &told); err != nil {
-				s.daemon.log.Error("groups: stall not taken", zap.String("group", row.Key), logline.Err(errors.Wrap(err, "decode stall")))
-				continue
-			}
-			s.tell(ctx, func() {
-				s.controller.Suspect(row.Key, told.Epoch)
-			})
-		}
-	}
-	return &rowstore.Follower{
-		Store:    s.daemon.store,
-		Table:    stallTable,
-		Wait:     stallWait,
-		Whole:    take,
-		Changed:  take,
-		Failed:   s.daemon.noteTrouble(stallTable),
-		Restored: s.daemon.noteRestored(stallTable),
-		Clock:    &rowstore.Freshness{},
-	}
-}
--- /dev/null
+++ b/entry/daemons.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"headcourse/core/neighbours"
+	"headcourse/core/rowstore"
+	"headcourse/core/settings"
+	"headcourse/io/logline"
+	"headcourse/io/relay"
+)
+
+// Figures of the list of daemons.
+const (
+	// fewestDaemons is assumed until the list is read: a daemon that knows no
+	// others spends little.
+	fewestDaemons = 16
+	// listWait is how long one call waits for changes of the list.
+	listWait = 10 * time.Second
+	// listAgain is the time between two tries to list itself.
+	listAgain = time.Second
+	// burstPart is the part of the burst that is divided: daemons that restart
+	// begin with a whole part again.
+	burstPart = 0.5
+)
+
+// budgetBurst returns one daemon's part of the burst of retries.
+func budgetBurst(known settings.Settings, daemons int) float64 {
+	return max(1, burstPart*known.RetryBurst/float64(daemons))
+}
+
+// self returns this daemon as it stands in the list.
+func (d *Daemon) self() neighbours.Daemon {
+	return neighbours.Daemon{
+		Name:    d.settings.Name,
+		Zone:    d.settings.Zone,
+		Address: d.settings.Relay,
+	}
+}
+
+// roster is the list of the daemons as one daemon knows it.
+type roster struct {
+	mutex   sync.Mutex
+	known   map[string]neighbours.Daemon
+	list    neighbours.List
+	clients map[string]*relay.Client
+}
+
+// listFollower follows the list of the daemons. Rows of VMs that are gone stay,
+// so the count is never too small and the parts of the retries never add up to
+// too much.
+func (d *Daemon) listFollower() *rowstore.Follower {
+	return &rowstore.Follower{
+		Store: d.chain,
+		Table: neighbours.Table,
+		Wait:  listWait,
+		Whole: func(rows []rowstore.Row, _ int64, _ time.Time) {
+			d.takeList(rows, true)
+		},
+		Changed: func(rows []rowstore.Row, _ int64, _ time.Time) {
+			if len(rows) > 0 {
+				d.takeList(rows, false)
+			}
+		},
+		Hub:      &d.hub,
+		Failed:   d.noteTrouble(neighbours.Table),
+		Restored: d.noteRestored(neighbours.Table),
+		Clock:    &d.clock,
+	}
+}
+
+// takeList takes rows of the list and chooses the relays anew.
+func (d *Daemon) takeList(rows []rowstore.Row, isWhole bool) {
+	r := &d.roster
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if isWhole || r.known == nil {
+		r.known = map[string]neighbours.Daemon{}
+	}
+	for _, row := range rows {
+		if row.Deleted {
+			delete(r.known, row.Key)
+			continue
+		}
+		daemon, err := neighbours.Decode(row.Key, row.Value)
+		if err != nil {
+			d.log.Error("daemons: row not taken", zap.Int64("row_version", row.Version), logline.Err(err))
+			continue
+		}
+		r.known[row.Key] = daemon
+	}
+	d.chooseRelays()
+}
+
+// chooseRelays applies the list that is known. The roster's mutex is held.
+func (d *Daemon) chooseRelays() {
+	r := &d.roster
+	daemons := make([]neighbours.Daemon, 0, len(r.known))
+	for _, daemon := range r.known {
+		daemons = append(daemons, daemon)
+	}
+	r.list = neighbours.NewList(daemons)
+	if r.clients == nil {
+		r.clients = map[string]*relay.Client{}
+	}
+	var relays []rowstore.Relay
+	for _, one := range r.list.For(d.settings.Name) {
+		if r.clients[one.Address] == nil {
+			r.clients[one.Address] = relay.NewClient(one.Address)
+		}
+		relays = append(relays, rowstore.Relay{
+			Name:   one.Name,
+			Reader: r.clients[one.Address],
+		})
+	}
+	d.chain.SetRelays(relays)
+	burst := budgetBurst(d.settings, max(1, r.list.Len()))
+	d.budget.SetFigures(d.settings.RetryShare, burst, d.settings.RetryWindow)
+	d.log.Info("daemons: listed",
+		zap.Int("daemons", r.list.Len()),
+		zap.Bool("is_relay", r.list.IsRelay(d.settings.Name)),
+		zap.String("retry_burst", strconv.FormatFloat(burst, 'f', 1, 64)))
+}
+
+// isRelay tells whether this daemon follows the store for others.
+func (d *Daemon) isRelay() bool {
+	d.roster.mutex.Lock()
+	defer d.roster.mutex.Unlock()
+	return d.roster.list.IsRelay(d.settings.Name)
+}
+
+// isListed tells whether the list has this daemon as it is.
+func (d *Daemon) isListed() bool {
+	d.roster.mutex.Lock()
+	defer d.roster.mutex.Unlock()
+	return d.roster.list.Has(d.self())
+}
+
+// listSelf writes this daemon into the list, until it is there.
+func (d *Daemon) listSelf(ctx context.Context) {
+	for ctx.Err() == nil && !d.isListed() {
+		d.writeSelf(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(listAgain):
+		}
+	}
+}
+
+// writeSelf writes this daemon's row.
+func (d *Daemon) writeSelf(ctx context.Context) {
+	encoded, err := d.self().Encode()
+	if err != nil {
+		d.log.Error("daemons: self not listed", logline.Err(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, tellTime)
+	defer cancel()
+	_, err = d.store.Commit(ctx, rowstore.Transaction{
+		Writes: []rowstore.Row{
+			{
+				Table: neighbours.Table,
+				Key:   d.settings.Name,
+				Value: encoded,
+			},
+		},
+	})
+	if err != nil {
+		d.noteTrouble(neighbours.Table)(err)
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"headcourse/core/settings"
 	"headcourse/io/gateway"
 	"headcourse/io/logline"
+	"headcourse/io/relay"
 	"headcourse/platform"
 )
 
@@ -58,7 +59,15 @@
 	gateway  *gateway.Server
 	ready    *readiness
 	budget   retry.Budget
-	fresh    rowstore.Freshness
+	// clock dates the store's answers; fresh is how young the configuration is.
+	clock rowstore.Freshness
+	fresh rowstore.Freshness
+	// chain reads tables from other daemons or the store; hub is this daemon's
+	// own copy of them, which relays gives to others.
+	chain  *rowstore.Chain
+	hub    rowstore.Hub
+	relays *relay.Server
+	roster roster
 
 	mutex sync.Mutex
 	view  atomic.Pointer[gateway.View]
@@ -67,6 +76,7 @@
 	// outage is the last time that the servers' table could not be followed.
 	outage  atomic.Pointer[fleet.Outage]
 	stalls  chan fleet.Server
+	told    toldStalls
 	changed chan struct{}
 
 	stop  context.CancelFunc
@@ -90,9 +100,10 @@
 		d.observe("store_call_ms."+call, took)
 	}
 	d.store = store
+	d.chain = rowstore.NewChain(store, &d.clock, platform.ConfigTable)
 	d.view.Store(&gateway.View{})
 	d.outage.Store(&fleet.Outage{})
-	d.budget.SetFigures(known.RetryShare, budgetBurst(known, fewestDaemons))
+	d.budget.SetFigures(known.RetryShare, budgetBurst(known, fewestDaemons), known.RetryWindow)
 	served, err := gateway.Listen(gateway.Options{
 		Address:  known.Clients,
 		Source:   d,
@@ -109,12 +120,18 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "start daemon")
 	}
+	d.relays, err = relay.Listen(known.Relay, &d.hub)
+	if err != nil {
+		return nil, errors.Wrap(err, "start daemon")
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	d.tasks.Go(func() { d.configFollower().Run(ctx) })
 	d.tasks.Go(func() { d.serverFollower().Run(ctx) })
+	d.tasks.Go(func() { d.stallFollower().Run(ctx) })
 	d.tasks.Go(func() { d.tellStalls(ctx) })
-	d.tasks.Go(func() { d.countDaemons(ctx) })
+	d.tasks.Go(func() { d.listFollower().Run(ctx) })
+	d.tasks.Go(func() { d.listSelf(ctx) })
 	d.tasks.Go(func() { d.control(ctx) })
 	d.tasks.Go(func() { d.logFigures(ctx) })
 	log.Info("daemon: started", zap.String("name", known.Name), zap.String("zone", known.Zone), zap.String("start", d.start))
@@ -229,6 +246,7 @@
 	d.stop()
 	d.tasks.Wait()
 	d.ready.close()
+	d.relays.Close()
 	d.log.Info("daemon: stopped", zap.Int64("took_ms", time.Since(began).Milliseconds()), logline.Err(err))
 	return err
 }
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -24,14 +24,15 @@
 		d.fresh.Confirm(asOf)
 	}
 	return &rowstore.Follower{
-		Store:    d.store,
+		Store:    d.chain,
+		Hub:      &d.hub,
 		Table:    platform.ConfigTable,
 		Wait:     configWait,
 		Whole:    take,
 		Changed:  take,
 		Failed:   d.noteOutage(platform.ConfigTable),
 		Restored: d.noteReturn(platform.ConfigTable),
-		Clock:    &rowstore.Freshness{},
+		Clock:    &d.clock,
 	}
 }
 
@@ -84,7 +85,8 @@
 // serverFollower follows the servers' entries.
 func (d *Daemon) serverFollower() *rowstore.Follower {
 	return &rowstore.Follower{
-		Store:    d.store,
+		Store:    d.chain,
+		Hub:      &d.hub,
 		Table:    platform.ServerTable,
 		Wait:     serverWait,
 		Settle:   serverSettle,
@@ -92,7 +94,7 @@
 		Changed:  d.takeServerChanges,
 		Failed:   d.noteOutage(platform.ServerTable),
 		Restored: d.noteReturn(platform.ServerTable),
-		Clock:    &rowstore.Freshness{},
+		Clock:    &d.clock,
 	}
 }
 
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"strconv"
+	"maps"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,7 +15,6 @@
 	"headcourse/core/assembly"
 	"headcourse/core/fleet"
 	"headcourse/core/rowstore"
-	"headcourse/core/settings"
 	"headcourse/io/logline"
 )
 
@@ -26,6 +27,11 @@
 	stallQueue = 64
 	// tellAgain is the time between two looks into one group.
 	tellAgain = 700 * time.Millisecond
+	// tellSpread is the time over which daemons spread their words: the first
+	// one takes about 15 ms to reach the others.
+	tellSpread = 80 * time.Millisecond
+	// stallWait is how long one call waits for words of stalls.
+	stallWait = 10 * time.Second
 	// tellTime bounds one call.
 	tellTime = time.Second
 )
@@ -47,6 +53,83 @@
 	}
 }
 
+// toldStalls are the stalls that the store tells of. The zero value is empty.
+type toldStalls struct {
+	mutex  sync.Mutex
+	epochs map[string]int64
+	heard  func(group string, epoch int64)
+}
+
+// listen has heard called for each stall, those that are known first; nil ends
+// it.
+func (t *toldStalls) listen(heard func(group string, epoch int64)) {
+	t.mutex.Lock()
+	t.heard = heard
+	known := maps.Clone(t.epochs)
+	t.mutex.Unlock()
+	if heard == nil {
+		return
+	}
+	for group, epoch := range known {
+		heard(group, epoch)
+	}
+}
+
+// take takes a row: the epoch of a group at which requests stand still, or 0
+// where the row is gone.
+func (t *toldStalls) take(group string, epoch int64) {
+	t.mutex.Lock()
+	if t.epochs == nil {
+		t.epochs = map[string]int64{}
+	}
+	if epoch == 0 {
+		delete(t.epochs, group)
+	} else {
+		t.epochs[group] = epoch
+	}
+	heard := t.heard
+	t.mutex.Unlock()
+	if heard != nil && epoch != 0 {
+		heard(group, epoch)
+	}
+}
+
+// has tells whether a group's stall has been told.
+func (t *toldStalls) has(m fleet.Membership) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.epochs[m.Group] == m.Epoch
+}
+
+// stallFollower follows the stalls that the store tells of.
+func (d *Daemon) stallFollower() *rowstore.Follower {
+	take := func(rows []rowstore.Row, _ int64, _ time.Time) {
+		for _, row := range rows {
+			if row.Deleted {
+				d.told.take(row.Key, 0)
+				continue
+			}
+			var told stall
+			if err := json.Unmarshal(row.Value, &told); err != nil {
+				d.log.Error("groups: stall not taken", zap.String("group", row.Key), logline.Err(errors.Wrap(err, "decode stall")))
+				continue
+			}
+			d.told.take(row.Key, told.Epoch)
+		}
+	}
+	return &rowstore.Follower{
+		Store:    d.chain,
+		Table:    stallTable,
+		Wait:     stallWait,
+		Whole:    take,
+		Changed:  take,
+		Hub:      &d.hub,
+		Failed:   d.noteTrouble(stallTable),
+		Restored: d.noteRestored(stallTable),
+		Clock:    &d.clock,
+	}
+}
+
 // tellStalls looks into stalls until ctx ends. Most are only a busy group; so
 // the group's members are asked for a sign of life first, and the store is told
 // only if one of them does not answer.
@@ -85,7 +168,12 @@
 	for range members {
 		silent = cmp.Or(<-signs, silent)
 	}
-	if silent != "" {
+	if silent == "" {
+		return
+	}
+	// Daemons notice together; the first one's word saves the others theirs.
+	time.Sleep(rand.N(tellSpread))
+	if !d.told.has(head.Membership) {
 		d.tellStall(ctx, head, silent)
 	}
 }
@@ -124,74 +212,3 @@
 	}
 	d.log.Info("groups: requests stand still", zap.String("group", m.Group), zap.Int64("epoch", m.Epoch), zap.String("head", server.ID), zap.String("silent_member", silent), logline.Err(err))
 }
-
-// daemonTable lists the daemons, so that each knows its part of the retries.
-const daemonTable = "daemons"
-
-// Figures of the list.
-const (
-	// fewestDaemons is assumed until the list is read: a daemon that knows no
-	// others spends little.
-	fewestDaemons = 16
-	// countEvery is the time between two looks at the list.
-	countEvery = 20 * time.Second
-	countRetry = time.Second
-	// burstPart is the part of the burst that is divided: daemons that restart
-	// begin with a whole part again.
-	burstPart = 0.5
-)
-
-// budgetBurst returns one daemon's part of the burst of retries.
-func budgetBurst(known settings.Settings, daemons int) float64 {
-	return max(1, burstPart*known.RetryBurst/float64(daemons))
-}
-
-// countDaemons writes this daemon into the list once, and looks at the list
-// from time to time. Rows of VMs that are gone stay, so the count is never too
-// small and the parts never add up to too much.
-func (d *Daemon) countDaemons(ctx context.Context) {
-	isListed := false
-	for ctx.Err() == nil {
-		if !isListed {
-			isListed = d.listSelf(ctx)
-		}
-		wait := countRetry
-		if isListed && d.readDaemons(ctx) {
-			wait = countEvery
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-}
-
-// listSelf writes this daemon's row.
-func (d *Daemon) listSelf(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, tellTime)
-	defer cancel()
-	_, err := d.store.Commit(ctx, rowstore.Transaction{
-		Writes: []rowstore.Row{
-			{
-				Table: daemonTable,
-				Key:   d.settings.Name,
-				Value: []byte(d.settings.Zone),
-			},
-		},
-	})
-	return err == nil
-}
-
-// readDaemons divides the retries by the number of daemons in the list.
-func (d *Daemon) readDaemons(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, tellTime)
-	defer cancel()
-	result, err := d.store.Read(ctx, daemonTable)
-	if err != nil || len(result.Rows) == 0 {
-		return false
-	}
-	burst := budgetBurst(d.settings, len(result.Rows))
-	d.budget.SetFigures(d.settings.RetryShare, burst)
-	d.log.Info("daemons: counted", zap.Int("daemons", len(result.Rows)), zap.String("retry_burst", strconv.FormatFloat(burst, 'f', 1, 64)))
-	return true
-}
--- /dev/null
+++ b/io/relay/client.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"headcourse/core/rowstore"
+)
+
+// connectTime bounds connecting to another daemon: links take milliseconds.
+const connectTime = 300 * time.Millisecond
+
+// Client asks one other daemon. It implements rowstore.Reader and keeps one
+// connection, which it makes when it is needed. Use NewClient.
+type Client struct {
+	address string
+	mutex   sync.Mutex
+	conn    *jsonrpc2.Conn
+}
+
+// NewClient returns a client of the daemon at IP:port.
+func NewClient(address string) *Client {
+	return &Client{
+		address: address,
+	}
+}
+
+// Read returns all rows of a table.
+func (c *Client) Read(ctx context.Context, table string) (rowstore.Result, error) {
+	return c.call(ctx, callRead, question{
+		Table: table,
+	})
+}
+
+// Feed returns the rows that changed since a version.
+func (c *Client) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
+	return c.call(ctx, callFeed, question{
+		Table:  table,
+		Since:  since,
+		WaitMS: wait.Milliseconds(),
+	})
+}
+
+// call makes one call. A connection on which a call got no answer is not used
+// again.
+func (c *Client) call(ctx context.Context, method string, asked question) (rowstore.Result, error) {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return rowstore.Result{}, errors.Wrapf(rowstore.ErrRefused, "connect to daemon %s: %s", c.address, err)
+	}
+	var answered answer
+	err = conn.Call(ctx, method, asked, &answered)
+	if err == nil {
+		return decode(asked.Table, answered), nil
+	}
+	var told *jsonrpc2.Error
+	if errors.As(err, &told) {
+		if told.Code == codeCompacted {
+			return rowstore.Result{}, rowstore.ErrCompacted
+		}
+		return rowstore.Result{}, errors.Wrapf(rowstore.ErrRefused, "daemon %s: %s", c.address, told.Message)
+	}
+	c.drop(conn)
+	return rowstore.Result{}, errors.Wrapf(rowstore.ErrUnknown, "call %s of daemon %s: %s", method, c.address, err)
+}
+
+// connect returns the connection, a new one if there is none that is open.
+func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.conn != nil {
+		select {
+		case <-c.conn.DisconnectNotify():
+		default:
+			return c.conn, nil
+		}
+	}
+	dialer := net.Dialer{
+		Timeout: connectTime,
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, err
+	}
+	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
+	c.conn = jsonrpc2.NewConn(context.Background(), stream, refuse{}, jsonrpc2.SetLogger(quiet{}))
+	return c.conn, nil
+}
+
+// refuse takes no calls from the daemon that is asked.
+type refuse struct{}
+
+// Handle drops a call.
+func (refuse) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
+
+// drop closes a connection.
+func (c *Client) drop(conn *jsonrpc2.Conn) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	_ = conn.Close()
+}
+
+// Close ends the connection.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
--- /dev/null
+++ b/io/relay/server.go
@@ -0,0 +1,223 @@
+// Package relay lets daemons follow the store's tables through one another, by
+// JSON-RPC over TCP: a few daemons follow the store, the others follow them.
+//
+// There are two calls. "read" returns a table whole; "feed" returns its changes
+// since a version as soon as there is one, or nothing after a wait. Both answer
+// from the daemon's copy and tell, by the store's clock, how old it is.
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"headcourse/core/rowstore"
+)
+
+// Names of the calls.
+const (
+	callRead = "read"
+	callFeed = "feed"
+)
+
+// Codes of errors.
+const (
+	codeCompacted = 1
+	codeRefused   = 2
+)
+
+// longestWait bounds how long a feed waits, whatever is asked.
+const longestWait = 30 * time.Second
+
+// question is what both calls ask.
+type question struct {
+	Table string `json:"table"`
+	Since int64  `json:"since,omitempty"`
+	// WaitMS is a time in milliseconds.
+	WaitMS int64 `json:"wait_ms,omitempty"`
+}
+
+// answer is what both calls answer.
+type answer struct {
+	Rows    []row `json:"rows,omitempty"`
+	Version int64 `json:"version"`
+	// NowUS is the store's clock in microseconds.
+	NowUS int64 `json:"now_us"`
+}
+
+// row is one row.
+type row struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version int64  `json:"version"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// Server answers other daemons. Use Listen.
+type Server struct {
+	listener net.Listener
+	reader   rowstore.Reader
+	mutex    sync.Mutex
+	conns    map[*jsonrpc2.Conn]struct{}
+	isClosed bool
+}
+
+// Listen answers from a copy at IP:port, where port 0 picks a free one.
+func Listen(address string, reader rowstore.Reader) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for daemons on %s", address)
+	}
+	server := &Server{
+		listener: listener,
+		reader:   reader,
+		conns:    map[*jsonrpc2.Conn]struct{}{},
+	}
+	go server.accept()
+	return server, nil
+}
+
+// Address returns the IP:port listened on.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Close ends all conversations.
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	s.mutex.Lock()
+	s.isClosed = true
+	conns := s.conns
+	s.conns = map[*jsonrpc2.Conn]struct{}{}
+	s.mutex.Unlock()
+	for conn := range conns {
+		_ = conn.Close()
+	}
+}
+
+// accept takes conversations until the listener is closed.
+func (s *Server) accept() {
+	for {
+		raw, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
+		conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), jsonrpc2.SetLogger(quiet{}))
+		s.keep(conn)
+	}
+}
+
+// quiet drops what the library says of broken conversations: who asked tells it.
+type quiet struct{}
+
+// Printf drops a line.
+func (quiet) Printf(string, ...any) {}
+
+// keep keeps a conversation until it ends.
+func (s *Server) keep(conn *jsonrpc2.Conn) {
+	s.mutex.Lock()
+	isClosed := s.isClosed
+	if !isClosed {
+		s.conns[conn] = struct{}{}
+	}
+	s.mutex.Unlock()
+	if isClosed {
+		_ = conn.Close()
+		return
+	}
+	go func() {
+		<-conn.DisconnectNotify()
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		delete(s.conns, conn)
+	}()
+}
+
+// handle answers one call.
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+	if request.Params == nil {
+		return nil, &jsonrpc2.Error{
+			Code:    jsonrpc2.CodeInvalidParams,
+			Message: "params are missing",
+		}
+	}
+	var asked question
+	if err := json.Unmarshal(*request.Params, &asked); err != nil {
+		return nil, &jsonrpc2.Error{
+			Code:    jsonrpc2.CodeInvalidParams,
+			Message: "params: " + err.Error(),
+		}
+	}
+	var result rowstore.Result
+	var err error
+	switch request.Method {
+	case callRead:
+		result, err = s.reader.Read(ctx, asked.Table)
+	case callFeed:
+		wait := min(time.Duration(asked.WaitMS)*time.Millisecond, longestWait)
+		result, err = s.reader.Feed(ctx, asked.Table, asked.Since, wait)
+	default:
+		return nil, &jsonrpc2.Error{
+			Code:    jsonrpc2.CodeMethodNotFound,
+			Message: "no call " + request.Method,
+		}
+	}
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	return encode(result), nil
+}
+
+// encodeError returns the error as it is sent.
+func encodeError(err error) error {
+	code := int64(codeRefused)
+	if errors.Is(err, rowstore.ErrCompacted) {
+		code = codeCompacted
+	}
+	return &jsonrpc2.Error{
+		Code:    code,
+		Message: err.Error(),
+	}
+}
+
+// encode returns a result as it is sent.
+func encode(result rowstore.Result) answer {
+	encoded := answer{
+		Version: result.Version,
+		NowUS:   result.Now.Microseconds(),
+	}
+	for _, one := range result.Rows {
+		encoded.Rows = append(encoded.Rows, row{
+			Key:     one.Key,
+			Value:   one.Value,
+			Version: one.Version,
+			Deleted: one.Deleted,
+		})
+	}
+	return encoded
+}
+
+// decode returns a result as it was sent.
+func decode(table string, encoded answer) rowstore.Result {
+	result := rowstore.Result{
+		Version:   encoded.Version,
+		Now:       time.Duration(encoded.NowUS) * time.Microsecond,
+		IsRelayed: true,
+	}
+	for _, one := range encoded.Rows {
+		result.Rows = append(result.Rows, rowstore.Row{
+			Table:   table,
+			Key:     one.Key,
+			Value:   one.Value,
+			Version: one.Version,
+			Deleted: one.Deleted,
+		})
+	}
+	return result
+}
