Give copies of the store only while it is heard

Change: a relay gives copies only within 0.45 of the bound since it heard the store, and is asked for at most half of that at once.

--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -14,11 +14,11 @@
 	avoidTime = 2 * time.Second
 	// relayTime is how much longer than the wait a relay's answer may take.
 	relayTime = 400 * time.Millisecond
+	// longestRelayed is the longest wait asked of a relay: one that has died
+	// without a word is noticed soon after.
+	longestRelayed = time.Second
 	// relayReadTime bounds reading a table from a relay.
 	relayReadTime = 600 * time.Millisecond
-	// staleLimit is the age past which a relay's copy is not used: it follows
-	// the configuration with waits of 1 s itself.
-	staleLimit = 2200 * time.Millisecond
 )
 
 // errStale reports that a relay's copy is too old.
@@ -31,9 +31,9 @@
 type Chain struct {
 	store Reader
 	clock *Freshness
-	// Limits says how old a copy of a table may be; tables not in it may be of
+	// limits says how old a copy of a table may be; tables not in it may be of
 	// any age.
-	limited map[string]bool
+	limits map[string]time.Duration
 
 	mutex  sync.Mutex
 	relays []Relay
@@ -50,18 +50,14 @@
 }
 
 // NewChain returns a chain that has no relays yet. clock must be proved by calls
-// to the store itself. Copies of the tables in limited must be young.
-func NewChain(store Reader, clock *Freshness, limited ...string) *Chain {
-	chain := &Chain{
-		store:   store,
-		clock:   clock,
-		limited: map[string]bool{},
-		avoid:   map[string]time.Time{},
+// to the store itself. Copies of the tables in limits must be younger than that.
+func NewChain(store Reader, clock *Freshness, limits map[string]time.Duration) *Chain {
+	return &Chain{
+		store:  store,
+		clock:  clock,
+		limits: limits,
+		avoid:  map[string]time.Time{},
 	}
-	for _, table := range limited {
-		chain.limited[table] = true
-	}
-	return chain
 }
 
 // SetRelays replaces the relays, those to be asked first before the others. A
@@ -113,10 +109,18 @@
 	})
 }
 
-// Feed follows a table.
+// Feed follows a table. A relay whose copy must be young is asked for half of
+// the limit at most, so that one that is cut off is noticed in time.
 func (c *Chain) Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error) {
-	return c.ask(ctx, table, wait+relayTime, func(ctx context.Context, from Reader) (Result, error) {
-		return from.Feed(ctx, table, since, wait)
+	relayed := min(wait, longestRelayed)
+	if limit, ok := c.limits[table]; ok {
+		relayed = min(wait, limit/2)
+	}
+	return c.ask(ctx, table, relayed+relayTime, func(ctx context.Context, from Reader) (Result, error) {
+		if from == c.store {
+			return from.Feed(ctx, table, since, wait)
+		}
+		return from.Feed(ctx, table, since, relayed)
 	})
 }
 
@@ -146,11 +150,12 @@
 
 // checkAge returns errStale for a copy that is too old, or cannot be dated.
 func (c *Chain) checkAge(table string, result Result) error {
-	if !c.limited[table] {
+	limit, ok := c.limits[table]
+	if !ok {
 		return nil
 	}
 	when := c.clock.When(result.Now)
-	if when.IsZero() || time.Since(when) > staleLimit {
+	if when.IsZero() || time.Since(when) > limit {
 		return errStale
 	}
 	return nil
--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -74,7 +74,7 @@
 	}
 	f.version = result.Version
 	if f.Hub != nil {
-		f.Hub.Take(f.Table, result, !f.isRead)
+		f.Hub.Take(f.Table, result, !f.isRead, asOf)
 	}
 	if !f.isRead {
 		f.isRead = true
--- a/core/rowstore/hub.go
+++ b/core/rowstore/hub.go
@@ -13,8 +13,14 @@
 // old as its copy, and says so by the store's clock. The zero value is empty and
 // safe for concurrent use.
 type Hub struct {
-	mutex  sync.Mutex
-	tables map[string]*copied
+	// ContactLimit is the time without any answer of the store after which no
+	// copy is given to others: the daemon may be cut off from it. 0: no limit.
+	ContactLimit time.Duration
+
+	mutex sync.Mutex
+	// contact is the latest time at which any copy was surely true.
+	contact time.Time
+	tables  map[string]*copied
 }
 
 // copied is the copy of one table.
@@ -28,12 +34,15 @@
 	changed chan struct{}
 }
 
+// lookAgain is how often a waiting feed looks whether the store is still heard.
+const lookAgain = 200 * time.Millisecond
+
 // keepGone bounds how many removed rows are remembered; who asks for older
 // changes reads the table.
 const keepGone = 2000
 
 // Take takes the result of a read, or of a feed, into the copy.
-func (h *Hub) Take(table string, result Result, isWhole bool) {
+func (h *Hub) Take(table string, result Result, isWhole bool, asOf time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	known := h.table(table)
@@ -47,6 +56,9 @@
 	}
 	known.version = result.Version
 	known.now = result.Now
+	if asOf.After(h.contact) {
+		h.contact = asOf
+	}
 	close(known.changed)
 	known.changed = make(chan struct{})
 }
@@ -80,13 +92,20 @@
 	}
 }
 
+// isGood tells whether a copy is there, and the store was heard lately. The mutex
+// is held.
+func (h *Hub) isGood(known *copied) bool {
+	isInContact := h.ContactLimit == 0 || time.Since(h.contact) <= h.ContactLimit
+	return known.rows != nil && isInContact
+}
+
 // Read returns all rows of a table. It fails with ErrRefused before the first
-// Take.
+// Take, and while the store was not heard.
 func (h *Hub) Read(_ context.Context, table string) (Result, error) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	known := h.table(table)
-	if known.rows == nil {
+	if !h.isGood(known) {
 		return Result{}, ErrRefused
 	}
 	result := known.result()
@@ -101,6 +120,8 @@
 func (h *Hub) Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
+	look := time.NewTicker(lookAgain)
+	defer look.Stop()
 	for {
 		result, changed, err := h.since(table, since)
 		if err != nil || len(result.Rows) > 0 {
@@ -108,6 +129,7 @@
 		}
 		select {
 		case <-changed:
+		case <-look.C:
 		case <-ctx.Done():
 			return Result{}, ErrUnknown
 		case <-deadline.C:
@@ -123,7 +145,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	known := h.table(table)
-	if known.rows == nil {
+	if !h.isGood(known) {
 		return Result{}, known.changed, ErrRefused
 	}
 	if since < known.floor {
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -27,6 +27,8 @@
 	IsFirstStart bool
 	// StopTime passes between SIGTERM and SIGKILL.
 	StopTime time.Duration
+	// ApplyWithin is when a new configuration must be in force.
+	ApplyWithin time.Duration
 	// RevokeWithin is when a withdrawn key must be dead everywhere.
 	RevokeWithin time.Duration
 	// DrainWithin is when a leaving server must get no new requests.
@@ -88,6 +90,10 @@
 			name:  "time to stop",
 			value: s.StopTime,
 		},
+		{
+			name:  "time to apply configurations",
+			value: s.ApplyWithin,
+		},
 		{
 			name:  "time to withdraw keys",
 			value: s.RevokeWithin,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,9 +35,13 @@
 
 // Figures of a daemon.
 const (
-	// configWait is how long one call waits for a new configuration. It bounds
-	// the age of the view that decides on keys.
-	configWait = time.Second
+	// waitPart is the part of the bound for new configurations that one call to
+	// the store waits for one; copyPart is the greatest age of a copy that
+	// another daemon is given, as a part of the same. A daemon whose relay is cut
+	// off from the store notices within copyPart and half of it again, and asks
+	// another: well within the bound.
+	waitPart = 0.3
+	copyPart = 0.45
 	// serverWait is the same for servers, whose view may be older.
 	serverWait = 4 * time.Second
 	// serverSettle lets changes of servers come together: groups form by many
@@ -83,6 +87,11 @@
 	tasks conc.WaitGroup
 }
 
+// part returns a part of a time.
+func part(whole time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(whole))
+}
+
 // Start starts a daemon. Settings have been checked.
 func Start(known settings.Settings, log *zap.Logger) (*Daemon, error) {
 	d := &Daemon{
@@ -100,7 +109,11 @@
 		d.observe("store_call_ms."+call, took)
 	}
 	d.store = store
-	d.chain = rowstore.NewChain(store, &d.clock, platform.ConfigTable)
+	limits := map[string]time.Duration{
+		platform.ConfigTable: part(known.ApplyWithin, copyPart),
+	}
+	d.chain = rowstore.NewChain(store, &d.clock, limits)
+	d.hub.ContactLimit = limits[platform.ConfigTable]
 	d.view.Store(&gateway.View{})
 	d.outage.Store(&fleet.Outage{})
 	d.budget.SetFigures(known.RetryShare, budgetBurst(known, fewestDaemons), known.RetryWindow)
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -27,7 +27,7 @@
 		Store:    d.chain,
 		Hub:      &d.hub,
 		Table:    platform.ConfigTable,
-		Wait:     configWait,
+		Wait:     part(d.settings.ApplyWithin, waitPart),
 		Whole:    take,
 		Changed:  take,
 		Failed:   d.noteOutage(platform.ConfigTable),
