Follow the lease through relays; any daemon can take it after one term

Change: all daemons follow the lease row through relays and try to take it when it has not changed for a term, in the order of the list.

--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -7,12 +7,15 @@
 // seen the row unchanged for a whole term by its own clock; no two clocks are
 // compared. The holder counts its term from before it sent its last rewrite, so
 // it stops before anyone else can begin.
+//
+// All daemons follow the row, most of them through relays, so waiting for the
+// lease costs no calls. An old view does no harm: taking the lease is conditional
+// on the version seen.
 package leader
 
 import (
 	"context"
 	"encoding/json"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,11 +38,12 @@
 	Term = 2500 * time.Millisecond
 	// renewEvery leaves time for two lost rewrites within a term.
 	renewEvery = 800 * time.Millisecond
-	// lookEvery is the time between two looks of those that do not hold it; a
-	// look is a priced call of each daemon.
-	lookEvery = 1500 * time.Millisecond
-	// lookSeldom is the same for daemons that are no candidates.
-	lookSeldom = 12 * time.Second
+	// lookEvery is the time between two looks at what is known of the row.
+	lookEvery = 50 * time.Millisecond
+	// stagger is how much later each daemon of the list tries than the one
+	// before it, up to longestStagger, so that they do not all try at once.
+	stagger        = 60 * time.Millisecond
+	longestStagger = 900 * time.Millisecond
 	// callTime bounds one call.
 	callTime = 900 * time.Millisecond
 	// safety is kept away from the end of the term: the time from a decision to
@@ -64,29 +68,77 @@
 	// Name is the daemon's, the same after a restart; Start is new with each.
 	Name  string
 	Start string
-	// IsCandidate tells whether this daemon should look often; the others look
-	// seldom, in case that no candidate is left.
-	IsCandidate func() bool
+	// Rank returns the daemon's place among all: lower ones try earlier.
+	Rank func() int
 	// Changed is told when this daemon gains or loses the lease, and why.
 	Changed func(isLeader bool, epoch int64, reason string)
 
+	mutex sync.Mutex
+	// seen is the row's version as last seen, since seenSince; version 0: there
+	// is none. holder is who holds it; isKnown that it was seen at all.
 	seen      int64
 	seenSince time.Time
+	holder    string
+	isKnown   bool
+}
+
+// See takes the rows of Table as a follower tells them; isWhole tells that they
+// are all there are.
+func (e *Elector) See(rows []rowstore.Row, isWhole bool) error {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if isWhole && !e.isKnown {
+		e.isKnown = true
+		e.seenSince = time.Now()
+	}
+	for _, row := range rows {
+		if row.Key != key || row.Deleted || row.Version <= e.seen {
+			continue
+		}
+		var held value
+		if err := json.Unmarshal(row.Value, &held); err != nil {
+			return errors.Wrap(err, "decode lease")
+		}
+		e.seen = row.Version
+		e.seenSince = time.Now()
+		e.holder = held.Holder
+	}
+	return nil
+}
+
+// mayTake returns the version of the row on which taking the lease depends, and
+// whether it is time to try: it is free, was this daemon's own before a restart,
+// or was not rewritten for a term.
+func (e *Elector) mayTake() (int64, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if !e.isKnown {
+		return 0, false
+	}
+	if e.seen != 0 && e.holder == e.Name {
+		return e.seen, true
+	}
+	wait := min(time.Duration(e.Rank())*stagger, longestStagger)
+	if e.seen != 0 && e.holder != "" {
+		wait += Term
+	}
+	return e.seen, time.Since(e.seenSince) >= wait
+}
+
+// putOff waits for a whole turn again, after a try that failed.
+func (e *Elector) putOff() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.seenSince = time.Now()
 }
 
 // Run calls lead whenever this daemon holds the lease, with a context that ends
 // with it, until ctx ends. Then it gives the lease up.
 func (e *Elector) Run(ctx context.Context, lead func(ctx context.Context, lease *Lease)) {
-	seldom := time.Now()
 	for ctx.Err() == nil {
-		if !e.IsCandidate() && time.Since(seldom) < lookSeldom {
-			sleep(ctx, callTime/2)
-			continue
-		}
-		seldom = time.Now().Add(rand.N(lookSeldom / 2))
 		lease := e.take(ctx)
 		if lease == nil {
-			sleep(ctx, lookEvery*3/4+rand.N(lookEvery/2))
+			sleep(ctx, lookEvery)
 			continue
 		}
 		e.Changed(true, lease.version, "taken")
@@ -134,19 +186,10 @@
 	}
 }
 
-// take looks at the lease and takes it if it is free, or was this daemon's own
-// before a restart, or was not rewritten for a term.
+// take tries to take the lease if it is time.
 func (e *Elector) take(ctx context.Context) *Lease {
-	version, held, err := read(ctx, e.Store)
-	if err != nil {
-		return nil
-	}
-	if version != e.seen || e.seenSince.IsZero() {
-		e.seen = version
-		e.seenSince = time.Now()
-	}
-	isFree := version == 0 || held.Holder == "" || held.Holder == e.Name
-	if !isFree && time.Since(e.seenSince) < Term {
+	version, isTime := e.mayTake()
+	if !isTime {
 		return nil
 	}
 	lease := &Lease{
@@ -156,7 +199,8 @@
 		version: version,
 		granted: time.Now(),
 	}
-	if err = lease.Commit(ctx, nil, nil, nil); err != nil {
+	if err := lease.Commit(ctx, nil, nil, nil); err != nil {
+		e.putOff()
 		return nil
 	}
 	return lease
--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -88,6 +88,17 @@
 	})
 }
 
+// Rank returns a daemon's place in the order of the list; that of an unlisted one
+// is after all others.
+func (l List) Rank(name string) int {
+	for i, daemon := range l.daemons {
+		if daemon.Name == name {
+			return i
+		}
+	}
+	return len(l.daemons)
+}
+
 // Has tells whether a daemon is listed with an address.
 func (l List) Has(self Daemon) bool {
 	return slices.Contains(l.daemons, self)
--- a/entry/control.go
+++ b/entry/control.go
@@ -18,22 +18,46 @@
 	stepEvery = 100 * time.Millisecond
 	// newsQueue bounds news that wait for the control goroutine.
 	newsQueue = 256
+	// leaseWait is how long one call waits for a change of the lease, which its
+	// holder rewrites more often.
+	leaseWait = 2 * time.Second
 	// readTime bounds reading the records.
 	readTime = time.Second
 )
 
-// control takes part in the choice of the leader and leads while chosen.
-func (d *Daemon) control(ctx context.Context) {
-	elector := &leader.Elector{
-		Store:       d.store,
-		Name:        d.settings.Name,
-		IsCandidate: d.isRelay,
-		Start:       d.start,
+// newElector returns this daemon's part in the choice of the leader.
+func (d *Daemon) newElector() *leader.Elector {
+	return &leader.Elector{
+		Store: d.store,
+		Name:  d.settings.Name,
+		Start: d.start,
+		Rank:  d.rank,
 		Changed: func(isLeader bool, epoch int64, reason string) {
 			d.log.Info("control: lease changed", zap.Bool("is_leader", isLeader), zap.Int64("lease_version", epoch), zap.String("reason", reason))
 		},
 	}
-	elector.Run(ctx, d.lead)
+}
+
+// leaseFollower follows the lease.
+func (d *Daemon) leaseFollower(elector *leader.Elector) *rowstore.Follower {
+	see := func(isWhole bool) func([]rowstore.Row, int64, time.Time) {
+		return func(rows []rowstore.Row, _ int64, _ time.Time) {
+			if err := elector.See(rows, isWhole); err != nil {
+				d.log.Error("control: lease not taken notice of", logline.Err(err))
+			}
+		}
+	}
+	return &rowstore.Follower{
+		Store:    d.chain,
+		Table:    leader.Table,
+		Wait:     leaseWait,
+		Whole:    see(true),
+		Changed:  see(false),
+		Hub:      &d.hub,
+		Failed:   d.noteTrouble(leader.Table),
+		Restored: d.noteRestored(leader.Table),
+		Clock:    &d.clock,
+	}
 }
 
 // steward is one term of leading: one goroutine owns the controller; orders,
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -127,11 +127,11 @@
 		zap.String("retry_burst", strconv.FormatFloat(burst, 'f', 1, 64)))
 }
 
-// isRelay tells whether this daemon follows the store for others.
-func (d *Daemon) isRelay() bool {
+// rank returns this daemon's place in the list.
+func (d *Daemon) rank() int {
 	d.roster.mutex.Lock()
 	defer d.roster.mutex.Unlock()
-	return d.roster.list.IsRelay(d.settings.Name)
+	return d.roster.list.Rank(d.settings.Name)
 }
 
 // isListed tells whether the list has this daemon as it is.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -145,7 +145,9 @@
 	d.tasks.Go(func() { d.tellStalls(ctx) })
 	d.tasks.Go(func() { d.listFollower().Run(ctx) })
 	d.tasks.Go(func() { d.listSelf(ctx) })
-	d.tasks.Go(func() { d.control(ctx) })
+	elector := d.newElector()
+	d.tasks.Go(func() { d.leaseFollower(elector).Run(ctx) })
+	d.tasks.Go(func() { elector.Run(ctx, d.lead) })
 	d.tasks.Go(func() { d.logFigures(ctx) })
 	log.Info("daemon: started", zap.String("name", known.Name), zap.String("zone", known.Zone), zap.String("start", d.start))
 	return d, nil
