Stand in for the platform in lab/standin and run real daemons against it

A store with rows under conditions, a feed and faults; servers that form groups under orders; clients and a ledger that note what never may happen.

--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -39,7 +39,7 @@
 	return neighbours.Daemon{
 		Name:    d.settings.Name,
 		Zone:    d.settings.Zone,
-		Address: d.settings.Relay,
+		Address: d.relays.Address(),
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -153,6 +153,17 @@
 	return d, nil
 }
 
+// ClientsAddress returns the IP:port for clients, ReadinessAddress that for the
+// balancer.
+func (d *Daemon) ClientsAddress() string {
+	return d.gateway.Address()
+}
+
+// ReadinessAddress returns the IP:port that the balancer asks.
+func (d *Daemon) ReadinessAddress() string {
+	return d.ready.address
+}
+
 // View returns what the daemon knows now.
 func (d *Daemon) View() gateway.View {
 	return *d.view.Load()
@@ -265,3 +276,13 @@
 	d.log.Info("daemon: stopped", zap.Int64("took_ms", time.Since(began).Milliseconds()), logline.Err(err))
 	return err
 }
+
+// Kill ends the daemon at once, as a crash would: connections are closed, and
+// nothing is given up.
+func (d *Daemon) Kill() {
+	d.gateway.Kill()
+	d.ready.close()
+	d.relays.Close()
+	d.stop()
+	d.tasks.Wait()
+}
--- a/entry/ready.go
+++ b/entry/ready.go
@@ -13,6 +13,7 @@
 // readiness answers the balancer.
 type readiness struct {
 	http      *fasthttp.Server
+	address   string
 	isReady   func() bool
 	isLeaving atomic.Bool
 }
@@ -27,6 +28,7 @@
 		return nil, errors.Wrapf(err, "listen for readiness on %s", address)
 	}
 	r := &readiness{
+		address: listener.Addr().String(),
 		isReady: isReady,
 	}
 	r.http = &fasthttp.Server{
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,6 +75,8 @@
 	open     atomic.Int64
 	hadAny   atomic.Bool
 	thinning thinner
+	// conns holds the open connections of clients.
+	conns sync.Map
 }
 
 // Figures of the HTTP server.
@@ -133,6 +136,7 @@
 		DisablePreParseMultipartForm: true,
 		Logger:                       quietLogger{},
 	}
+	server.http.ConnState = server.noteConn
 	go server.gone.Run(ctx)
 	go server.sweep(ctx)
 	go func() {
@@ -179,6 +183,30 @@
 	return errors.Wrapf(err, "stop clients' server with %d requests under way", s.open.Load())
 }
 
+// Kill closes everything at once, as a crash would.
+func (s *Server) Kill() {
+	s.leaving.Store(true)
+	s.stop()
+	_ = s.listener.Close()
+	s.conns.Range(func(conn, _ any) bool {
+		if open, ok := conn.(net.Conn); ok {
+			_ = open.Close()
+		}
+		return true
+	})
+}
+
+// noteConn keeps track of open connections.
+func (s *Server) noteConn(conn net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateNew:
+		s.conns.Store(conn, struct{}{})
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		s.conns.Delete(conn)
+	case fasthttp.StateActive, fasthttp.StateIdle:
+	}
+}
+
 // sweep closes old connections to servers until ctx ends.
 func (s *Server) sweep(ctx context.Context) {
 	ticker := time.NewTicker(sweepEvery)
--- /dev/null
+++ b/lab/standin/store.go
@@ -0,0 +1,330 @@
+// Package standin is a small stand-in of the users' platform: its store with
+// rows under conditions and a feed, backend servers that form groups under
+// orders, and clients that check what they are answered. Real daemons run
+// against it over loopback sockets, in tests and by hand.
+//
+// It speaks HTTP by net/http, not by the library that the product uses, so that
+// a mistake of one library does not hide on both sides. A ledger notes every run
+// of a request and every membership, and what must never happen.
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"headcourse/platform/wire"
+)
+
+// Fault is how the store behaves to callers; operators and servers always reach
+// it.
+type Fault int
+
+// The faults of the store. Forgetful loses its history; Lossy does writes and
+// does not answer; Silent takes calls and says nothing.
+const (
+	Well Fault = iota
+	Refusing
+	Silent
+	Lossy
+)
+
+// Store is the platform's store. Use startStore.
+type Store struct {
+	server   *http.Server
+	address  string
+	started  time.Time
+	mutex    sync.Mutex
+	rows     map[rowKey]wire.Row
+	history  []wire.Row
+	version  int64
+	floor    int64
+	fault    Fault
+	calls    map[string]int
+	changed  chan struct{}
+	reserved map[string]bool
+}
+
+// rowKey names a row.
+type rowKey struct {
+	table string
+	key   string
+}
+
+// startStore serves an empty store on a free port of the loopback address.
+func startStore() (*Store, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for the store")
+	}
+	s := &Store{
+		address: listener.Addr().String(),
+		started: time.Now(),
+		rows:    map[rowKey]wire.Row{},
+		version: 1,
+		calls:   map[string]int{},
+		changed: make(chan struct{}),
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+wire.PathRead, s.handleRead)
+	mux.HandleFunc("GET "+wire.PathFeed, s.handleFeed)
+	mux.HandleFunc("POST "+wire.PathCommit, s.handleCommit)
+	s.server = &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: time.Minute,
+	}
+	go func() {
+		// Serve ends with an error only when the server is closed.
+		_ = s.server.Serve(listener)
+	}()
+	return s, nil
+}
+
+// SetFault changes how the store behaves from now on.
+func (s *Store) SetFault(fault Fault) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.fault = fault
+	s.wake()
+}
+
+// Forget drops the history, so that whoever follows must read anew.
+func (s *Store) Forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.floor = s.version + 1
+	s.history = nil
+	s.wake()
+}
+
+// Calls returns how many calls of each path there were.
+func (s *Store) Calls(path string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls[path]
+}
+
+// wake wakes all who follow. The mutex is held.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes a row from inside, as operators and servers do; a nil value removes
+// it. It returns the row's version.
+func (s *Store) put(table, key string, value []byte) int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	s.apply(table, key, value)
+	s.wake()
+	return s.version
+}
+
+// apply makes one change at the current version. The mutex is held.
+func (s *Store) apply(table, key string, value []byte) {
+	row := wire.Row{
+		Table:     table,
+		Key:       key,
+		Value:     value,
+		Version:   s.version,
+		Tombstone: value == nil,
+	}
+	at := rowKey{
+		table: table,
+		key:   key,
+	}
+	if row.Tombstone {
+		delete(s.rows, at)
+	} else {
+		s.rows[at] = row
+	}
+	s.history = append(s.history, row)
+}
+
+// Value returns a row's value, or nil.
+func (s *Store) Value(table, key string) []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.rows[rowKey{
+		table: table,
+		key:   key,
+	}].Value
+}
+
+// enter counts a call and applies the fault; it returns false when the call is
+// over.
+func (s *Store) enter(w http.ResponseWriter, r *http.Request) bool {
+	s.mutex.Lock()
+	s.calls[r.URL.Path]++
+	fault := s.fault
+	s.mutex.Unlock()
+	switch fault {
+	case Refusing:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	case Silent:
+		<-r.Context().Done()
+		return false
+	default:
+		return true
+	}
+}
+
+// result returns a result with some rows. The mutex is held.
+func (s *Store) result(rows []wire.Row) wire.Result {
+	return wire.Result{
+		Rows:    rows,
+		Version: s.version,
+		NowMs:   float64(time.Since(s.started).Microseconds()) / 1000,
+	}
+}
+
+// answer writes a result.
+func answer(w http.ResponseWriter, status int, result wire.Result) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// Whoever went away gets nothing.
+	_ = json.NewEncoder(w).Encode(result)
+}
+
+// handleRead returns a table.
+func (s *Store) handleRead(w http.ResponseWriter, r *http.Request) {
+	if !s.enter(w, r) {
+		return
+	}
+	s.mutex.Lock()
+	var rows []wire.Row
+	for at, row := range s.rows {
+		if at.table == r.URL.Query().Get("Table") {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b wire.Row) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	result := s.result(rows)
+	s.mutex.Unlock()
+	answer(w, http.StatusOK, result)
+}
+
+// handleFeed returns changes.
+func (s *Store) handleFeed(w http.ResponseWriter, r *http.Request) {
+	if !s.enter(w, r) {
+		return
+	}
+	query := r.URL.Query()
+	since, err := strconv.ParseInt(query.Get("SinceRev"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	wait, err := strconv.Atoi(query.Get("WaitMs"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for isLast := false; ; {
+		s.mutex.Lock()
+		isGone, isWell := since < s.floor, s.fault == Well || s.fault == Lossy
+		news, changed := s.since(query.Get("Table"), since), s.changed
+		result := s.result(news)
+		s.mutex.Unlock()
+		switch {
+		case !isWell:
+			if !s.enter(w, r) {
+				return
+			}
+		case isGone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(news) > 0 || isLast:
+			answer(w, http.StatusOK, result)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			isLast = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the newest change of each row of a table. The mutex is held.
+func (s *Store) since(table string, since int64) []wire.Row {
+	var news []wire.Row
+	for _, row := range s.history {
+		if row.Table != table || row.Version <= since {
+			continue
+		}
+		news = slices.DeleteFunc(news, func(older wire.Row) bool {
+			return older.Key == row.Key
+		})
+		news = append(news, row)
+	}
+	return news
+}
+
+// handleCommit does a transaction.
+func (s *Store) handleCommit(w http.ResponseWriter, r *http.Request) {
+	if !s.enter(w, r) {
+		return
+	}
+	var transaction wire.Transaction
+	if err := json.NewDecoder(r.Body).Decode(&transaction); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mutex.Lock()
+	status, result := s.commit(transaction)
+	fault := s.fault
+	s.mutex.Unlock()
+	if fault == Lossy {
+		<-r.Context().Done()
+		return
+	}
+	answer(w, status, result)
+}
+
+// commit does a transaction if its conditions hold. The mutex is held.
+func (s *Store) commit(transaction wire.Transaction) (int, wire.Result) {
+	var found []wire.Row
+	holds := true
+	for _, condition := range transaction.Conditions {
+		row := s.rows[rowKey{
+			table: condition.Table,
+			key:   condition.Key,
+		}]
+		holds = holds && row.Version == condition.Version
+		found = append(found, row)
+	}
+	if !holds {
+		return http.StatusPreconditionFailed, s.result(found)
+	}
+	for _, write := range transaction.Writes {
+		if write.Table == wire.TableServers {
+			return http.StatusForbidden, s.result(nil)
+		}
+	}
+	s.version++
+	for _, write := range transaction.Writes {
+		s.apply(write.Table, write.Key, append([]byte{}, write.Value...))
+	}
+	for _, remove := range transaction.Removes {
+		s.apply(remove.Table, remove.Key, nil)
+	}
+	s.wake()
+	return http.StatusOK, s.result(nil)
+}
