--- a/core/assembly/assembly_test.go
+++ b/core/assembly/assembly_test.go
@@ -30,9 +30,12 @@
 	}
 }
 
+// serversOfDomain is the usual size of a domain.
+const serversOfDomain = 8
+
 // started returns a fleet whose groups have formed.
-func started(domains, servers int) (*simFleet, *assembly.Controller) {
-	s := newSim(domains, servers)
+func started(domains int) (*simFleet, *assembly.Controller) {
+	s := newSim(domains, serversOfDomain)
 	c := &assembly.Controller{}
 	settle(s, c, true, 14*time.Second)
 	settle(s, c, false, 16*time.Second)
@@ -57,7 +60,7 @@
 
 func TestGroupsFormByShareOverAllDomains(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _ := started(6, 8)
+		s, _ := started(6)
 		qt.Assert(t, s.violated, qt.HasLen, 0)
 		qt.Assert(t, s.serving("large"), qt.Equals, 6)
 		qt.Assert(t, s.serving("small"), qt.Equals, 6)
@@ -76,7 +79,7 @@
 
 func TestEachDomainKeepsASpareOfEachModel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _ := started(6, 8)
+		s, _ := started(6)
 		spares := map[string]int{}
 		for _, one := range s.servers {
 			if one.state == fleet.NoGroup {
@@ -89,7 +92,7 @@
 
 func TestLostMemberIsReplacedFromTheSpares(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, c := started(6, 8)
+		s, c := started(6)
 		head := headOf(s, "large")
 		s.kill(head.members[2])
 		c.Suspect(head.group, head.epoch)
@@ -105,7 +108,7 @@
 // for the stall time; its members now leave at once.
 func TestLostHeadIsReplacedWithoutWaitingForTheStall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, c := started(6, 8)
+		s, c := started(6)
 		head := headOf(s, "large")
 		s.kill(head.id)
 		c.Suspect(head.group, head.epoch)
@@ -122,7 +125,7 @@
 // joined to another group while its old head was still open.
 func TestMemberThatComesBackLeavesBeforeItIsUsed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, c := started(2, 8)
+		s, c := started(2)
 		head := headOf(s, "large")
 		for _, id := range head.members[:2] {
 			s.servers[id].isCut = true
@@ -148,7 +151,7 @@
 
 func TestNewLeaderGoesOnWithoutJoiningAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _ := started(6, 8)
+		s, _ := started(6)
 		before := s.orders["join"]
 		next := &assembly.Controller{}
 		next.Load(s.stored())
@@ -163,7 +166,7 @@
 
 func TestLeavingMemberEndsItsGroupGentlyAndIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, c := started(6, 8)
+		s, c := started(6)
 		head := headOf(s, "small")
 		s.servers[head.members[1]].drains = true
 
@@ -177,7 +180,7 @@
 
 func TestDeadServerIsNotUsedWhileItsEntryStands(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, c := started(6, 8)
+		s, c := started(6)
 		head := headOf(s, "large")
 		dead := head.members[1]
 		s.kill(dead)
@@ -241,7 +244,7 @@
 // groups come back.
 func TestFuzz(t *testing.T) {
 	fuzz.Check(t, func(rt *rapid.T) {
-		s, c := started(3, 8)
+		s, c := started(3)
 		former := &assembly.Controller{}
 		former.Load(s.stored())
 		steps := rapid.IntRange(50, 400).Draw(rt, "steps")
--- a/core/assembly/sim_test.go
+++ b/core/assembly/sim_test.go
@@ -84,7 +84,7 @@
 }
 
 // add starts a server in a domain whose host keeps a model's weights.
-func (s *simFleet) add(domain, staged string) *simServer {
+func (s *simFleet) add(domain, staged string) {
 	s.next++
 	one := &simServer{
 		id:       fmt.Sprintf("i-%03d", s.next),
@@ -93,7 +93,6 @@
 		wasReady: map[string]bool{},
 	}
 	s.servers[one.id] = one
-	return one
 }
 
 // simConfig is a service of two models, of four and of two servers.
--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -103,7 +103,7 @@
 	if missing <= 0 {
 		return nil, true
 	}
-	candidates := append(empty, others...)
+	candidates := slices.Concat(empty, others)
 	if len(candidates) < missing {
 		return nil, false
 	}
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -101,6 +101,13 @@
 	return f.version, nil
 }
 
+// value returns a row's value; "" where there is none.
+func (f *fakeStore) value(key string) string {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return string(f.rows[key].Value)
+}
+
 // set changes how the store behaves.
 func (f *fakeStore) set(change func(f *fakeStore)) {
 	f.mutex.Lock()
@@ -335,7 +342,7 @@
 		})
 		err := lease.Commit(ctx, record("1"), nil, nil)
 		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrUnknown)
-		qt.Assert(t, string(c.store.rows["g1"].Value), qt.Equals, "1")
+		qt.Assert(t, c.store.value("g1"), qt.Equals, "1")
 		qt.Assert(t, lease.Holds(), qt.IsTrue)
 		cancel()
 		synctest.Wait()
@@ -356,7 +363,7 @@
 		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrUnknown)
 		qt.Assert(t, lease.Commit(ctx, record("next"), nil, nil), qt.IsNil)
 		time.Sleep(5 * time.Second)
-		qt.Assert(t, string(c.store.rows["g1"].Value), qt.Equals, "next")
+		qt.Assert(t, c.store.value("g1"), qt.Equals, "next")
 		cancel()
 		synctest.Wait()
 	})
@@ -382,8 +389,7 @@
 		qt.Assert(t, former.Holds(), qt.IsFalse)
 		err := former.Commit(ctx, record("old"), nil, nil)
 		qt.Assert(t, err, qt.ErrorIs, leader.ErrLost)
-		_, isThere := c.store.rows["g1"]
-		qt.Assert(t, isThere, qt.IsFalse)
+		qt.Assert(t, c.store.value("g1"), qt.Equals, "")
 		wake()
 		cancel()
 		synctest.Wait()
--- a/core/rowstore/rowstore_test.go
+++ b/core/rowstore/rowstore_test.go
@@ -24,6 +24,11 @@
 
 // follow starts a follower that ends with the test's context.
 func follow(ctx context.Context, source rowstore.Reader, clock *rowstore.Freshness) *watched {
+	return followEvery(ctx, source, clock, time.Second)
+}
+
+// followEvery is follow with a wait of one call.
+func followEvery(ctx context.Context, source rowstore.Reader, clock *rowstore.Freshness, wait time.Duration) *watched {
 	w := &watched{
 		rows: map[string]string{},
 	}
@@ -40,7 +45,7 @@
 	w.follower = &rowstore.Follower{
 		Store: source,
 		Table: "t",
-		Wait:  time.Second,
+		Wait:  wait,
 		Whole: func(rows []rowstore.Row, _ int64, asOf time.Time) {
 			w.wholes++
 			w.rows = map[string]string{}
@@ -58,6 +63,7 @@
 		Hub:   &w.hub,
 		Clock: clock,
 	}
+	w.hub.ContactLimit = 900 * time.Millisecond
 	go w.follower.Run(ctx)
 	return w
 }
@@ -77,13 +83,13 @@
 		store := newFakeStore()
 		store.put("a", "1")
 		w := follow(ctx, store, &rowstore.Freshness{})
-		time.Sleep(100 * time.Millisecond)
+		pause(100 * time.Millisecond)
 		qt.Assert(t, w.rows, qt.DeepEquals, map[string]string{
 			"a": "1",
 		})
 		store.put("a", "2")
 		store.put("b", "3")
-		time.Sleep(10 * time.Millisecond)
+		pause(10 * time.Millisecond)
 		qt.Assert(t, w.rows["a"], qt.Equals, "2")
 		qt.Assert(t, w.rows["b"], qt.Equals, "3")
 	})
@@ -94,13 +100,13 @@
 		store := newFakeStore()
 		store.put("a", "1")
 		w := follow(ctx, store, &rowstore.Freshness{})
-		time.Sleep(100 * time.Millisecond)
+		pause(100 * time.Millisecond)
 		store.set(func(f *fakeStore) {
 			f.floor = 100
 			f.version = 200
 		})
 		store.put("b", "2")
-		time.Sleep(3 * time.Second)
+		pause(3 * time.Second)
 		qt.Assert(t, w.wholes, qt.Equals, 2)
 		qt.Assert(t, w.rows["b"], qt.Equals, "2")
 	})
@@ -112,7 +118,7 @@
 		store := newFakeStore()
 		store.put("a", "new")
 		w := follow(ctx, store, &rowstore.Freshness{})
-		time.Sleep(100 * time.Millisecond)
+		pause(100 * time.Millisecond)
 		before := w.asOf
 		store.set(func(f *fakeStore) {
 			f.stale = 1
@@ -123,7 +129,7 @@
 			}
 			f.floor = 100
 		})
-		time.Sleep(3 * time.Second)
+		pause(3 * time.Second)
 		qt.Assert(t, w.rows["a"], qt.Equals, "new")
 		qt.Assert(t, w.asOf, qt.Equals, before)
 	})
@@ -133,17 +139,17 @@
 	run(t, func(ctx context.Context, t *testing.T) {
 		store := newFakeStore()
 		w := follow(ctx, store, &rowstore.Freshness{})
-		time.Sleep(100 * time.Millisecond)
+		pause(100 * time.Millisecond)
 		store.set(func(f *fakeStore) {
 			f.isDown = true
 		})
-		time.Sleep(4 * time.Second)
+		pause(4 * time.Second)
 		qt.Assert(t, w.failures > 2, qt.IsTrue)
 		qt.Assert(t, w.restored, qt.Equals, 0)
 		store.set(func(f *fakeStore) {
 			f.isDown = false
 		})
-		time.Sleep(2 * time.Second)
+		pause(2 * time.Second)
 		qt.Assert(t, w.restored, qt.Equals, 1)
 	})
 }
@@ -156,7 +162,7 @@
 		start := time.Now()
 		const offset = time.Hour
 		clock.Prove(time.Now(), offset)
-		time.Sleep(10 * time.Second)
+		pause(10 * time.Second)
 		// An answer produced 3 s after the start arrives only now.
 		asOf := clock.Prove(start.Add(2*time.Second), offset+3*time.Second)
 		qt.Assert(t, asOf.After(start.Add(3*time.Second)), qt.IsFalse)
@@ -188,18 +194,17 @@
 	run(t, func(ctx context.Context, t *testing.T) {
 		store := newFakeStore()
 		store.put("a", "1")
-		relay := follow(ctx, store, &rowstore.Freshness{})
-		relay.follower.Wait = 400 * time.Millisecond
-		time.Sleep(time.Second)
+		relay := followEvery(ctx, store, &rowstore.Freshness{}, 400*time.Millisecond)
+		pause(time.Second)
 		before := store.calls
 		chain, clock := chained(store, rowstore.Relay{
 			Name:   "r1",
 			Reader: &relay.hub,
 		})
 		behind := follow(ctx, chain, clock)
-		time.Sleep(5 * time.Second)
+		pause(5 * time.Second)
 		store.put("a", "2")
-		time.Sleep(10 * time.Millisecond)
+		pause(10 * time.Millisecond)
 		qt.Assert(t, behind.rows["a"], qt.Equals, "2")
 		direct, relayed := chain.Counts()
 		qt.Assert(t, direct, qt.Equals, int64(0))
@@ -218,21 +223,19 @@
 		cut := newFakeStore()
 		cut.started = store.started
 		cut.put("a", "1")
-		relay := follow(ctx, cut, &rowstore.Freshness{})
-		relay.follower.Wait = 400 * time.Millisecond
-		relay.hub.ContactLimit = 900 * time.Millisecond
-		time.Sleep(time.Second)
+		relay := followEvery(ctx, cut, &rowstore.Freshness{}, 400*time.Millisecond)
+		pause(time.Second)
 		chain, clock := chained(store, rowstore.Relay{
 			Name:   "r1",
 			Reader: &relay.hub,
 		})
 		behind := follow(ctx, chain, clock)
-		time.Sleep(time.Second)
+		pause(time.Second)
 		cut.set(func(f *fakeStore) {
 			f.isDown = true
 		})
 		store.put("a", "2")
-		time.Sleep(1500 * time.Millisecond)
+		pause(1500 * time.Millisecond)
 		qt.Assert(t, behind.rows["a"], qt.Equals, "2")
 	})
 }
@@ -261,7 +264,7 @@
 		})
 		behind := follow(ctx, chain, clock)
 		store.put("a", "1")
-		time.Sleep(1500 * time.Millisecond)
+		pause(1500 * time.Millisecond)
 		qt.Assert(t, behind.rows["a"], qt.Equals, "1")
 	})
 }
@@ -291,7 +294,7 @@
 		store := newFakeStore()
 		store.put("a", "1")
 		relay := follow(ctx, store, &rowstore.Freshness{})
-		time.Sleep(50 * time.Millisecond)
+		pause(50 * time.Millisecond)
 		first, err := relay.hub.Read(ctx, "t")
 		qt.Assert(t, err, qt.IsNil)
 		store.put("a", "")
@@ -305,3 +308,9 @@
 		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrRefused)
 	})
 }
+
+// pause lets time pass, and waits until what happened then has been done.
+func pause(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -157,7 +157,7 @@
 	members := d.view.Load().Fleet.Members(head.Membership)
 	for _, member := range members {
 		go func() {
-			if d.workers.Probe(member) == assembly.Alive || d.workers.Probe(member) == assembly.Alive {
+			if d.answers(member) {
 				signs <- ""
 				return
 			}
@@ -178,6 +178,18 @@
 	}
 }
 
+// answers tells whether a server answers one of two probes: a packet may get
+// lost.
+func (d *Daemon) answers(server fleet.Server) bool {
+	const tries = 2
+	for range tries {
+		if d.workers.Probe(server) == assembly.Alive {
+			return true
+		}
+	}
+	return false
+}
+
 // tellStall writes one stall.
 func (d *Daemon) tellStall(ctx context.Context, server fleet.Server, silent string) {
 	m := server.Membership
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
 	"headcourse/core/config"
@@ -47,11 +48,11 @@
 // handleBadRequest answers what is no request.
 func (s *Server) handleBadRequest(ctx *fasthttp.RequestCtx, err error) {
 	status := fasthttp.StatusBadRequest
-	switch err.(type) { //nolint:errorlint // the library returns it bare
-	case *fasthttp.ErrSmallBuffer:
+	var tooSmall *fasthttp.ErrSmallBuffer
+	if errors.As(err, &tooSmall) {
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
-	if err == fasthttp.ErrBodyTooLarge { //nolint:errorlint // the library returns it bare
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		status = fasthttp.StatusRequestEntityTooLarge
 	}
 	s.count(countRefused, request.ReasonBadRequest)
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -80,13 +80,13 @@
 	p.writeConfig()
 	for d := range size.Domains {
 		for range size.PerDomain {
-			if _, err = p.startServer(ServiceModel, fmt.Sprintf("rack-%d", d), ""); err != nil {
+			if err = p.startServer(ServiceModel, fmt.Sprintf("rack-%d", d)); err != nil {
 				return nil, err
 			}
 		}
 	}
 	for range size.Plain {
-		if _, err = p.startServer(ServicePlain, "", ""); err != nil {
+		if err = p.startServer(ServicePlain, ""); err != nil {
 			return nil, err
 		}
 	}
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -28,13 +28,9 @@
 
 	mutex   sync.Mutex
 	isDead  bool
-	isStill bool
 	state   wire.Server
 	members []string
 	seen    int64
-	due     *time.Timer
-	stillAt time.Time
-	running int
 	mood    Mood
 }
 
@@ -53,10 +49,10 @@
 )
 
 // startServer starts a server and writes its entry.
-func (p *Platform) startServer(service, domain, staged string) (*Server, error) {
+func (p *Platform) startServer(service, domain string) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen for a server of %s", service)
+		return errors.Wrapf(err, "listen for a server of %s", service)
 	}
 	p.mutex.Lock()
 	p.next++
@@ -79,9 +75,6 @@
 	if domain != "" {
 		s.state.Phase = "both"
 		s.state.Domain = json.RawMessage(strconv.Quote(domain))
-		if staged != "" {
-			s.state.Staged = []string{staged}
-		}
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathOrder, s.handleOrder)
@@ -101,7 +94,7 @@
 	s.mutex.Lock()
 	s.tell()
 	s.mutex.Unlock()
-	return s, nil
+	return nil
 }
 
 // ID returns the server's id.
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -37,18 +37,17 @@
 
 // Store is the platform's store. Use startStore.
 type Store struct {
-	server   *http.Server
-	address  string
-	started  time.Time
-	mutex    sync.Mutex
-	rows     map[rowKey]wire.Row
-	history  []wire.Row
-	version  int64
-	floor    int64
-	fault    Fault
-	calls    map[string]int
-	changed  chan struct{}
-	reserved map[string]bool
+	server  *http.Server
+	address string
+	started time.Time
+	mutex   sync.Mutex
+	rows    map[rowKey]wire.Row
+	history []wire.Row
+	version int64
+	floor   int64
+	fault   Fault
+	calls   map[string]int
+	changed chan struct{}
 }
 
 // rowKey names a row.
@@ -117,14 +116,13 @@
 }
 
 // put writes a row from inside, as operators and servers do; a nil value removes
-// it. It returns the row's version.
-func (s *Store) put(table, key string, value []byte) int64 {
+// it.
+func (s *Store) put(table, key string, value []byte) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.version++
 	s.apply(table, key, value)
 	s.wake()
-	return s.version
 }
 
 // apply makes one change at the current version. The mutex is held.
