--- a/command/entry.go
+++ b/command/entry.go
@@ -17,6 +17,7 @@
 // EntryCommand runs a daemon on an entry VM of the platform, until SIGTERM.
 type EntryCommand struct {
 	Settings string `name:"settings" help:"Path of the settings file. Default: where the platform says."`
+	Metrics  int    `name:"metrics-port" env:"HEADCOURSE_METRICS_PORT" default:"0" help:"Port on which metrics are served, on the VM's address; 0: none."`
 	LogLevel string `name:"log-level" env:"HEADCOURSE_LOG_LEVEL" default:"info" enum:"debug,info,warn,error" help:"Least level that is logged: ${enum}."`
 }
 
@@ -51,7 +52,7 @@
 			cause: err,
 		}
 	}
-	daemon, err := entry.Start(known, log)
+	daemon, err := entry.Start(known.WithMetricsPort(e.Metrics), log)
 	if err != nil {
 		return err
 	}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,7 +22,9 @@
 	Readiness string
 	Store     string
 	// Relay is where other daemons may follow the store's tables.
-	Relay    string
+	Relay string
+	// Metrics is where metrics are served; empty: nowhere.
+	Metrics  string
 	MaxFiles int
 	// IsFirstStart tells that the whole system is started for the first time.
 	IsFirstStart bool
@@ -50,6 +53,16 @@
 	LoadExcess float64
 }
 
+// WithMetricsPort returns the settings with metrics served on a port of the VM's
+// address; 0: not served.
+func (s Settings) WithMetricsPort(port int) Settings {
+	s.Metrics = ""
+	if port != 0 {
+		s.Metrics = net.JoinHostPort(s.IP, strconv.Itoa(port))
+	}
+	return s
+}
+
 // Check returns the first setting that cannot be used, by its name.
 func (s Settings) Check() error {
 	if s.Name == "" {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,7 @@
 	"headcourse/core/retry"
 	"headcourse/core/rowstore"
 	"headcourse/core/settings"
+	"headcourse/io/exposition"
 	"headcourse/io/gateway"
 	"headcourse/io/logline"
 	"headcourse/io/relay"
@@ -71,7 +72,9 @@
 	chain  *rowstore.Chain
 	hub    rowstore.Hub
 	relays *relay.Server
-	roster roster
+	// exposed serves the metrics; nil where they are not served.
+	exposed *exposition.Server
+	roster  roster
 
 	mutex sync.Mutex
 	view  atomic.Pointer[gateway.View]
@@ -149,6 +152,7 @@
 	d.tasks.Go(func() { d.leaseFollower(elector).Run(ctx) })
 	d.tasks.Go(func() { elector.Run(ctx, d.lead) })
 	d.tasks.Go(func() { d.logFigures(ctx) })
+	d.serveMetrics()
 	log.Info("daemon: started", zap.String("name", known.Name), zap.String("zone", known.Zone), zap.String("start", d.start))
 	return d, nil
 }
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -6,6 +6,9 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+
+	"headcourse/io/exposition"
+	"headcourse/io/logline"
 )
 
 // figuresEvery is the time between two lines with all counters.
@@ -30,3 +33,36 @@
 		d.log.Info("daemon: figures", zap.Any("counters", counts), zap.Int64("requests_open", d.gateway.Open()))
 	}
 }
+
+// serveMetrics serves the metrics where the settings say. A daemon that cannot
+// serve them still serves its clients.
+func (d *Daemon) serveMetrics() {
+	if d.settings.Metrics == "" {
+		return
+	}
+	server, err := exposition.Listen(d.settings.Metrics, d.registry, d.updateGauges)
+	if err != nil {
+		d.log.Warn("daemon: metrics are not served", logline.Err(err))
+		return
+	}
+	d.exposed = server
+}
+
+// updateGauges sets the gauges of what is known and how old it is.
+func (d *Daemon) updateGauges() {
+	set := func(name string, value int64) {
+		metrics.GetOrRegisterGauge(name, d.registry).Update(value)
+	}
+	view := d.view.Load()
+	set("config_version", versionOf(view.Config))
+	set("config_age_ms", d.Age().Milliseconds())
+	set("servers_version", view.Fleet.Version)
+	set("servers_known", int64(len(view.Fleet.Servers())))
+	set("requests_open", d.gateway.Open())
+	direct, relayed := d.chain.Counts()
+	set("store_answers.direct", direct)
+	set("store_answers.relayed", relayed)
+	opened, reused := d.gateway.Connections()
+	set("backend_connections.opened", opened)
+	set("backend_connections.reused", reused)
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -169,6 +169,12 @@
 	return s.open.Load()
 }
 
+// Connections returns how many connections to backend servers were made, and how
+// often one was used again.
+func (s *Server) Connections() (opened, reused int64) {
+	return s.backends.Counts()
+}
+
 // Leave makes every further answer ask its client to use another connection.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
