Send copies packed, by relays on the largest VMs

Change: long values are sent packed, each packed once; relays are the daemons on the largest VMs, one for 16 daemons.

--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -3,11 +3,13 @@
 //
 // Each daemon lists itself in the store when it starts. The relays are the first
 // few by a hash of their names, the same at every daemon that has read the same
-// list. They are spread by chance over the availability zones; which of them a
-// daemon asks first is also chosen by hash, so that relays share the work.
+// list, of those on the largest VMs: a relay sends what it reads to many. Which
+// of them a daemon asks first is also chosen by hash, so that relays share the
+// work.
 package neighbours
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 
@@ -18,9 +20,15 @@
 // Table is the list of the daemons; the key is a daemon's name.
 const Table = "daemons"
 
-// Relays is how many daemons follow the store for the others: one may be gone,
-// another cut off, and the third still serves.
-const Relays = 3
+// Figures of relays.
+const (
+	// Relays is how many daemons follow the store for the others, at least: one
+	// may be gone, another cut off, and the third still serves.
+	Relays = 3
+	// served is how many daemons one relay serves: what changes goes to all of
+	// them within a moment.
+	served = 16
+)
 
 // Daemon is one daemon of the list.
 type Daemon struct {
@@ -28,6 +36,8 @@
 	Zone string `json:"zone"`
 	// Address is where it relays tables, IP:port.
 	Address string `json:"address"`
+	// Strength is how much the VM can carry, in any unit that is the same for all.
+	Strength float64 `json:"strength"`
 }
 
 // Encode returns the daemon's value in the store.
@@ -56,25 +66,16 @@
 func NewList(daemons []Daemon) List {
 	ranked := slices.Clone(daemons)
 	slices.SortFunc(ranked, func(a, b Daemon) int {
-		return compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+		if a.Strength != b.Strength {
+			return cmp.Compare(b.Strength, a.Strength)
+		}
+		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 	})
 	return List{
 		daemons: ranked,
 	}
 }
 
-// compare orders numbers.
-func compare(a, b uint64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // Len returns how many daemons there are.
 func (l List) Len() int {
 	return len(l.daemons)
@@ -106,7 +107,8 @@
 
 // relays returns the daemons that relay.
 func (l List) relays() []Daemon {
-	return l.daemons[:min(Relays, len(l.daemons))]
+	count := max(Relays, (len(l.daemons)+served-1)/served)
+	return l.daemons[:min(count, len(l.daemons))]
 }
 
 // For returns the relays in the order in which a daemon should ask them; none
@@ -117,7 +119,7 @@
 	}
 	order := slices.Clone(l.relays())
 	slices.SortFunc(order, func(a, b Daemon) int {
-		return compare(xxhash.Sum64String(name+"/"+a.Name), xxhash.Sum64String(name+"/"+b.Name))
+		return cmp.Compare(xxhash.Sum64String(name+"/"+a.Name), xxhash.Sum64String(name+"/"+b.Name))
 	})
 	return order
 }
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -23,6 +23,8 @@
 	Store     string
 	// Relay is where other daemons may follow the store's tables.
 	Relay string
+	// Strength is how much the VM can carry, compared to others.
+	Strength float64
 	// Metrics is where metrics are served; empty: nowhere.
 	Metrics  string
 	MaxFiles int
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -37,9 +37,10 @@
 // self returns this daemon as it stands in the list.
 func (d *Daemon) self() neighbours.Daemon {
 	return neighbours.Daemon{
-		Name:    d.settings.Name,
-		Zone:    d.settings.Zone,
-		Address: d.relays.Address(),
+		Name:     d.settings.Name,
+		Zone:     d.settings.Zone,
+		Strength: d.settings.Strength,
+		Address:  d.relays.Address(),
 	}
 }
 
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -56,7 +56,7 @@
 	var answered answer
 	err = conn.Call(ctx, method, asked, &answered)
 	if err == nil {
-		return decode(asked.Table, answered), nil
+		return decode(asked.Table, answered)
 	}
 	var told *jsonrpc2.Error
 	if errors.As(err, &told) {
--- /dev/null
+++ b/io/relay/pack.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"sync"
+
+	"github.com/klauspost/compress/gzip"
+	"github.com/pkg/errors"
+)
+
+// packFrom is the size from which a value is sent packed: a configuration of a
+// thousand routes has some hundred KB, and a relay with a slow link sends it to
+// dozens of daemons.
+const packFrom = 4 << 10
+
+// unpackLimit bounds a value that is unpacked; rows of the store are smaller.
+const unpackLimit = 64 << 20
+
+// packer packs values, each once for all who ask. The zero value works.
+type packer struct {
+	mutex sync.Mutex
+	known map[string]packed
+}
+
+// packed is a row's packed value.
+type packed struct {
+	version int64
+	value   []byte
+}
+
+// pack returns the packed value of a row, or nil where it is short.
+func (p *packer) pack(table, key string, version int64, value []byte) ([]byte, error) {
+	if len(value) < packFrom {
+		return nil, nil
+	}
+	name := table + "/" + key
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if found, ok := p.known[name]; ok && found.version == version {
+		return found.value, nil
+	}
+	var out bytes.Buffer
+	writer, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "pack value")
+	}
+	if _, err = writer.Write(value); err != nil {
+		return nil, errors.Wrap(err, "pack value")
+	}
+	if err = writer.Close(); err != nil {
+		return nil, errors.Wrap(err, "pack value")
+	}
+	if p.known == nil {
+		p.known = map[string]packed{}
+	}
+	p.known[name] = packed{
+		version: version,
+		value:   out.Bytes(),
+	}
+	return out.Bytes(), nil
+}
+
+// unpack returns a value that was packed.
+func unpack(value []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(value))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack value")
+	}
+	content, err := io.ReadAll(io.LimitReader(reader, unpackLimit))
+	return content, errors.Wrap(err, "unpack value")
+}
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -52,8 +52,10 @@
 
 // row is one row.
 type row struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	// Packed is the value, compressed, in place of Value.
+	Packed  []byte `json:"packed,omitempty"`
 	Version int64  `json:"version"`
 	Deleted bool   `json:"deleted,omitempty"`
 }
@@ -62,6 +64,7 @@
 type Server struct {
 	listener net.Listener
 	reader   rowstore.Reader
+	packer   packer
 	mutex    sync.Mutex
 	conns    map[*jsonrpc2.Conn]struct{}
 	isClosed bool
@@ -171,7 +174,7 @@
 	if err != nil {
 		return nil, encodeError(err)
 	}
-	return encode(result), nil
+	return s.encode(asked.Table, result)
 }
 
 // encodeError returns the error as it is sent.
@@ -187,37 +190,53 @@
 }
 
 // encode returns a result as it is sent.
-func encode(result rowstore.Result) answer {
+func (s *Server) encode(table string, result rowstore.Result) (answer, error) {
 	encoded := answer{
 		Version: result.Version,
 		NowUS:   result.Now.Microseconds(),
 	}
 	for _, one := range result.Rows {
-		encoded.Rows = append(encoded.Rows, row{
+		packed, err := s.packer.pack(table, one.Key, one.Version, one.Value)
+		if err != nil {
+			return answer{}, err
+		}
+		sent := row{
 			Key:     one.Key,
 			Value:   one.Value,
+			Packed:  packed,
 			Version: one.Version,
 			Deleted: one.Deleted,
-		})
+		}
+		if packed != nil {
+			sent.Value = nil
+		}
+		encoded.Rows = append(encoded.Rows, sent)
 	}
-	return encoded
+	return encoded, nil
 }
 
 // decode returns a result as it was sent.
-func decode(table string, encoded answer) rowstore.Result {
+func decode(table string, encoded answer) (rowstore.Result, error) {
 	result := rowstore.Result{
 		Version:   encoded.Version,
 		Now:       time.Duration(encoded.NowUS) * time.Microsecond,
 		IsRelayed: true,
 	}
 	for _, one := range encoded.Rows {
+		value := one.Value
+		if one.Packed != nil {
+			var err error
+			if value, err = unpack(one.Packed); err != nil {
+				return rowstore.Result{}, err
+			}
+		}
 		result.Rows = append(result.Rows, rowstore.Row{
 			Table:   table,
 			Key:     one.Key,
-			Value:   one.Value,
+			Value:   value,
 			Version: one.Version,
 			Deleted: one.Deleted,
 		})
 	}
-	return result
+	return result, nil
 }
