Soak real daemons under faults from outside

soak/run starts daemons as processes and restarts them; headcourse-lab soak holds the stand-in, proxies, clients and the seeded faults.

--- /dev/null
+++ b/lab/soak/soak.go
@@ -0,0 +1,189 @@
+// Package soak plays random faults against real daemons in processes of their
+// own and checks, while it runs, what clients and backend servers see.
+//
+// It starts no process: a script (soak/run) starts the daemons that it lists,
+// starts each again when it ends, and leaves their process ids in files. The
+// soak holds the stand-in of the platform, a proxy before the store of each
+// daemon, before each daemon's clients and before each backend server, and
+// clients that keep using open connections. All of its choices come from a seed.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"headcourse/lab/proxy"
+	"headcourse/lab/standin"
+)
+
+// Options are what a soak is played with.
+type Options struct {
+	Seed    uint64
+	Length  time.Duration
+	Daemons int
+	// Dir takes settings files and process ids.
+	Dir string
+	Out io.Writer
+}
+
+// Times of a soak.
+const (
+	// startPatience bounds the wait for groups at the start, recoverPatience that
+	// for everything to work again after the faults.
+	startPatience   = 60 * time.Second
+	recoverPatience = 60 * time.Second
+	// clientPause is the time between two requests of a client.
+	clientPause = 15 * time.Millisecond
+	// clientsOfDaemon is how many clients each daemon has.
+	clientsOfDaemon = 4
+)
+
+// daemon is one daemon that the script runs.
+type daemon struct {
+	name    string
+	clients int
+	store   *proxy.Proxy
+	entry   *proxy.Proxy
+}
+
+// soak is one play.
+type soak struct {
+	options  Options
+	random   *rand.Rand
+	platform *standin.Platform
+	daemons  []*daemon
+	servers  map[string]*proxy.Proxy
+	keys     keyring
+	tally    tally
+}
+
+// Play plays a soak and returns what must not have happened.
+func Play(options Options) ([]string, error) {
+	s := &soak{
+		options: options,
+		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		servers: map[string]*proxy.Proxy{},
+		tally: tally{
+			counts: map[string]int{},
+		},
+	}
+	if err := s.prepare(); err != nil {
+		return nil, err
+	}
+	defer s.platform.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	if broken := s.await("start", startPatience); len(broken) > 0 {
+		return broken, nil
+	}
+	s.say("all daemons serve")
+	var clients sync.WaitGroup
+	for i := range s.daemons {
+		for range clientsOfDaemon {
+			clients.Go(func() { s.runClient(ctx, i) })
+		}
+	}
+	s.disturb(time.Now().Add(options.Length))
+	s.healAll()
+	broken := s.await("recovery", recoverPatience)
+	stop()
+	clients.Wait()
+	s.say("%s", s.tally.String())
+	return append(broken, s.platform.Violations()...), nil
+}
+
+// say writes a line of what happens, with the time since the start.
+func (s *soak) say(format string, values ...any) {
+	// Nobody is told more by a failure to write it.
+	_, _ = fmt.Fprintf(s.options.Out, "soak %d: %s\n", s.options.Seed, fmt.Sprintf(format, values...))
+}
+
+// prepare starts the stand-in and the proxies, and writes the settings of the
+// daemons.
+func (s *soak) prepare() error {
+	var err error
+	s.platform, err = standin.Start(s.options.Dir, standin.Size{
+		Domains:   2,
+		PerDomain: 8,
+		Plain:     3,
+		Lead:      s.proxyFor,
+	})
+	if err != nil {
+		return err
+	}
+	s.keys.withdraw = map[string]time.Time{}
+	for i := range s.options.Daemons {
+		if err = s.addDaemon(fmt.Sprintf("front-%d", i)); err != nil {
+			return err
+		}
+	}
+	const readable = 0o600
+	listed := ""
+	for _, one := range s.daemons {
+		listed += one.name + "\n"
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(s.options.Dir, "daemons"), []byte(listed), readable), "list daemons")
+}
+
+// proxyFor puts a proxy before a backend server.
+func (s *soak) proxyFor(address string) (string, error) {
+	made, err := proxy.Listen(address)
+	if err != nil {
+		return "", err
+	}
+	s.servers[made.Address()] = made
+	return made.Address(), nil
+}
+
+// addDaemon writes the settings of a daemon, whose store and clients are led
+// through proxies.
+func (s *soak) addDaemon(name string) error {
+	ports, err := freePorts()
+	if err != nil {
+		return err
+	}
+	store, err := proxy.Listen(s.platform.Store.Address())
+	if err != nil {
+		return err
+	}
+	entry, err := proxy.Listen(fmt.Sprintf("127.0.0.1:%d", ports[0]))
+	if err != nil {
+		return err
+	}
+	if _, err = s.platform.WriteSettingsFor(name, store.Address(), ports[0], ports[1], ports[2]); err != nil {
+		return err
+	}
+	s.daemons = append(s.daemons, &daemon{
+		name:    name,
+		clients: ports[0],
+		store:   store,
+		entry:   entry,
+	})
+	return nil
+}
+
+// freePorts returns three ports that are free now; the daemon that gets them
+// keeps them over its restarts.
+func freePorts() ([3]int, error) {
+	var ports [3]int
+	for i := range ports {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return ports, errors.Wrap(err, "find a free port")
+		}
+		defer func() { _ = listener.Close() }()
+		if address, ok := listener.Addr().(*net.TCPAddr); ok {
+			ports[i] = address.Port
+		}
+	}
+	return ports, nil
+}
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -24,6 +24,8 @@
 	stallTime      = 1500 * time.Millisecond
 	lapse          = 700 * time.Millisecond
 	tokensPerEvent = 5
+	// leaveTime is how long a leaving server still serves.
+	leaveTime = 2500 * time.Millisecond
 )
 
 // Names that the stand-in's configuration uses.
@@ -54,6 +56,7 @@
 	runs    map[string]int
 	broken  []string
 	dir     string
+	lead    func(address string) (string, error)
 }
 
 // Size is how large a stand-in is.
@@ -61,6 +64,9 @@
 	Domains   int
 	PerDomain int
 	Plain     int
+	// Lead, if set, returns the address by which others reach a server that
+	// listens at address, such as that of a proxy.
+	Lead func(address string) (string, error)
 }
 
 // Start starts a platform whose settings files are written into dir.
@@ -75,6 +81,7 @@
 		ready:   map[string]bool{},
 		runs:    map[string]int{},
 		dir:     dir,
+		lead:    size.Lead,
 		config:  firstConfig(),
 	}
 	p.writeConfig()
@@ -274,6 +281,16 @@
 	return true
 }
 
+// Violate notes something that a caller saw and that must never happen.
+func (p *Platform) Violate(what string) {
+	p.violate(what)
+}
+
+// StartLike starts an empty server of the service and the domain of another.
+func (p *Platform) StartLike(former *Server) error {
+	return p.startServer(former.service, former.domain)
+}
+
 // violate notes something that must never happen.
 func (p *Platform) violate(what string) {
 	p.mutex.Lock()
@@ -386,8 +403,14 @@
 // WriteSettings writes the settings file of a daemon and returns its path. Ports
 // of 0 let the daemon pick free ones.
 func (p *Platform) WriteSettings(name string, clients, ready, relay int) (string, error) {
+	return p.WriteSettingsFor(name, p.Store.address, clients, ready, relay)
+}
+
+// WriteSettingsFor is WriteSettings for a daemon that reaches the store by another
+// address, such as that of a proxy.
+func (p *Platform) WriteSettingsFor(name, store string, clients, ready, relay int) (string, error) {
 	path := filepath.Join(p.dir, name+".yaml")
-	text := fmt.Sprintf(settingsText, name, zone, clients, ready, relay, relay, p.Store.address)
+	text := fmt.Sprintf(settingsText, name, zone, clients, ready, relay, relay, store)
 	const readable = 0o600
 	return path, errors.Wrapf(os.WriteFile(path, []byte(text), readable), "write settings of %s", name)
 }
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -54,6 +54,12 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen for a server of %s", service)
 	}
+	address := listener.Addr().String()
+	if p.lead != nil {
+		if address, err = p.lead(address); err != nil {
+			return err
+		}
+	}
 	p.mutex.Lock()
 	p.next++
 	id := fmt.Sprintf("i-%04d", p.next)
@@ -63,10 +69,10 @@
 		id:       id,
 		service:  service,
 		domain:   domain,
-		address:  listener.Addr().String(),
+		address:  address,
 		state: wire.Server{
 			Service:  service,
-			Address:  listener.Addr().String(),
+			Address:  address,
 			Zone:     zone,
 			Capacity: slots,
 			State:    wire.StateReady,
@@ -102,6 +108,11 @@
 	return s.id
 }
 
+// Address returns the IP:port by which others reach the server.
+func (s *Server) Address() string {
+	return s.address
+}
+
 // SetMood changes how the server treats requests from now on.
 func (s *Server) SetMood(mood Mood) {
 	s.mutex.Lock()
@@ -117,6 +128,12 @@
 	s.tell()
 }
 
+// Leave has the server say that it leaves, and ends it some time later.
+func (s *Server) Leave() {
+	s.Drain()
+	time.AfterFunc(leaveTime, s.Kill)
+}
+
 // Kill ends the server without a word; its entry goes after the lapse.
 func (s *Server) Kill() {
 	s.mutex.Lock()
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -85,6 +85,11 @@
 	return s, nil
 }
 
+// Address returns the IP:port of the store.
+func (s *Store) Address() string {
+	return s.address
+}
+
 // SetFault changes how the store behaves from now on.
 func (s *Store) SetFault(fault Fault) {
 	s.mutex.Lock()
--- a/labcommand/labcommand.go
+++ b/labcommand/labcommand.go
@@ -22,6 +22,7 @@
 	Plot     PlotCommand     `cmd:"" help:"Draw columns of a measurement as SVG."`
 	Routes   RoutesCommand   `cmd:"" help:"Compare routing policies on the same load, in virtual time."`
 	Load     LoadCommand     `cmd:"" help:"Send callers' load to daemons and check every answer."`
+	Soak     SoakCommand     `cmd:"" help:"Play random faults against daemons that soak/run starts, and check every answer."`
 }
 
 // Streams are where a command writes.
