--- a/command/command_test.go
+++ b/command/command_test.go
@@ -74,6 +74,7 @@
 // referenced are the commands of the reference, in its order.
 var referenced = [][]string{
 	{"serve"},
+	{"entry"},
 	{"check"},
 	{"apply"},
 	{"diff"},
