--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -17,6 +17,13 @@
 	// longestRelayed is the longest wait asked of a relay: one that has died
 	// without a word is noticed soon after.
 	longestRelayed = time.Second
+	// failedFor is how long a failed call to the store makes the next ones rare:
+	// each is priced, also one that is refused, and a daemon follows many tables.
+	failedFor = 3 * time.Second
+	// gapLimited and gapOther are the times between two calls then: for tables
+	// whose age is bounded, and for the others.
+	gapLimited = 400 * time.Millisecond
+	gapOther   = 1500 * time.Millisecond
 	// relayReadTime bounds reading a table from a relay.
 	relayReadTime = 600 * time.Millisecond
 )
@@ -38,6 +45,10 @@
 	mutex  sync.Mutex
 	relays []Relay
 	avoid  map[string]time.Time
+	// failedAt is when the store last failed a call, and directAt when it was last
+	// asked.
+	failedAt time.Time
+	directAt time.Time
 	// direct and relayed count answers by where they came from.
 	direct  int64
 	relayed int64
@@ -88,18 +99,15 @@
 	return usable
 }
 
-// note counts an answer, or avoids a relay that failed.
+// note counts a relay's answer, or avoids one that failed.
 func (c *Chain) note(relay string, err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	switch {
-	case relay == "":
-		c.direct++
-	case err != nil:
+	if err != nil {
 		c.avoid[relay] = time.Now().Add(avoidTime)
-	default:
-		c.relayed++
+		return
 	}
+	c.relayed++
 }
 
 // Read reads a table.
@@ -144,8 +152,40 @@
 			return Result{}, ErrUnknown
 		}
 	}
-	c.note("", nil)
-	return call(ctx, c.store)
+	if !c.mayAsk(table) {
+		return Result{}, errors.Wrap(ErrRefused, "no relay answers and the store failed lately")
+	}
+	result, err := call(ctx, c.store)
+	c.noteDirect(err)
+	return result, err
+}
+
+// mayAsk tells whether the store itself may be asked now, and notes that it is.
+func (c *Chain) mayAsk(table string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	gap := gapOther
+	if _, ok := c.limits[table]; ok {
+		gap = gapLimited
+	}
+	now := time.Now()
+	if now.Sub(c.failedAt) < failedFor && now.Sub(c.directAt) < gap {
+		return false
+	}
+	c.directAt = now
+	c.direct++
+	return true
+}
+
+// noteDirect notes how a call to the store ended.
+func (c *Chain) noteDirect(err error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if err == nil || errors.Is(err, ErrCompacted) {
+		c.failedAt = time.Time{}
+		return
+	}
+	c.failedAt = time.Now()
 }
 
 // checkAge returns errStale for a copy that is too old, or cannot be dated.
--- a/core/rowstore/fake_test.go
+++ b/core/rowstore/fake_test.go
@@ -57,6 +57,13 @@
 	f.changed = make(chan struct{})
 }
 
+// count returns how many calls there were.
+func (f *fakeStore) count() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.calls
+}
+
 // set changes how the store behaves.
 func (f *fakeStore) set(change func(f *fakeStore)) {
 	f.mutex.Lock()
--- a/core/rowstore/rowstore_test.go
+++ b/core/rowstore/rowstore_test.go
@@ -29,6 +29,11 @@
 
 // followEvery is follow with a wait of one call.
 func followEvery(ctx context.Context, source rowstore.Reader, clock *rowstore.Freshness, wait time.Duration) *watched {
+	return followTable(ctx, source, clock, "t", wait)
+}
+
+// followTable is followEvery of a table by its name.
+func followTable(ctx context.Context, source rowstore.Reader, clock *rowstore.Freshness, table string, wait time.Duration) *watched {
 	w := &watched{
 		rows: map[string]string{},
 	}
@@ -44,7 +49,7 @@
 	}
 	w.follower = &rowstore.Follower{
 		Store: source,
-		Table: "t",
+		Table: table,
 		Wait:  wait,
 		Whole: func(rows []rowstore.Row, _ int64, asOf time.Time) {
 			w.wholes++
@@ -269,6 +274,34 @@
 	})
 }
 
+// Each call is priced, also while the store refuses all.
+func TestStoreThatIsDownIsAskedRarely(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		store := newFakeStore()
+		chain, clock := chained(store)
+		var all []*watched
+		for _, table := range []string{"t", "b", "c", "d", "e", "f"} {
+			all = append(all, followTable(ctx, chain, clock, table, time.Second))
+		}
+		pause(time.Second)
+		store.set(func(f *fakeStore) {
+			f.isDown = true
+		})
+		pause(2 * time.Second)
+		before := store.count()
+		pause(10 * time.Second)
+		qt.Assert(t, store.count()-before < 50, qt.IsTrue, qt.Commentf("%d calls", store.count()-before))
+		store.set(func(f *fakeStore) {
+			f.isDown = false
+		})
+		store.put("a", "back")
+		pause(3 * time.Second)
+		for _, w := range all {
+			qt.Assert(t, w.rows["a"], qt.Equals, "back")
+		}
+	})
+}
+
 func TestCopyThatCannotBeDatedIsNotUsed(t *testing.T) {
 	run(t, func(ctx context.Context, t *testing.T) {
 		store := newFakeStore()
