--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -124,3 +124,41 @@
 	b.spent++
 	return true
 }
+
+// Budgets are budgets by name, such as one for each service, with the same
+// figures. It is safe for concurrent use; the zero value has the figures of a
+// zero Budget.
+type Budgets struct {
+	mutex  sync.Mutex
+	named  map[string]*Budget
+	share  float64
+	burst  float64
+	window time.Duration
+}
+
+// SetFigures gives all budgets their figures, those to come as well.
+func (b *Budgets) SetFigures(share, burst float64, window time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.share, b.burst, b.window = share, burst, window
+	for _, one := range b.named {
+		one.SetFigures(share, burst, window)
+	}
+}
+
+// Of returns the budget of a name.
+func (b *Budgets) Of(name string) *Budget {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	one, ok := b.named[name]
+	if ok {
+		return one
+	}
+	one = &Budget{}
+	one.SetFigures(b.share, b.burst, b.window)
+	if b.named == nil {
+		b.named = map[string]*Budget{}
+	}
+	b.named[name] = one
+	return one
+}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -52,6 +52,28 @@
 	})
 }
 
+// Found by a hunt (BUDGET, valdeserna-riego-grown, trouble-2 with seed
+// 436711837917): the requests for one service paid for the retries of another.
+func TestServicesDoNotShareWhatTheyEarn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var budgets retry.Budgets
+		budgets.SetFigures(0.2, 1, 10*time.Second)
+		for range 100 {
+			budgets.Of("board").Earn()
+		}
+		spent := 0
+		for budgets.Of("engines").Spend() {
+			spent++
+		}
+		qt.Assert(t, spent, qt.Equals, 1)
+		budgets.SetFigures(0.2, 5, 10*time.Second)
+		for budgets.Of("engines").Spend() {
+			spent++
+		}
+		qt.Assert(t, spent, qt.Equals, 5)
+	})
+}
+
 func TestNoWindowHoldsMoreThanItsBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var budget retry.Budget
--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -24,6 +24,9 @@
 	// whose age is bounded, and for the others.
 	gapLimited = 400 * time.Millisecond
 	gapOther   = 1500 * time.Millisecond
+	// behind is how many times longer daemons wait that have relays: these ask for
+	// them, and pass the store's return on at once.
+	behind = 3
 	// relayReadTime bounds reading a table from a relay.
 	relayReadTime = 600 * time.Millisecond
 )
@@ -168,6 +171,9 @@
 	if _, ok := c.limits[table]; ok {
 		gap = gapLimited
 	}
+	if len(c.relays) > 0 {
+		gap *= behind
+	}
 	now := time.Now()
 	if now.Sub(c.failedAt) < failedFor && now.Sub(c.directAt) < gap {
 		return false
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -10,7 +10,6 @@
 
 	"headcourse/core/neighbours"
 	"headcourse/core/rowstore"
-	"headcourse/core/settings"
 	"headcourse/io/logline"
 	"headcourse/io/relay"
 )
@@ -24,14 +23,20 @@
 	listWait = 10 * time.Second
 	// listAgain is the time between two tries to list itself.
 	listAgain = time.Second
-	// burstPart is the part of the burst that is divided: daemons that restart
-	// begin with a whole part again.
-	burstPart = 0.6
+	// burstPart is the part of the burst that is divided: when all daemons restart
+	// within a window, each begins with a whole part again.
+	burstPart = 0.45
+	// sharePart is the part of the share of requests that is used: daemons and
+	// servers do not count in the same windows.
+	sharePart = 0.92
 )
 
-// budgetBurst returns one daemon's part of the burst of retries.
-func budgetBurst(known settings.Settings, daemons int) float64 {
-	return max(1, burstPart*known.RetryBurst/float64(daemons))
+// setBudgets gives this daemon its part of the retries, and returns the burst of
+// it.
+func (d *Daemon) setBudgets(daemons int) float64 {
+	burst := max(1, burstPart*d.settings.RetryBurst/float64(daemons))
+	d.budgets.SetFigures(sharePart*d.settings.RetryShare, burst, d.settings.RetryWindow)
+	return burst
 }
 
 // self returns this daemon as it stands in the list.
@@ -120,8 +125,7 @@
 		})
 	}
 	d.chain.SetRelays(relays)
-	burst := budgetBurst(d.settings, max(1, r.list.Len()))
-	d.budget.SetFigures(d.settings.RetryShare, burst, d.settings.RetryWindow)
+	burst := d.setBudgets(max(1, r.list.Len()))
 	d.log.Info("daemons: listed",
 		zap.Int("daemons", r.list.Len()),
 		zap.Bool("is_relay", r.list.IsRelay(d.settings.Name)),
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,7 +63,7 @@
 	workers  *platform.Workers
 	gateway  *gateway.Server
 	ready    *readiness
-	budget   retry.Budget
+	budgets  retry.Budgets
 	// clock dates the store's answers; fresh is how young the configuration is.
 	clock rowstore.Freshness
 	fresh rowstore.Freshness
@@ -119,12 +119,12 @@
 	d.hub.ContactLimit = limits[platform.ConfigTable]
 	d.view.Store(&gateway.View{})
 	d.outage.Store(&fleet.Outage{})
-	d.budget.SetFigures(known.RetryShare, budgetBurst(known, fewestDaemons), known.RetryWindow)
+	d.setBudgets(fewestDaemons)
 	served, err := gateway.Listen(gateway.Options{
 		Address:  known.Clients,
 		Source:   d,
 		Dialect:  platform.Dialect{},
-		Budget:   &d.budget,
+		Budgets:  &d.budgets,
 		Registry: d.registry,
 		Log:      log,
 	})
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -66,7 +66,7 @@
 	registry metrics.Registry
 	backends *backend.Client
 	tracker  balancer.Tracker
-	budget   *retry.Budget
+	budgets  *retry.Budgets
 	http     *fasthttp.Server
 	listener net.Listener
 	gone     tcp.Watcher
@@ -101,7 +101,7 @@
 	Address  string
 	Source   Source
 	Dialect  Dialect
-	Budget   *retry.Budget
+	Budgets  *retry.Budgets
 	Registry metrics.Registry
 	Log      *zap.Logger
 }
@@ -119,7 +119,7 @@
 		log:      options.Log,
 		registry: options.Registry,
 		backends: &backend.Client{},
-		budget:   options.Budget,
+		budgets:  options.Budgets,
 		listener: listener,
 		stop:     stop,
 	}
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -41,7 +41,7 @@
 		return
 	}
 	j.forget = s.gone.Watch(ctx.Conn(), j.clientGone)
-	s.budget.Earn()
+	s.budgets.Of(j.service).Earn()
 	j.serve(ctx)
 }
 
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -163,7 +163,7 @@
 	if !j.hasOtherServer() {
 		return false
 	}
-	if j.arrivals > 0 && !j.server.budget.Spend() {
+	if j.arrivals > 0 && !j.server.budgets.Of(j.service).Spend() {
 		j.server.count(countRefused, request.ReasonNoBudget)
 		return false
 	}
