Give histograms, the quiet logger and op errors one home each

Histograms of exposition.Observe stand in place of two alike in gateway and entry; logline.Quiet in place of three; errors.As in place of asOpError, which needed a linter's exception.

--- a/entry/figures.go
+++ b/entry/figures.go
@@ -66,3 +66,8 @@
 	set("backend_connections.opened", opened)
 	set("backend_connections.reused", reused)
 }
+
+// observe adds a time to a histogram, in milliseconds.
+func (d *Daemon) observe(name string, took time.Duration) {
+	exposition.Observe(d.registry, name, took)
+}
--- a/entry/ready.go
+++ b/entry/ready.go
@@ -6,8 +6,9 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+
+	"headcourse/io/logline"
 )
 
 // readiness answers the balancer.
@@ -35,7 +36,7 @@
 		Handler:               r.answer,
 		ReadTimeout:           readyTimeout,
 		NoDefaultServerHeader: true,
-		Logger:                quiet{},
+		Logger:                logline.Quiet{},
 	}
 	go func() {
 		// Serve ends with an error only when the listener was closed.
@@ -44,12 +45,6 @@
 	return r, nil
 }
 
-// quiet drops what the HTTP library says of broken connections.
-type quiet struct{}
-
-// Printf drops a line.
-func (quiet) Printf(string, ...any) {}
-
 // answer answers one question.
 func (r *readiness) answer(ctx *fasthttp.RequestCtx) {
 	if r.isLeaving.Load() || !r.isReady() {
@@ -67,14 +62,3 @@
 	// The process ends next; nobody is told more by a failure.
 	_ = r.http.Shutdown()
 }
-
-// observe adds a time to a histogram, in milliseconds.
-func (d *Daemon) observe(name string, took time.Duration) {
-	const reservoir, alpha = 1028, 0.015
-	known, ok := d.registry.GetOrRegister(name, func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, alpha))
-	}).(metrics.Histogram)
-	if ok {
-		known.Update(took.Milliseconds())
-	}
-}
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"headcourse/io/http1"
@@ -125,25 +126,15 @@
 // connectError returns the error of a failed connect.
 func connectError(address string, err error) error {
 	var operation *net.OpError
-	refused := false
-	if ok := asOpError(err, &operation); ok {
-		refused = !operation.Timeout()
-	}
+	isRefused := errors.As(err, &operation) && !operation.Timeout()
 	return &http1.Error{
 		Peer:    address,
 		Sent:    false,
-		Refused: refused,
+		Refused: isRefused,
 		Cause:   err,
 	}
 }
 
-// asOpError finds a *net.OpError.
-func asOpError(err error, target **net.OpError) bool {
-	operation, ok := err.(*net.OpError) //nolint:errorlint // Dial returns it bare
-	*target = operation
-	return ok
-}
-
 // limitUnacked bounds how long sent bytes may stay unacknowledged.
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
 	var failed error
--- a/io/exposition/exposition.go
+++ b/io/exposition/exposition.go
@@ -1,5 +1,6 @@
-// Package exposition writes metrics in the text format that Prometheus and its
-// kin read, and serves them over HTTP.
+// Package exposition keeps the histograms of a registry of metrics alike, writes
+// all its metrics in the text format that Prometheus and its kin read, and serves
+// them over HTTP.
 //
 // Names in the registry have the form "family.label": the family becomes the
 // metric's name, what follows the first dot the value of its label "kind".
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"headcourse/core/request"
 	"headcourse/core/retry"
 	"headcourse/io/backend"
+	"headcourse/io/exposition"
 	"headcourse/io/logline"
 	"headcourse/io/tcp"
 )
@@ -134,7 +135,7 @@
 		NoDefaultDate:                true,
 		NoDefaultContentType:         true,
 		DisablePreParseMultipartForm: true,
-		Logger:                       quietLogger{},
+		Logger:                       logline.Quiet{},
 	}
 	server.http.ConnState = server.noteConn
 	go server.gone.Run(ctx)
@@ -147,13 +148,6 @@
 	return server, nil
 }
 
-// quietLogger drops what the HTTP library says of broken connections: each
-// request's own line tells it.
-type quietLogger struct{}
-
-// Printf drops a line.
-func (quietLogger) Printf(string, ...any) {}
-
 // Address returns the IP:port listened on.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
@@ -245,13 +239,7 @@
 
 // observe adds a time to a histogram, in milliseconds.
 func (s *Server) observe(name string, took time.Duration) {
-	const reservoir, alpha = 1028, 0.015
-	histogram := s.registry.GetOrRegister(name, func() metrics.Histogram {
-		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoir, alpha))
-	})
-	if known, ok := histogram.(metrics.Histogram); ok {
-		known.Update(took.Milliseconds())
-	}
+	exposition.Observe(s.registry, name, took)
 }
 
 // Names of histograms, in milliseconds.
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"headcourse/core/rowstore"
+	"headcourse/io/logline"
 )
 
 // connectTime bounds connecting to another daemon: links take milliseconds.
@@ -88,7 +89,7 @@
 		return nil, err
 	}
 	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-	c.conn = jsonrpc2.NewConn(context.Background(), stream, refuse{}, jsonrpc2.SetLogger(quiet{}))
+	c.conn = jsonrpc2.NewConn(context.Background(), stream, refuse{}, jsonrpc2.SetLogger(logline.Quiet{}))
 	return c.conn, nil
 }
 
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"headcourse/core/rowstore"
+	"headcourse/io/logline"
 )
 
 // Names of the calls.
@@ -111,17 +112,11 @@
 			return
 		}
 		stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-		conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), jsonrpc2.SetLogger(quiet{}))
+		conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), jsonrpc2.SetLogger(logline.Quiet{}))
 		s.keep(conn)
 	}
 }
 
-// quiet drops what the library says of broken conversations: who asked tells it.
-type quiet struct{}
-
-// Printf drops a line.
-func (quiet) Printf(string, ...any) {}
-
 // keep keeps a conversation until it ends.
 func (s *Server) keep(conn *jsonrpc2.Conn) {
 	s.mutex.Lock()
