--- a/entry/control.go
+++ b/entry/control.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"headcourse/core/assembly"
+	"headcourse/core/fleet"
 	"headcourse/core/leader"
 	"headcourse/core/rowstore"
 	"headcourse/io/logline"
@@ -21,8 +22,6 @@
 	// leaseWait is how long one call waits for a change of the lease, which its
 	// holder rewrites more often.
 	leaseWait = 2 * time.Second
-	// readTime bounds reading the records.
-	readTime = time.Second
 )
 
 // newElector returns this daemon's part in the choice of the leader.
@@ -60,14 +59,15 @@
 	}
 }
 
-// steward is one term of leading: one goroutine owns the controller; orders,
+// term is one term of leading: one goroutine owns the controller; orders,
 // probes and followers hand it what they learn as functions.
-type steward struct {
+type term struct {
 	daemon     *Daemon
 	lease      *leader.Lease
 	controller assembly.Controller
 	news       chan func()
-	mustLoad   bool
+	// mustLoad tells that the records in the store may be others than known.
+	mustLoad bool
 	// pending are changes that wait for the one being committed.
 	pending      assembly.Plan
 	isCommitting bool
@@ -75,38 +75,38 @@
 
 // lead forms and repairs groups until ctx ends.
 func (d *Daemon) lead(ctx context.Context, lease *leader.Lease) {
-	s := &steward{
+	t := &term{
 		daemon:   d,
 		lease:    lease,
 		news:     make(chan func(), newsQueue),
 		mustLoad: true,
 	}
 	d.told.listen(func(group string, epoch int64) {
-		s.tell(ctx, func() {
-			s.controller.Suspect(group, epoch)
+		t.tell(ctx, func() {
+			t.controller.Suspect(group, epoch)
 		})
 	})
 	defer d.told.listen(nil)
 	ticker := time.NewTicker(stepEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
-		s.step(ctx)
+		t.step(ctx)
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
 		case <-d.changed:
-		case news := <-s.news:
+		case news := <-t.news:
 			news()
 		}
-		s.drain()
+		t.drain()
 	}
 }
 
 // drain takes all news that wait.
-func (s *steward) drain() {
+func (t *term) drain() {
 	for {
 		select {
-		case news := <-s.news:
+		case news := <-t.news:
 			news()
 		default:
 			return
@@ -115,25 +115,42 @@
 }
 
 // tell hands news to the control goroutine.
-func (s *steward) tell(ctx context.Context, news func()) {
+func (t *term) tell(ctx context.Context, news func()) {
 	select {
-	case s.news <- news:
+	case t.news <- news:
 	case <-ctx.Done():
 	}
 }
 
 // step decides once and does what was decided. Nothing is ordered unless the
 // lease holds and the records are known.
-func (s *steward) step(ctx context.Context) {
-	d := s.daemon
-	if !s.lease.Holds() || !d.serversRead.Load() {
+func (t *term) step(ctx context.Context) {
+	if !t.lease.Holds() || !t.daemon.serversRead.Load() {
 		return
 	}
-	if s.mustLoad && (s.isCommitting || !s.load(ctx)) {
+	if t.mustLoad && (t.isCommitting || !t.load(ctx)) {
 		return
 	}
+	plan := t.controller.Step(t.daemon.world())
+	for _, note := range plan.Notes {
+		t.daemon.log.Info("groups: "+note.What, zap.String("group", note.Group), zap.Int64("epoch", note.Epoch), zap.String("model", note.Model), zap.String("reason", note.Reason))
+	}
+	for _, server := range plan.Probes {
+		go t.probe(ctx, server)
+	}
+	for _, order := range plan.Orders {
+		go t.give(ctx, order)
+	}
+	t.pending.Create = append(t.pending.Create, plan.Create...)
+	t.pending.Remove = append(t.pending.Remove, plan.Remove...)
+	t.pending.Cleared = append(t.pending.Cleared, plan.Cleared...)
+	t.commitPending(ctx)
+}
+
+// world returns what the controller decides by.
+func (d *Daemon) world() assembly.World {
 	view := d.view.Load()
-	plan := s.controller.Step(assembly.World{
+	return assembly.World{
 		Config:     view.Config,
 		Fleet:      view.Fleet,
 		IsSteady:   d.outage.Load().IsSteady(),
@@ -141,72 +158,29 @@
 		StallTime:  d.settings.StallTime,
 		LoadWindow: d.settings.LoadWindow,
 		LoadExcess: d.settings.LoadExcess,
-	})
-	for _, note := range plan.Notes {
-		d.log.Info("groups: "+note.What, zap.String("group", note.Group), zap.Int64("epoch", note.Epoch), zap.String("model", note.Model), zap.String("reason", note.Reason))
 	}
-	for _, server := range plan.Probes {
-		go func() {
-			sign := d.workers.Probe(server)
-			s.tell(ctx, func() {
-				s.controller.Probed(server.ID, sign)
-			})
-			if sign != assembly.Alive {
-				d.log.Info("groups: server probed", zap.String("server", server.ID), zap.String("sign", sign.String()))
-			}
-		}()
-	}
-	for _, order := range plan.Orders {
-		go s.give(ctx, order)
-	}
-	s.pending.Create = append(s.pending.Create, plan.Create...)
-	s.pending.Remove = append(s.pending.Remove, plan.Remove...)
-	s.pending.Cleared = append(s.pending.Cleared, plan.Cleared...)
-	s.commitPending(ctx)
 }
 
-// commitPending starts to commit what waits, one change at a time. Orders and
-// probes go on meanwhile: the store may be slow.
-func (s *steward) commitPending(ctx context.Context) {
-	plan := s.pending
-	if s.isCommitting || len(plan.Create)+len(plan.Remove)+len(plan.Cleared) == 0 {
-		return
-	}
-	s.pending = assembly.Plan{}
-	s.isCommitting = true
-	go func() {
-		version, err := s.commit(ctx, plan)
-		s.tell(ctx, func() {
-			s.isCommitting = false
-			s.committed(plan, version, err)
-		})
-	}()
-}
-
-// committed takes what became of a change.
-func (s *steward) committed(plan assembly.Plan, version int64, err error) {
-	if err != nil {
-		s.mustLoad = true
-		s.pending = assembly.Plan{}
-		s.daemon.log.Warn("groups: change not confirmed, records are read again", logline.Err(err))
-		return
-	}
-	s.controller.Created(plan.Create, version)
-	s.controller.Removed(plan.Remove)
-	for _, record := range plan.Create {
-		s.daemon.log.Info("groups: created", zap.String("group", record.Name), zap.Int64("epoch", version), zap.String("model", record.Model), zap.Strings("members", record.Members))
+// probe asks a server for a sign of life.
+func (t *term) probe(ctx context.Context, server fleet.Server) {
+	sign := t.daemon.workers.Probe(server)
+	t.tell(ctx, func() {
+		t.controller.Probed(server.ID, sign)
+	})
+	if sign != assembly.Alive {
+		t.daemon.log.Info("groups: server probed", zap.String("server", server.ID), zap.String("sign", sign.String()))
 	}
 }
 
 // give gives one order.
-func (s *steward) give(ctx context.Context, order assembly.Order) {
-	if !s.lease.Holds() {
+func (t *term) give(ctx context.Context, order assembly.Order) {
+	if !t.lease.Holds() {
 		return
 	}
 	began := time.Now()
-	result, err := s.daemon.workers.Order(order)
-	s.daemon.observe("order_ms", time.Since(began))
-	s.daemon.log.Info("groups: order given",
+	result, err := t.daemon.workers.Order(order)
+	t.daemon.observe("order_ms", time.Since(began))
+	t.daemon.log.Info("groups: order given",
 		zap.String("order", order.Kind.String()),
 		zap.String("server", order.Server.ID),
 		zap.String("group", order.Group),
@@ -215,62 +189,7 @@
 		zap.String("reason", order.Reason),
 		zap.String("result", result.String()),
 		logline.Err(err))
-	s.tell(ctx, func() {
-		s.controller.Ordered(order, result)
+	t.tell(ctx, func() {
+		t.controller.Ordered(order, result)
 	})
 }
-
-// load reads the records of all groups.
-func (s *steward) load(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, readTime)
-	defer cancel()
-	result, err := s.daemon.store.Read(ctx, assembly.Table)
-	if err != nil {
-		s.daemon.noteTrouble(assembly.Table)(err)
-		return false
-	}
-	var records []assembly.Record
-	for _, row := range result.Rows {
-		record, decodeErr := assembly.DecodeRecord(row.Value, row.Version)
-		if decodeErr != nil {
-			s.daemon.log.Error("groups: record not taken", zap.String("group", row.Key), logline.Err(decodeErr))
-			continue
-		}
-		records = append(records, record)
-	}
-	s.controller.Load(records)
-	s.mustLoad = false
-	s.daemon.log.Info("groups: records read", zap.Int("groups", len(records)), zap.Int64("table_version", result.Version))
-	return true
-}
-
-// commit writes and removes records, and returns the version of those written.
-func (s *steward) commit(ctx context.Context, plan assembly.Plan) (int64, error) {
-	var writes, removes []rowstore.Row
-	for _, record := range plan.Create {
-		value, err := record.Encode()
-		if err != nil {
-			return 0, err
-		}
-		writes = append(writes, rowstore.Row{
-			Table: assembly.Table,
-			Key:   record.Name,
-			Value: value,
-		})
-	}
-	for _, name := range plan.Remove {
-		removes = append(removes, rowstore.Row{
-			Table: assembly.Table,
-			Key:   name,
-		})
-	}
-	for _, name := range append(plan.Cleared, plan.Remove...) {
-		removes = append(removes, rowstore.Row{
-			Table: stallTable,
-			Key:   name,
-		})
-	}
-	var version int64
-	err := s.lease.Commit(ctx, writes, removes, &version)
-	return version, err
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,7 +29,6 @@
 	"headcourse/core/settings"
 	"headcourse/io/exposition"
 	"headcourse/io/gateway"
-	"headcourse/io/logline"
 	"headcourse/io/relay"
 	"headcourse/platform"
 )
@@ -58,12 +57,13 @@
 	settings settings.Settings
 	log      *zap.Logger
 	registry metrics.Registry
-	start    string
-	store    rowstore.Store
-	workers  *platform.Workers
-	gateway  *gateway.Server
-	ready    *readiness
-	budget   retry.Budget
+	// start is the id of this start of the daemon.
+	start   string
+	store   rowstore.Store
+	workers *platform.Workers
+	gateway *gateway.Server
+	ready   *readiness
+	budget  retry.Budget
 	// clock dates the store's answers; fresh is how young the configuration is.
 	clock rowstore.Freshness
 	fresh rowstore.Freshness
@@ -72,18 +72,23 @@
 	chain  *rowstore.Chain
 	hub    rowstore.Hub
 	relays *relay.Server
+	// roster is the list of all daemons, by which relays are chosen.
+	roster roster
 	// exposed serves the metrics; nil where they are not served.
 	exposed *exposition.Server
-	roster  roster
 
+	// mutex orders changes of the view; readers take the view without it.
 	mutex sync.Mutex
 	view  atomic.Pointer[gateway.View]
 	// serversRead tells that the servers' table was read once.
 	serversRead atomic.Bool
 	// outage is the last time that the servers' table could not be followed.
-	outage  atomic.Pointer[fleet.Outage]
-	stalls  chan fleet.Server
-	told    toldStalls
+	outage atomic.Pointer[fleet.Outage]
+	// stalls are servers that stand still and wait to be looked into; told those
+	// that the store tells of.
+	stalls chan fleet.Server
+	told   toldStalls
+	// changed tells the leader that the view is another.
 	changed chan struct{}
 
 	stop  context.CancelFunc
@@ -97,6 +102,18 @@
 
 // Start starts a daemon. Settings have been checked.
 func Start(known settings.Settings, log *zap.Logger) (*Daemon, error) {
+	d := newDaemon(known, log)
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.run()
+	d.serveMetrics()
+	log.Info("daemon: started", zap.String("name", known.Name), zap.String("zone", known.Zone), zap.String("start", d.start))
+	return d, nil
+}
+
+// newDaemon returns a daemon that neither listens nor runs yet.
+func newDaemon(known settings.Settings, log *zap.Logger) *Daemon {
 	d := &Daemon{
 		settings: known,
 		log:      log,
@@ -120,45 +137,52 @@
 	d.view.Store(&gateway.View{})
 	d.outage.Store(&fleet.Outage{})
 	d.budget.SetFigures(known.RetryShare, budgetBurst(known, fewestDaemons), known.RetryWindow)
-	served, err := gateway.Listen(gateway.Options{
-		Address:  known.Clients,
+	return d
+}
+
+// listen opens the addresses for clients, the balancer and other daemons.
+func (d *Daemon) listen() error {
+	var err error
+	d.gateway, err = gateway.Listen(gateway.Options{
+		Address:  d.settings.Clients,
 		Source:   d,
 		Dialect:  platform.Dialect{},
 		Budget:   &d.budget,
 		Registry: d.registry,
-		Log:      log,
+		Log:      d.log,
 	})
 	if err != nil {
-		return nil, err
+		return err
 	}
-	d.gateway = served
-	d.ready, err = listenReady(known.Readiness, d.isReady)
+	d.ready, err = listenReady(d.settings.Readiness, d.isReady)
 	if err != nil {
-		return nil, errors.Wrap(err, "start daemon")
-	}
-	d.relays, err = relay.Listen(known.Relay, &d.hub)
-	if err != nil {
-		return nil, errors.Wrap(err, "start daemon")
+		return errors.Wrap(err, "start daemon")
 	}
+	d.relays, err = relay.Listen(d.settings.Relay, &d.hub)
+	return errors.Wrap(err, "start daemon")
+}
+
+// run starts everything that goes on until the daemon stops.
+func (d *Daemon) run() {
 	ctx, stop := context.WithCancel(context.Background())
 	d.stop = stop
-	d.tasks.Go(func() { d.configFollower().Run(ctx) })
-	d.tasks.Go(func() { d.serverFollower().Run(ctx) })
-	d.tasks.Go(func() { d.stallFollower().Run(ctx) })
-	d.tasks.Go(func() { d.tellStalls(ctx) })
-	d.tasks.Go(func() { d.listFollower().Run(ctx) })
-	d.tasks.Go(func() { d.listSelf(ctx) })
 	elector := d.newElector()
-	d.tasks.Go(func() { d.leaseFollower(elector).Run(ctx) })
-	d.tasks.Go(func() { elector.Run(ctx, d.lead) })
-	d.tasks.Go(func() { d.logFigures(ctx) })
-	d.serveMetrics()
-	log.Info("daemon: started", zap.String("name", known.Name), zap.String("zone", known.Zone), zap.String("start", d.start))
-	return d, nil
+	for _, task := range []func(context.Context){
+		d.configFollower().Run,
+		d.serverFollower().Run,
+		d.stallFollower().Run,
+		d.tellStalls,
+		d.listFollower().Run,
+		d.listSelf,
+		d.leaseFollower(elector).Run,
+		func(ctx context.Context) { elector.Run(ctx, d.lead) },
+		d.logFigures,
+	} {
+		d.tasks.Go(func() { task(ctx) })
+	}
 }
 
-// ClientsAddress returns the IP:port for clients, ReadinessAddress that for the
-// balancer.
+// ClientsAddress returns the IP:port for clients.
 func (d *Daemon) ClientsAddress() string {
 	return d.gateway.Address()
 }
@@ -205,46 +229,6 @@
 	}
 }
 
-// noteTrouble notes a failed call of the store.
-func (d *Daemon) noteTrouble(table string) func(error) {
-	return func(err error) {
-		metrics.GetOrRegisterCounter("store_failed."+table, d.registry).Inc(1)
-		d.log.Warn("store: call failed", zap.String("table", table), logline.Err(err))
-	}
-}
-
-// noteRestored notes that the store answers again.
-func (d *Daemon) noteRestored(table string) func(time.Duration) {
-	return func(away time.Duration) {
-		d.log.Info("store: answers again", zap.String("table", table), zap.Int64("away_ms", away.Milliseconds()))
-	}
-}
-
-// noteOutage notes that a table that is always followed cannot be.
-func (d *Daemon) noteOutage(table string) func(error) {
-	return func(err error) {
-		if known := d.outage.Load(); known.Began.IsZero() || !known.Ended.IsZero() {
-			d.outage.Store(&fleet.Outage{
-				Began: time.Now(),
-			})
-		}
-		d.noteTrouble(table)(err)
-	}
-}
-
-// noteReturn notes that such a table can be followed again. It is called before
-// what was read is taken.
-func (d *Daemon) noteReturn(table string) func(time.Duration) {
-	return func(away time.Duration) {
-		now := time.Now()
-		d.outage.Store(&fleet.Outage{
-			Began: now.Add(-away),
-			Ended: now,
-		})
-		d.noteRestored(table)(away)
-	}
-}
-
 // Reload takes new settings that can change while the daemon runs.
 func (d *Daemon) Reload(known settings.Settings) {
 	d.log.Info("daemon: settings read again", zap.String("name", known.Name))
@@ -252,41 +236,3 @@
 		d.log.Warn("daemon: changed addresses hold after the next start")
 	}
 }
-
-// Times of stopping.
-const (
-	// noticeTime is how long a stopping daemon still takes requests: the
-	// balancer asks once a second and believes the second refusal.
-	noticeTime = 2600 * time.Millisecond
-	// stopMargin is kept away from the end of the time to stop.
-	stopMargin = 700 * time.Millisecond
-)
-
-// Stop ends the daemon: it tells the balancer, takes requests until the
-// balancer has noticed, and lets those under way end.
-func (d *Daemon) Stop() error {
-	began := time.Now()
-	d.log.Info("daemon: stopping", zap.Int64("requests_open", d.gateway.Open()))
-	d.ready.leave()
-	d.gateway.Leave()
-	time.Sleep(min(noticeTime, d.settings.StopTime/2))
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(d.settings.StopTime-stopMargin))
-	defer cancel()
-	err := d.gateway.Close(ctx)
-	d.stop()
-	d.tasks.Wait()
-	d.ready.close()
-	d.relays.Close()
-	d.log.Info("daemon: stopped", zap.Int64("took_ms", time.Since(began).Milliseconds()), logline.Err(err))
-	return err
-}
-
-// Kill ends the daemon at once, as a crash would: connections are closed, and
-// nothing is given up.
-func (d *Daemon) Kill() {
-	d.gateway.Kill()
-	d.ready.close()
-	d.relays.Close()
-	d.stop()
-	d.tasks.Wait()
-}
--- /dev/null
+++ b/entry/records.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"headcourse/core/assembly"
+	"headcourse/core/rowstore"
+	"headcourse/io/logline"
+)
+
+// readTime bounds reading the records of all groups.
+const readTime = time.Second
+
+// commitPending starts to commit what waits, one change at a time. Orders and
+// probes go on meanwhile: the store may be slow.
+func (t *term) commitPending(ctx context.Context) {
+	plan := t.pending
+	if t.isCommitting || len(plan.Create)+len(plan.Remove)+len(plan.Cleared) == 0 {
+		return
+	}
+	t.pending = assembly.Plan{}
+	t.isCommitting = true
+	go func() {
+		version, err := t.commit(ctx, plan)
+		t.tell(ctx, func() {
+			t.isCommitting = false
+			t.committed(plan, version, err)
+		})
+	}()
+}
+
+// committed takes what became of a change.
+func (t *term) committed(plan assembly.Plan, version int64, err error) {
+	if err != nil {
+		t.mustLoad = true
+		t.pending = assembly.Plan{}
+		t.daemon.log.Warn("groups: change not confirmed, records are read again", logline.Err(err))
+		return
+	}
+	t.controller.Created(plan.Create, version)
+	t.controller.Removed(plan.Remove)
+	for _, record := range plan.Create {
+		t.daemon.log.Info("groups: created", zap.String("group", record.Name), zap.Int64("epoch", version), zap.String("model", record.Model), zap.Strings("members", record.Members))
+	}
+}
+
+// load reads the records of all groups.
+func (t *term) load(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	result, err := t.daemon.store.Read(ctx, assembly.Table)
+	if err != nil {
+		t.daemon.noteTrouble(assembly.Table)(err)
+		return false
+	}
+	var records []assembly.Record
+	for _, row := range result.Rows {
+		record, decodeErr := assembly.DecodeRecord(row.Value, row.Version)
+		if decodeErr != nil {
+			t.daemon.log.Error("groups: record not taken", zap.String("group", row.Key), logline.Err(decodeErr))
+			continue
+		}
+		records = append(records, record)
+	}
+	t.controller.Load(records)
+	t.mustLoad = false
+	t.daemon.log.Info("groups: records read", zap.Int("groups", len(records)), zap.Int64("table_version", result.Version))
+	return true
+}
+
+// commit writes and removes records, and returns the version of those written.
+func (t *term) commit(ctx context.Context, plan assembly.Plan) (int64, error) {
+	var writes, removes []rowstore.Row
+	for _, record := range plan.Create {
+		value, err := record.Encode()
+		if err != nil {
+			return 0, err
+		}
+		writes = append(writes, rowstore.Row{
+			Table: assembly.Table,
+			Key:   record.Name,
+			Value: value,
+		})
+	}
+	for _, name := range plan.Remove {
+		removes = append(removes, rowstore.Row{
+			Table: assembly.Table,
+			Key:   name,
+		})
+	}
+	for _, name := range append(plan.Cleared, plan.Remove...) {
+		removes = append(removes, rowstore.Row{
+			Table: stallTable,
+			Key:   name,
+		})
+	}
+	var version int64
+	err := t.lease.Commit(ctx, writes, removes, &version)
+	return version, err
+}
