--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -26,8 +26,8 @@
 // it.
 type Fault int
 
-// The faults of the store. Forgetful loses its history; Lossy does writes and
-// does not answer; Silent takes calls and says nothing.
+// The faults of the store: Well has none; Refusing answers 503; Silent takes
+// calls and says nothing; Lossy does writes and does not answer.
 const (
 	Well Fault = iota
 	Refusing
