--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -28,12 +28,12 @@
 	"headcourse/core/request"
 	"headcourse/core/retry"
 	"headcourse/io/backend"
-	"headcourse/io/exposition"
 	"headcourse/io/logline"
 	"headcourse/io/tcp"
 )
 
-// Dialect reads and writes what clients and backend servers speak.
+// Dialect reads and writes what clients and backend servers speak. Name puts a
+// request's id on an answer of the system's own.
 type Dialect interface {
 	ReadRequest(ctx *fasthttp.RequestCtx) (*request.Request, error)
 	WriteHead(r *request.Request, attempt request.Attempt) []byte
@@ -70,11 +70,14 @@
 	budget   *retry.Budget
 	http     *fasthttp.Server
 	listener net.Listener
-	gone     tcp.Watcher
-	stop     context.CancelFunc
-	leaving  atomic.Bool
-	open     atomic.Int64
-	hadAny   atomic.Bool
+	// gone finds out which clients went away.
+	gone    tcp.Watcher
+	stop    context.CancelFunc
+	leaving atomic.Bool
+	// open counts requests under way; hadAny tells that one ever came.
+	open   atomic.Int64
+	hadAny atomic.Bool
+	// thinning bounds the log lines of requests that ended well.
 	thinning thinner
 	// conns holds the open connections of clients.
 	conns sync.Map
@@ -222,29 +225,3 @@
 		}
 	}
 }
-
-// count adds one to a counter.
-func (s *Server) count(prefix string, reason request.Reason) {
-	metrics.GetOrRegisterCounter(prefix+string(reason), s.registry).Inc(1)
-}
-
-// Prefixes of counters; a reason follows.
-const (
-	countRefused   = "requests_refused."
-	countSentAgain = "requests_sent_again."
-	countFailed    = "requests_failed."
-	countResumed   = "streams_resumed."
-	countDone      = "requests_done."
-)
-
-// observe adds a time to a histogram, in milliseconds.
-func (s *Server) observe(name string, took time.Duration) {
-	exposition.Observe(s.registry, name, took)
-}
-
-// Names of histograms, in milliseconds.
-const (
-	timeFirstEvent  = "first_event_ms"
-	timeWholeAnswer = "whole_answer_ms"
-	timePause       = "longest_pause_ms"
-)
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -1,13 +1,11 @@
 package gateway
 
 import (
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"go.uber.org/zap"
 
 	"headcourse/core/balancer"
 	"headcourse/core/config"
@@ -46,15 +44,20 @@
 	excluded map[string]bool
 	sends    int
 	runs     int
-	trail    []string
+	// trail names the servers that were asked, for the log line.
+	trail []string
 	// last is the id of the last event that the client has.
 	last int64
 
+	// exchange is the one under way, or nil; mutex guards it, since the client
+	// may go away at any time.
 	mutex    sync.Mutex
 	exchange *backend.Exchange
 	isGone   atomic.Bool
 	ended    atomic.Bool
 
+	// sentAt is when the request was last sent; the rest measures a stream's
+	// events as the client gets them.
 	sentAt       time.Time
 	lastEventAt  time.Time
 	firstEvent   time.Duration
@@ -62,18 +65,6 @@
 	events       int
 }
 
-// tried is the end of one send.
-type tried struct {
-	server fleet.Server
-	// reason is why the send failed; none when answer is the server's answer.
-	reason request.Reason
-	// mayHaveRun tells that the server may have begun to run the request.
-	mayHaveRun bool
-	answer     request.Answer
-	body       []byte
-	stream     *stream
-}
-
 // clientGone stops the work for a client that has closed its connection.
 func (j *job) clientGone() {
 	j.isGone.Store(true)
@@ -200,72 +191,3 @@
 	done()
 	return fleet.Server{}, nil, false
 }
-
-// note adds a send to the trail that the request's log line shows.
-func (j *job) note(server fleet.Server, reason request.Reason) {
-	step := server.ID
-	if server.Membership.Group != "" {
-		step += "/" + server.Membership.Group
-	}
-	if reason != request.ReasonNone {
-		step += ":" + string(reason)
-	}
-	j.trail = append(j.trail, step)
-}
-
-// end writes the request's log line and forgets the request.
-func (j *job) end(status int, reason request.Reason) {
-	if j.ended.Swap(true) {
-		return
-	}
-	if j.forget != nil {
-		j.forget()
-	}
-	j.server.open.Add(-1)
-	took := time.Since(j.request.Arrived)
-	isGood := reason == request.ReasonNone && status < fasthttp.StatusInternalServerError
-	if isGood {
-		j.server.count(countDone, "whole")
-		j.server.observe(timeWholeAnswer, took)
-		if j.events > 0 {
-			j.server.observe(timeFirstEvent, j.firstEvent)
-			j.server.observe(timePause, j.longestPause)
-		}
-	}
-	mayWrite, leftOut := true, 0
-	if isGood {
-		mayWrite, leftOut = j.server.thinning.pass()
-	}
-	if mayWrite {
-		j.write(status, reason, took, leftOut)
-	}
-}
-
-// write writes the request's log line.
-func (j *job) write(status int, reason request.Reason, took time.Duration, leftOut int) {
-	fields := []zap.Field{
-		zap.String("request_id", j.request.ID),
-		zap.Int("status", status),
-		zap.String("reason", string(reason)),
-		zap.Int64("took_ms", took.Milliseconds()),
-		zap.String("sent_to", strings.Join(j.trail, " ")),
-		zap.Int("runs", j.runs),
-		zap.Int64("view_age_ms", j.server.source.Age().Milliseconds()),
-	}
-	if j.config != nil {
-		fields = append(fields, zap.Int64("config_version", j.config.Version))
-	}
-	if j.route != nil {
-		fields = append(fields, zap.String("route", j.route.Name), zap.String("organisation", j.organisation))
-	}
-	if j.events > 0 {
-		fields = append(fields,
-			zap.Int("events", j.events),
-			zap.Int64("first_event_ms", j.firstEvent.Milliseconds()),
-			zap.Int64("longest_pause_ms", j.longestPause.Milliseconds()))
-	}
-	if leftOut > 0 {
-		fields = append(fields, zap.Int("successes_not_logged", leftOut))
-	}
-	j.server.log.Info("clients: request ended", fields...)
-}
--- /dev/null
+++ b/io/gateway/line.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"headcourse/core/fleet"
+	"headcourse/core/request"
+)
+
+// note adds a send to the trail that the request's log line shows.
+func (j *job) note(server fleet.Server, reason request.Reason) {
+	step := server.ID
+	if server.Membership.Group != "" {
+		step += "/" + server.Membership.Group
+	}
+	if reason != request.ReasonNone {
+		step += ":" + string(reason)
+	}
+	j.trail = append(j.trail, step)
+}
+
+// end writes the request's log line and forgets the request.
+func (j *job) end(status int, reason request.Reason) {
+	if j.ended.Swap(true) {
+		return
+	}
+	if j.forget != nil {
+		j.forget()
+	}
+	j.server.open.Add(-1)
+	took := time.Since(j.request.Arrived)
+	isGood := reason == request.ReasonNone && status < fasthttp.StatusInternalServerError
+	if isGood {
+		j.server.count(countDone, "whole")
+		j.server.observe(timeWholeAnswer, took)
+		if j.events > 0 {
+			j.server.observe(timeFirstEvent, j.firstEvent)
+			j.server.observe(timePause, j.longestPause)
+		}
+	}
+	mayWrite, leftOut := true, 0
+	if isGood {
+		mayWrite, leftOut = j.server.thinning.pass()
+	}
+	if mayWrite {
+		j.write(status, reason, took, leftOut)
+	}
+}
+
+// write writes the request's log line.
+func (j *job) write(status int, reason request.Reason, took time.Duration, leftOut int) {
+	fields := []zap.Field{
+		zap.String("request_id", j.request.ID),
+		zap.Int("status", status),
+		zap.String("reason", string(reason)),
+		zap.Int64("took_ms", took.Milliseconds()),
+		zap.String("sent_to", strings.Join(j.trail, " ")),
+		zap.Int("runs", j.runs),
+		zap.Int64("view_age_ms", j.server.source.Age().Milliseconds()),
+	}
+	if j.config != nil {
+		fields = append(fields, zap.Int64("config_version", j.config.Version))
+	}
+	if j.route != nil {
+		fields = append(fields, zap.String("route", j.route.Name), zap.String("organisation", j.organisation))
+	}
+	if j.events > 0 {
+		fields = append(fields,
+			zap.Int("events", j.events),
+			zap.Int64("first_event_ms", j.firstEvent.Milliseconds()),
+			zap.Int64("longest_pause_ms", j.longestPause.Milliseconds()))
+	}
+	if leftOut > 0 {
+		fields = append(fields, zap.Int("successes_not_logged", leftOut))
+	}
+	j.server.log.Info("clients: request ended", fields...)
+}
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +19,18 @@
 // maxMisplaced bounds how many answers to other requests are read past.
 const maxMisplaced = 3
 
+// tried is the end of one send.
+type tried struct {
+	server fleet.Server
+	// reason is why the send failed; none when answer is the server's answer.
+	reason request.Reason
+	// mayHaveRun tells that the server may have begun to run the request.
+	mayHaveRun bool
+	answer     request.Answer
+	body       []byte
+	stream     *stream
+}
+
 // try sends the request to one server, after the last event that the client
 // has, and reads its answer, or a stream's up to its first event.
 func (j *job) try(last int64) tried {
@@ -89,19 +101,24 @@
 		return j.broken(watch)
 	}
 	mayKeep := !answer.Close && !isMisplaced
-	if answer.NotRun {
+	switch {
+	case answer.NotRun:
 		return j.refusedBy(exchange, answer, mayKeep)
-	}
-	if !isProper(answer, j.request) {
+	case !isProper(answer, j.request):
 		exchange.Abort()
 		return tried{
 			reason:     request.ReasonBadAnswer,
 			mayHaveRun: true,
 		}
-	}
-	if j.isStream(answer) {
+	case j.isStream(answer):
 		return j.begin(server, exchange, answer, mayKeep, watch)
+	default:
+		return j.readWhole(exchange, answer, mayKeep, watch)
 	}
+}
+
+// readWhole reads the body of an answer that is not a stream.
+func (j *job) readWhole(exchange *backend.Exchange, answer request.Answer, mayKeep bool, watch *watchdog) tried {
 	body, err := exchange.ReadAll(answerLimit)
 	if err != nil {
 		exchange.Abort()
@@ -171,7 +188,7 @@
 	}
 	for _, header := range answer.Headers {
 		if header.Name == fasthttp.HeaderContentType {
-			return bytes.HasPrefix([]byte(header.Value), []byte("text/event-stream"))
+			return strings.HasPrefix(header.Value, "text/event-stream")
 		}
 	}
 	return false
@@ -183,7 +200,7 @@
 	switch {
 	case j.isGone.Load():
 		reason = request.ReasonClientGone
-	case watch.hasBitten():
+	case watch.hasFired():
 		reason = request.ReasonStalled
 	case time.Until(j.deadline) < leastLeft:
 		reason = request.ReasonDeadline
--- a/io/gateway/watchdog.go
+++ b/io/gateway/watchdog.go
@@ -28,12 +28,14 @@
 	// mayMove tells that the request may run at another server as well.
 	mayMove bool
 
-	mutex    sync.Mutex
-	timer    *time.Timer
+	mutex sync.Mutex
+	timer *time.Timer
+	// fed is when the server last sent something; isRested tells that it has
+	// been rested since; fired that the exchange was aborted.
 	fed      time.Time
 	isRested bool
 	stopped  bool
-	bitten   atomic.Bool
+	fired    atomic.Bool
 }
 
 // watchFirst watches for the beginning of an answer. The send is not counted
@@ -107,16 +109,16 @@
 	}
 	w.job.server.source.Stalled(w.server)
 	if w.mayMove && w.hasOther() {
-		w.bitten.Store(true)
+		w.fired.Store(true)
 		w.exchange.Abort()
 		return
 	}
 	w.timer.Reset(limits.Move)
 }
 
-// hasBitten tells whether the exchange was aborted for its silence.
-func (w *watchdog) hasBitten() bool {
-	return w.bitten.Load()
+// hasFired tells whether the exchange was aborted for its silence.
+func (w *watchdog) hasFired() bool {
+	return w.fired.Load()
 }
 
 // stop ends the watch.
