Keep conversations and open connections in one place each

io/rpc takes daemons' conversations for io/peer and io/relay; tcp.Conns keeps the connections of both clients' servers. The same lines stood twice; behaviour is unchanged, their tests pass.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -18,7 +18,6 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"headcourse/core/admission"
@@ -57,7 +56,7 @@
 	gone     tcp.Watcher
 	// conns holds the open connections; refused holds, by group, the time of the
 	// evidence that the group itself has disproved.
-	conns   sync.Map
+	conns   tcp.Conns
 	refused sync.Map
 
 	stop context.CancelFunc
@@ -111,7 +110,7 @@
 		DisableHeaderNormalizing: false,
 		ErrorHandler:             server.handleError,
 	})
-	server.app.Server().ConnState = server.noteConn
+	server.app.Server().ConnState = server.conns.Note
 	server.routes()
 	go server.serve()
 	return server, nil
@@ -182,23 +181,7 @@
 	s.closed.Store(true)
 	s.stop()
 	_ = s.listener.Close()
-	s.conns.Range(func(conn, _ any) bool {
-		if open, ok := conn.(net.Conn); ok {
-			_ = open.Close()
-		}
-		return true
-	})
-}
-
-// noteConn keeps track of open connections.
-func (s *Server) noteConn(conn net.Conn, state fasthttp.ConnState) {
-	switch state {
-	case fasthttp.StateNew:
-		s.conns.Store(conn, struct{}{})
-	case fasthttp.StateClosed, fasthttp.StateHijacked:
-		s.conns.Delete(conn)
-	case fasthttp.StateActive, fasthttp.StateIdle:
-	}
+	s.conns.CloseAll()
 }
 
 // handleReady tells the balancer whether to send requests here.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -13,7 +13,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,7 +79,7 @@
 	// thinning bounds the log lines of requests that ended well.
 	thinning thinner
 	// conns holds the open connections of clients.
-	conns sync.Map
+	conns tcp.Conns
 }
 
 // Figures of the HTTP server.
@@ -140,7 +139,7 @@
 		DisablePreParseMultipartForm: true,
 		Logger:                       logline.Quiet{},
 	}
-	server.http.ConnState = server.noteConn
+	server.http.ConnState = server.conns.Note
 	go server.gone.Run(ctx)
 	go server.sweep(ctx)
 	go func() {
@@ -191,23 +190,7 @@
 	s.leaving.Store(true)
 	s.stop()
 	_ = s.listener.Close()
-	s.conns.Range(func(conn, _ any) bool {
-		if open, ok := conn.(net.Conn); ok {
-			_ = open.Close()
-		}
-		return true
-	})
-}
-
-// noteConn keeps track of open connections.
-func (s *Server) noteConn(conn net.Conn, state fasthttp.ConnState) {
-	switch state {
-	case fasthttp.StateNew:
-		s.conns.Store(conn, struct{}{})
-	case fasthttp.StateClosed, fasthttp.StateHijacked:
-		s.conns.Delete(conn)
-	case fasthttp.StateActive, fasthttp.StateIdle:
-	}
+	s.conns.CloseAll()
 }
 
 // sweep closes old connections to servers until ctx ends.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -5,11 +5,11 @@
 	"crypto/subtle"
 	"encoding/json"
 	"net"
-	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"headcourse/io/rpc"
 )
 
 // Answerer answers pulls.
@@ -19,85 +19,38 @@
 
 // Server answers other daemons. Use Listen.
 type Server struct {
-	listener net.Listener
+	*rpc.Listener
 	key      string
 	answerer Answerer
 	traffic  *Traffic
-	mutex    sync.Mutex
-	conns    map[*jsonrpc2.Conn]struct{}
-	isClosed bool
 }
 
 // Listen answers daemons that know the key, at IP:port, where port 0 picks a
 // free one.
 func Listen(address, key string, answerer Answerer, traffic *Traffic) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen for peers on %s", address)
-	}
 	server := &Server{
-		listener: listener,
 		key:      key,
 		answerer: answerer,
 		traffic:  traffic,
-		conns:    map[*jsonrpc2.Conn]struct{}{},
 	}
-	go server.accept()
-	return server, nil
-}
-
-// Address returns the IP:port listened on.
-func (s *Server) Address() string {
-	return s.listener.Addr().String()
-}
-
-// Close ends all conversations.
-func (s *Server) Close() {
-	_ = s.listener.Close()
-	s.mutex.Lock()
-	s.isClosed = true
-	conns := s.conns
-	s.conns = map[*jsonrpc2.Conn]struct{}{}
-	s.mutex.Unlock()
-	for conn := range conns {
-		_ = conn.Close()
-	}
-}
-
-// accept takes conversations until the listener is closed.
-func (s *Server) accept() {
-	for {
-		raw, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		stream := jsonrpc2.NewBufferedStream(&countedConn{
-			Conn:    raw,
-			traffic: s.traffic,
-		}, jsonrpc2.VarintObjectCodec{})
-		talk := &conversation{
-			server: s,
-		}
-		conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(talk.handle), silence())
-		s.keep(conn)
+	listener, err := rpc.Listen(address, server.talk)
+	if err != nil {
+		return nil, err
 	}
+	server.Listener = listener
+	return server, nil
 }
 
-// keep keeps track of a conversation until it ends.
-func (s *Server) keep(conn *jsonrpc2.Conn) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.isClosed {
-		_ = conn.Close()
-		return
+// talk begins a conversation; its requests are answered one by one.
+func (s *Server) talk(raw net.Conn) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(&countedConn{
+		Conn:    raw,
+		traffic: s.traffic,
+	}, jsonrpc2.VarintObjectCodec{})
+	talk := &conversation{
+		server: s,
 	}
-	s.conns[conn] = struct{}{}
-	go func() {
-		<-conn.DisconnectNotify()
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		delete(s.conns, conn)
-	}()
+	return jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(talk.handle), silence())
 }
 
 // conversation is one daemon's connection; its requests come one by one.
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -10,7 +10,6 @@
 	"context"
 	"encoding/json"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,6 +17,7 @@
 
 	"headcourse/core/rowstore"
 	"headcourse/io/logline"
+	"headcourse/io/rpc"
 )
 
 // Names of the calls.
@@ -63,78 +63,29 @@
 
 // Server answers other daemons. Use Listen.
 type Server struct {
-	listener net.Listener
-	reader   rowstore.Reader
-	packer   packer
-	mutex    sync.Mutex
-	conns    map[*jsonrpc2.Conn]struct{}
-	isClosed bool
+	*rpc.Listener
+	reader rowstore.Reader
+	packer packer
 }
 
 // Listen answers from a copy at IP:port, where port 0 picks a free one.
 func Listen(address string, reader rowstore.Reader) (*Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen for daemons on %s", address)
-	}
 	server := &Server{
-		listener: listener,
-		reader:   reader,
-		conns:    map[*jsonrpc2.Conn]struct{}{},
-	}
-	go server.accept()
-	return server, nil
-}
-
-// Address returns the IP:port listened on.
-func (s *Server) Address() string {
-	return s.listener.Addr().String()
-}
-
-// Close ends all conversations.
-func (s *Server) Close() {
-	_ = s.listener.Close()
-	s.mutex.Lock()
-	s.isClosed = true
-	conns := s.conns
-	s.conns = map[*jsonrpc2.Conn]struct{}{}
-	s.mutex.Unlock()
-	for conn := range conns {
-		_ = conn.Close()
+		reader: reader,
 	}
-}
-
-// accept takes conversations until the listener is closed.
-func (s *Server) accept() {
-	for {
-		raw, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
-		conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), jsonrpc2.SetLogger(logline.Quiet{}))
-		s.keep(conn)
+	listener, err := rpc.Listen(address, server.talk)
+	if err != nil {
+		return nil, err
 	}
+	server.Listener = listener
+	return server, nil
 }
 
-// keep keeps a conversation until it ends.
-func (s *Server) keep(conn *jsonrpc2.Conn) {
-	s.mutex.Lock()
-	isClosed := s.isClosed
-	if !isClosed {
-		s.conns[conn] = struct{}{}
-	}
-	s.mutex.Unlock()
-	if isClosed {
-		_ = conn.Close()
-		return
-	}
-	go func() {
-		<-conn.DisconnectNotify()
-		s.mutex.Lock()
-		defer s.mutex.Unlock()
-		delete(s.conns, conn)
-	}()
+// talk begins a conversation; its calls are answered side by side.
+func (s *Server) talk(raw net.Conn) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VarintObjectCodec{})
+	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle))
+	return jsonrpc2.NewConn(context.Background(), stream, handler, jsonrpc2.SetLogger(logline.Quiet{}))
 }
 
 // handle answers one call.
