--- /dev/null
+++ b/core/settings/settings_test.go
@@ -0,0 +1,88 @@
+package settings_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/settings"
+)
+
+// good returns settings that can be used.
+func good() settings.Settings {
+	return settings.Settings{
+		Name:         "front-a",
+		IP:           "10.2.3.4",
+		Clients:      "10.2.3.4:8080",
+		Readiness:    "10.2.3.4:8081",
+		Relay:        "10.2.3.4:9000",
+		Store:        "[fd00::7]:7000",
+		StopTime:     4 * time.Second,
+		ApplyWithin:  2 * time.Second,
+		RevokeWithin: 5 * time.Second,
+		DrainWithin:  2 * time.Second,
+	}
+}
+
+func TestGoodSettingsAreTaken(t *testing.T) {
+	qt.Assert(t, good().Check(), qt.IsNil)
+}
+
+func TestEachSettingThatCannotBeUsedIsNamed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spoil func(s *settings.Settings)
+	}{
+		{
+			name:  "the VM's name",
+			spoil: func(s *settings.Settings) { s.Name = "" },
+		},
+		{
+			name:  "address for clients",
+			spoil: func(s *settings.Settings) { s.Clients = "" },
+		},
+		{
+			name:  "address for readiness",
+			spoil: func(s *settings.Settings) { s.Readiness = "10.2.3.4" },
+		},
+		{
+			name:  "address for other daemons",
+			spoil: func(s *settings.Settings) { s.Relay = "front-a:9000" },
+		},
+		{
+			name:  "address of the store",
+			spoil: func(s *settings.Settings) { s.Store = ":7000" },
+		},
+		{
+			name:  "time to stop",
+			spoil: func(s *settings.Settings) { s.StopTime = 0 },
+		},
+		{
+			name:  "time to apply configurations",
+			spoil: func(s *settings.Settings) { s.ApplyWithin = 0 },
+		},
+		{
+			name:  "time to withdraw keys",
+			spoil: func(s *settings.Settings) { s.RevokeWithin = -time.Second },
+		},
+		{
+			name:  "time to drain",
+			spoil: func(s *settings.Settings) { s.DrainWithin = 0 },
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			spoiled := good()
+			c.spoil(&spoiled)
+			qt.Assert(t, spoiled.Check(), qt.ErrorMatches, "check settings: "+c.name+".*")
+		})
+	}
+}
+
+func TestMetricsAreServedOnAPortOfTheVM(t *testing.T) {
+	known := good()
+	served := known.WithMetricsPort(9100)
+	qt.Assert(t, served.Metrics, qt.Equals, "10.2.3.4:9100")
+	qt.Assert(t, known.Metrics, qt.Equals, "")
+	qt.Assert(t, served.WithMetricsPort(0).Metrics, qt.Equals, "")
+}
