--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -199,15 +199,6 @@
 	}
 }
 
-// Records returns the records of all groups, by name.
-func (c *Controller) Records() []Record {
-	records := make([]Record, 0, len(c.groups))
-	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
-		records = append(records, c.groups[name].record)
-	}
-	return records
-}
-
 // end makes a group end.
 func (g *group) end(reason string, isGentle bool) {
 	g.ending = reason
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -98,7 +98,6 @@
 	ReasonNoKey         Reason = "unknown_key"
 	ReasonBadRequest    Reason = "bad_request"
 	ReasonNoServer      Reason = "no_server"
-	ReasonAllBusy       Reason = "servers_busy"
 	ReasonConnect       Reason = "connect_failed"
 	ReasonRefused       Reason = "server_refused"
 	ReasonOtherServer   Reason = "other_server"
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -46,7 +46,6 @@
 	version int64
 	floor   int64
 	fault   Fault
-	calls   map[string]int
 	changed chan struct{}
 }
 
@@ -67,7 +66,6 @@
 		started: time.Now(),
 		rows:    map[rowKey]wire.Row{},
 		version: 1,
-		calls:   map[string]int{},
 		changed: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
@@ -102,13 +100,6 @@
 	s.wake()
 }
 
-// Calls returns how many calls of each path there were.
-func (s *Store) Calls(path string) int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.calls[path]
-}
-
 // wake wakes all who follow. The mutex is held.
 func (s *Store) wake() {
 	close(s.changed)
@@ -146,21 +137,9 @@
 	s.history = append(s.history, row)
 }
 
-// Value returns a row's value, or nil.
-func (s *Store) Value(table, key string) []byte {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.rows[rowKey{
-		table: table,
-		key:   key,
-	}].Value
-}
-
-// enter counts a call and applies the fault; it returns false when the call is
-// over.
+// enter applies the fault to a call; it returns false when the call is over.
 func (s *Store) enter(w http.ResponseWriter, r *http.Request) bool {
 	s.mutex.Lock()
-	s.calls[r.URL.Path]++
 	fault := s.fault
 	s.mutex.Unlock()
 	switch fault {
