--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -93,6 +93,12 @@
 	withoutMember time.Time
 }
 
+// count is how many servers there are, and since when.
+type count struct {
+	servers int
+	since   time.Time
+}
+
 // asked is the last order given to a member.
 type asked struct {
 	kind Kind
--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -13,14 +13,14 @@
 
 // Figures of planning.
 const (
-	// usedShare is the part of the servers that groups are made of; the others
-	// stay free, with weights on their hosts, to repair groups quickly.
-	usedShare = 0.75
 	// loadSlack is how many loads beyond the weight store's bound may begin in
 	// a window; the platform allows three.
 	loadSlack = 2
 	// loadMargin is added to the window: orders do not all travel alike.
 	loadMargin = 250 * time.Millisecond
+	// settleTime is how long no server must have come for all to count as there
+	// when the system starts: they write their first entries within one heartbeat.
+	settleTime = 350 * time.Millisecond
 )
 
 // form plans new groups and stages weights, for every service of engines.
@@ -40,10 +40,6 @@
 	}
 }
 
-// settleTime is how long no server must have come for all to count as there
-// when the system starts: they write their first entries within one heartbeat.
-const settleTime = 350 * time.Millisecond
-
 // hasSettled tells whether all servers of a new system seem to be there, so
 // that groups can be spread evenly over the domains.
 func (c *Controller) hasSettled(at *layout) bool {
@@ -61,23 +57,6 @@
 	return at.total > 0 && time.Since(known.since) > settleTime
 }
 
-// count is how many servers there are, and since when.
-type count struct {
-	servers int
-	since   time.Time
-}
-
-// layout is the state of one service that planning works on.
-type layout struct {
-	service *config.Service
-	free    map[string][]fleet.Server
-	domains []string
-	// live counts the groups of each model, over all and by domain.
-	live     map[string]int
-	inDomain map[string]map[string]int
-	total    int
-}
-
 // formService plans one service.
 func (c *Controller) formService(service *config.Service, world World, plan *Plan) {
 	at := c.layout(service, world, plan)
@@ -96,88 +75,6 @@
 	c.stageFree(c.layout(service, world, plan), world, plan)
 }
 
-// layout returns the state of a service.
-func (c *Controller) layout(service *config.Service, world World, plan *Plan) *layout {
-	at := &layout{
-		service:  service,
-		free:     map[string][]fleet.Server{},
-		live:     map[string]int{},
-		inDomain: map[string]map[string]int{},
-	}
-	taken := map[string]bool{}
-	domainOf := map[string]string{}
-	for _, server := range world.Fleet.Servers() {
-		domainOf[server.ID] = server.Domain
-	}
-	note := func(record Record, counts bool) {
-		for _, id := range record.Members {
-			taken[id] = true
-		}
-		if record.Service == service.Name && counts {
-			at.add(domainOf[record.Members[0]], record.Model)
-		}
-	}
-	for _, g := range c.groups {
-		note(g.record, g.ending == "")
-	}
-	for _, record := range c.creating {
-		note(record, true)
-	}
-	for _, server := range world.Fleet.Servers() {
-		if server.Service != service.Name || !server.IsEngine || server.Draining {
-			continue
-		}
-		at.total++
-		if !slices.Contains(at.domains, server.Domain) {
-			at.domains = append(at.domains, server.Domain)
-		}
-		if !taken[server.ID] && c.isFree(server, plan) {
-			at.free[server.Domain] = append(at.free[server.Domain], server)
-		}
-	}
-	return at
-}
-
-// add counts a group.
-func (l *layout) add(domain, model string) {
-	l.live[model]++
-	if l.inDomain[domain] == nil {
-		l.inDomain[domain] = map[string]int{}
-	}
-	l.inDomain[domain][model]++
-}
-
-// isFree tells whether a server without a record may join a group: it is in no
-// group that could still serve, and it did not fail to answer lately.
-func (c *Controller) isFree(server fleet.Server, plan *Plan) bool {
-	if known := c.signs[server.ID]; known.last != Alive && known.silences >= silences {
-		if time.Since(known.asked) > probeDeadAgain {
-			c.probe(server, plan)
-		}
-		return false
-	}
-	return server.Membership.State == fleet.NoGroup || c.isClosed(server.Membership)
-}
-
-// target returns how many groups a model should have.
-func (l *layout) target(model config.Model) int {
-	servers := model.Share * usedShare * float64(l.total)
-	return max(1, int(math.Round(servers/float64(model.Size))))
-}
-
-// neediest returns the model that lacks the largest part of its groups.
-func (l *layout) neediest() (config.Model, bool) {
-	var best config.Model
-	bestPart := 1.0
-	for _, model := range l.service.Engine.Models {
-		part := float64(l.live[model.Name]) / float64(l.target(model))
-		if part < bestPart {
-			best, bestPart = model, part
-		}
-	}
-	return best, bestPart < 1
-}
-
 // formGroup plans a group of a model in the domain where it forms soonest, and
 // tells whether it did.
 func (c *Controller) formGroup(at *layout, model config.Model, world World, plan *Plan) bool {
--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -54,12 +54,6 @@
 	return s.pending[s.scanned:]
 }
 
-// Reset forgets the bytes after the last whole event.
-func (s *Splitter) Reset() {
-	s.pending = s.pending[:0]
-	s.scanned = 0
-}
-
 // endOfEvent returns the length of the first whole event, or -1.
 func endOfEvent(b []byte) int {
 	end := bytes.Index(b, blankLine)
