Let nobody's late log line end a stopping daemon

The queue is never closed now; the test panicked first. Also: metrics stop with the daemon and write nothing to standard error; a connection counts as used again only once it is; the window of the bound on retries is checked, and the settings' test names it.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -113,6 +113,10 @@
 			name:  "time to withdraw keys",
 			value: s.RevokeWithin,
 		},
+		{
+			name:  "window of the bound on retries",
+			value: s.RetryWindow,
+		},
 		{
 			name:  "time to drain",
 			value: s.DrainWithin,
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -21,6 +21,7 @@
 		StopTime:     4 * time.Second,
 		ApplyWithin:  2 * time.Second,
 		RevokeWithin: 5 * time.Second,
+		RetryWindow:  10 * time.Second,
 		DrainWithin:  2 * time.Second,
 	}
 }
@@ -66,6 +67,10 @@
 			name:  "time to withdraw keys",
 			spoil: func(s *settings.Settings) { s.RevokeWithin = -time.Second },
 		},
+		{
+			name:  "window of the bound on retries",
+			spoil: func(s *settings.Settings) { s.RetryWindow = 0 },
+		},
 		{
 			name:  "time to drain",
 			spoil: func(s *settings.Settings) { s.DrainWithin = 0 },
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -33,16 +33,25 @@
 	d.tasks.Wait()
 	d.ready.close()
 	d.relays.Close()
+	d.closeMetrics()
 	d.log.Info("daemon: stopped", zap.Int64("took_ms", time.Since(began).Milliseconds()), logline.Err(err))
 	return err
 }
 
+// closeMetrics ends serving metrics, where they are served.
+func (d *Daemon) closeMetrics() {
+	if d.exposed != nil {
+		d.exposed.Close()
+	}
+}
+
 // Kill ends the daemon at once, as a crash would: connections are closed, and
 // nothing is given up.
 func (d *Daemon) Kill() {
 	d.gateway.Kill()
 	d.ready.close()
 	d.relays.Close()
+	d.closeMetrics()
 	d.stop()
 	d.tasks.Wait()
 }
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -97,6 +97,9 @@
 			break
 		}
 		if time.Now().Before(kept.goodUntil) && tcp.Look(kept.Conn) == tcp.Quiet {
+			c.mutex.Lock()
+			c.reused++
+			c.mutex.Unlock()
 			return kept, nil
 		}
 		_ = kept.Close()
@@ -157,7 +160,6 @@
 	}
 	last := kept[len(kept)-1]
 	c.idle[server] = kept[:len(kept)-1]
-	c.reused++
 	return last
 }
 
--- a/io/exposition/exposition.go
+++ b/io/exposition/exposition.go
@@ -20,6 +20,8 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+
+	"headcourse/io/logline"
 )
 
 // prefix stands before every name.
@@ -141,6 +143,7 @@
 			},
 			ReadTimeout:           readTimeout,
 			NoDefaultServerHeader: true,
+			Logger:                logline.Quiet{},
 		},
 	}
 	go func() {
--- a/io/logline/logline.go
+++ b/io/logline/logline.go
@@ -28,6 +28,9 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	told    int64
+	// closing tells run to write what is queued and end; done that it has. lines
+	// is never closed: others may log until the process ends.
+	closing chan struct{}
 	done    chan struct{}
 	once    sync.Once
 }
@@ -35,9 +38,10 @@
 // New returns a writer to out, which it writes to from a goroutine of its own.
 func New(out io.Writer) *Writer {
 	w := &Writer{
-		out:   out,
-		lines: make(chan []byte, queueLines),
-		done:  make(chan struct{}),
+		out:     out,
+		lines:   make(chan []byte, queueLines),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
 	}
 	go w.run()
 	return w
@@ -63,10 +67,11 @@
 	return w.dropped.Load()
 }
 
-// Close writes what is queued, for at most timeout.
+// Close writes what is queued, for at most timeout. Lines that come later are
+// dropped.
 func (w *Writer) Close(timeout time.Duration) {
 	w.once.Do(func() {
-		close(w.lines)
+		close(w.closing)
 	})
 	select {
 	case <-w.done:
@@ -74,21 +79,44 @@
 	}
 }
 
-// run writes lines until the queue is closed.
+// run writes lines until the writer is closed, and then those still queued.
 func (w *Writer) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		if dropped := w.dropped.Load(); dropped > w.told {
-			line = append([]byte(fmt.Sprintf("{\"level\":\"warn\",\"msg\":\"log: lines dropped\",\"dropped\":%d}\n", dropped-w.told)), line...)
-			w.told = dropped
+	for {
+		select {
+		case line := <-w.lines:
+			w.writeOne(line)
+		case <-w.closing:
+			w.writeRest()
+			return
 		}
-		if _, err := w.out.Write(line); err != nil {
-			// There is nowhere to tell it but the counter.
-			w.dropped.Add(1)
+	}
+}
+
+// writeRest writes the lines that are queued now.
+func (w *Writer) writeRest() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.writeOne(line)
+		default:
+			return
 		}
 	}
 }
 
+// writeOne writes one line, after one that tells how many were dropped.
+func (w *Writer) writeOne(line []byte) {
+	if dropped := w.dropped.Load(); dropped > w.told {
+		line = append([]byte(fmt.Sprintf("{\"level\":\"warn\",\"msg\":\"log: lines dropped\",\"dropped\":%d}\n", dropped-w.told)), line...)
+		w.told = dropped
+	}
+	if _, err := w.out.Write(line); err != nil {
+		// There is nowhere to tell it but the counter.
+		w.dropped.Add(1)
+	}
+}
+
 // Logger returns a logger of JSON lines with snake_case fields.
 func Logger(level string, out zapcore.WriteSyncer) (*zap.Logger, error) {
 	parsed, err := zapcore.ParseLevel(level)
--- a/io/logline/logline_test.go
+++ b/io/logline/logline_test.go
@@ -151,3 +151,16 @@
 	_, err := logline.Logger("loud", logline.New(&bytes.Buffer{}))
 	qt.Assert(t, err, qt.ErrorMatches, "read log level: .*loud.*")
 }
+
+// Found by reading: whoever logged while the daemon ended wrote to a closed
+// queue, which ended the process with a panic.
+func TestLogAfterCloseDoesNothing(t *testing.T) {
+	var out bytes.Buffer
+	lines := logline.New(&out)
+	_, err := lines.Write([]byte("first\n"))
+	qt.Assert(t, err, qt.IsNil)
+	lines.Close(time.Minute)
+	_, err = lines.Write([]byte("late\n"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, out.String(), qt.Equals, "first\n")
+}
