--- a/command/serve.go
+++ b/command/serve.go
@@ -6,10 +6,10 @@
 	"syscall"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"headcourse/daemon"
+	"headcourse/io/logline"
 )
 
 // ServeCommand runs a daemon until SIGTERM or SIGINT.
@@ -25,10 +25,10 @@
 			cause: err,
 		}
 	}
-	log, err := newLog(s.LogLevel, zapcore.AddSync(streams.Err))
+	log, err := logline.Logger(s.LogLevel, zapcore.Lock(zapcore.AddSync(streams.Err)))
 	if err != nil {
 		return usageError{
-			cause: err,
+			cause: errors.Wrap(err, "--log-level (HEADCOURSE_LOG_LEVEL)"),
 		}
 	}
 	signals := make(chan os.Signal, 1)
@@ -40,14 +40,3 @@
 	<-signals
 	return node.Stop()
 }
-
-// newLog returns the structured log, as JSON lines.
-func newLog(level string, out zapcore.WriteSyncer) (*zap.Logger, error) {
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, errors.Wrap(err, "--log-level (HEADCOURSE_LOG_LEVEL)")
-	}
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(out), parsed)), nil
-}
