Form groups with thousands of servers: cut transactions, read pages that change

The first plan creates about 400 groups; all went into one transaction, which the store refuses above 100 entries, so it was made again and again and no group formed. Read of a table also waited for pages of one version, which thousands of changing entries never give.

Change: changes of records are cut to what a transaction holds. A table is read page by page as of the first page's version; the feed tells what came after it. A view works out once who serves what, not for each request; planning keeps the choice of each domain until its free servers change.

--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -81,13 +81,13 @@
 	var best []fleet.Server
 	bestLoads, bestGroups := math.MaxInt, math.MaxInt
 	for _, domain := range at.domains {
-		members, loads := soonest(at.free[domain], model)
-		if members == nil {
+		found := at.soonest(domain, model)
+		if found.members == nil {
 			continue
 		}
 		groups := at.inDomain[domain][model.Name]
-		if loads < bestLoads || (loads == bestLoads && groups < bestGroups) {
-			best, bestLoads, bestGroups = members, loads, groups
+		if found.loads < bestLoads || (found.loads == bestLoads && groups < bestGroups) {
+			best, bestLoads, bestGroups = found.members, found.loads, groups
 		}
 	}
 	if best == nil || (bestLoads > 0 && !world.IsStart) || !c.mayLoad(bestLoads, at.service.Engine, world) {
@@ -104,9 +104,7 @@
 		delete(c.staged, member.ID)
 	}
 	domain := best[0].Domain
-	at.free[domain] = slices.DeleteFunc(at.free[domain], func(server fleet.Server) bool {
-		return slices.Contains(record.Members, server.ID)
-	})
+	at.take(domain, record.Members)
 	at.add(domain, model.Name)
 	c.creating[record.Name] = record
 	plan.Create = append(plan.Create, record)
--- a/core/assembly/layout.go
+++ b/core/assembly/layout.go
@@ -22,6 +22,21 @@
 	live     map[string]int
 	inDomain map[string]map[string]int
 	total    int
+	// choices are the servers that would form the next group, by domain and model;
+	// a domain's are forgotten when its free servers change.
+	choices map[choiceKey]choice
+}
+
+// choiceKey names a domain and a model.
+type choiceKey struct {
+	domain string
+	model  string
+}
+
+// choice is what soonest returned.
+type choice struct {
+	members []fleet.Server
+	loads   int
 }
 
 // layout returns the state of a service.
@@ -31,18 +46,17 @@
 		free:     map[string][]fleet.Server{},
 		live:     map[string]int{},
 		inDomain: map[string]map[string]int{},
+		choices:  map[choiceKey]choice{},
 	}
 	taken := map[string]bool{}
-	domainOf := map[string]string{}
-	for _, server := range world.Fleet.Servers() {
-		domainOf[server.ID] = server.Domain
-	}
+	isListed := map[string]bool{}
 	note := func(record Record, counts bool) {
 		for _, id := range record.Members {
 			taken[id] = true
 		}
 		if record.Service == service.Name && counts {
-			at.add(domainOf[record.Members[0]], record.Model)
+			head, _ := world.Fleet.Server(record.Members[0])
+			at.add(head.Domain, record.Model)
 		}
 	}
 	for _, g := range c.groups {
@@ -56,7 +70,8 @@
 			continue
 		}
 		at.total++
-		if !slices.Contains(at.domains, server.Domain) {
+		if !isListed[server.Domain] {
+			isListed[server.Domain] = true
 			at.domains = append(at.domains, server.Domain)
 		}
 		if !taken[server.ID] && c.isFree(server, plan) {
@@ -66,6 +81,33 @@
 	return at
 }
 
+// soonest returns the servers of a domain that form a group of a model soonest.
+func (l *layout) soonest(domain string, model config.Model) choice {
+	key := choiceKey{
+		domain: domain,
+		model:  model.Name,
+	}
+	known, ok := l.choices[key]
+	if !ok {
+		known.members, known.loads = soonest(l.free[domain], model)
+		l.choices[key] = known
+	}
+	return known
+}
+
+// take makes servers of a domain members of a group.
+func (l *layout) take(domain string, members []string) {
+	l.free[domain] = slices.DeleteFunc(l.free[domain], func(server fleet.Server) bool {
+		return slices.Contains(members, server.ID)
+	})
+	for _, model := range l.service.Engine.Models {
+		delete(l.choices, choiceKey{
+			domain: domain,
+			model:  model.Name,
+		})
+	}
+}
+
 // add counts a group.
 func (l *layout) add(domain, model string) {
 	l.live[model]++
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -80,6 +80,9 @@
 	// lost holds servers whose entry is gone, with the time until which they
 	// may still be sent requests.
 	lost map[string]lostServer
+	// index answers questions that are asked for every request; nil in the zero
+	// View.
+	index *index
 }
 
 // lostServer is a server whose entry is gone. It may be sent requests until
@@ -108,6 +111,7 @@
 		Version: version,
 		servers: maps.Clone(v.servers),
 		lost:    maps.Clone(v.lost),
+		index:   &index{},
 	}
 	if next.servers == nil {
 		next.servers = map[string]Server{}
@@ -173,44 +177,35 @@
 	return server, ok
 }
 
-// Servers returns all servers with an entry, ordered by ID.
+// Servers returns all servers with an entry, ordered by ID. The caller must not
+// change what it is given.
 func (v View) Servers() []Server {
-	all := make([]Server, 0, len(v.servers))
-	for _, id := range slices.Sorted(maps.Keys(v.servers)) {
-		all = append(all, v.servers[id])
-	}
-	return all
+	return v.indexed().sorted
 }
 
-// Serving returns the servers of a service that take requests now. For a model
-// engine these are the heads of open groups of the model none of whose members
-// is leaving; for other services all servers that are not leaving.
+// Serving returns the servers of a service that take requests now, ordered by
+// ID. For a model engine these are the heads of open groups of the model none of
+// whose members is leaving; for other services all servers that are not leaving.
+// The caller must not change what it is given.
 func (v View) Serving(service, model string) []Server {
-	leaving := map[string]bool{}
-	for _, server := range v.servers {
-		if server.Draining && server.Membership.State != NoGroup {
-			leaving[server.Membership.Group] = true
-		}
+	known := v.indexed()
+	serving := known.serving(service, model)
+	if len(v.lost) == 0 {
+		return serving
 	}
 	now := time.Now()
-	var serving []Server
-	for _, server := range v.servers {
-		if server.serves(service, model, leaving) {
-			serving = append(serving, server)
-		}
-	}
+	var lost []Server
 	for _, one := range v.lost {
-		if now.Before(one.until) && !one.server.Draining && one.server.serves(service, model, leaving) {
-			serving = append(serving, one.server)
+		if now.Before(one.until) && one.server.serves(service, model, known.leaving) {
+			lost = append(lost, one.server)
 		}
 	}
-	slices.SortFunc(serving, func(a, b Server) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return serving
+	if len(lost) == 0 {
+		return serving
+	}
+	lost = append(lost, serving...)
+	slices.SortFunc(lost, byID)
+	return lost
 }
 
 // serves tells whether the server takes requests of a service and model.
@@ -246,7 +241,7 @@
 // Members returns the servers that say they are in a group.
 func (v View) Members(m Membership) []Server {
 	var members []Server
-	for _, server := range v.servers {
+	for _, server := range v.Servers() {
 		if server.Membership.In(m.Group, m.Epoch) {
 			members = append(members, server)
 		}
--- a/core/rowstore/rowstore.go
+++ b/core/rowstore/rowstore.go
@@ -74,7 +74,8 @@
 
 // Reader reads tables and follows their changes: the store itself, or a copy.
 type Reader interface {
-	// Read returns all rows of a table as of one moment.
+	// Read returns all rows of a table. All changes up to the result's version are
+	// in them; some rows may be newer.
 	Read(ctx context.Context, table string) (Result, error)
 	// Feed returns the rows that changed since a version, as soon as there is
 	// one, or nothing after wait. It fails with ErrCompacted.
--- a/entry/records.go
+++ b/entry/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,19 +10,24 @@
 	"headcourse/core/assembly"
 	"headcourse/core/rowstore"
 	"headcourse/io/logline"
+	"headcourse/platform"
 )
 
 // readTime bounds reading the records of all groups.
 const readTime = time.Second
 
-// commitPending starts to commit what waits, one change at a time. Orders and
-// probes go on meanwhile: the store may be slow.
+// commitRows is how many rows one change may write or remove beside the lease,
+// which takes two entries: its condition and its rewrite.
+const commitRows = platform.MaxEntries - 2
+
+// commitPending starts to commit what waits, one change at a time and no more than
+// a transaction holds. Orders and probes go on meanwhile: the store may be slow.
 func (t *term) commitPending(ctx context.Context) {
-	plan := t.pending
-	if t.isCommitting || len(plan.Create)+len(plan.Remove)+len(plan.Cleared) == 0 {
+	if t.isCommitting || !t.pending.HasChanges() {
 		return
 	}
-	t.pending = assembly.Plan{}
+	plan, rest := t.pending.Cut(commitRows)
+	t.pending = rest
 	t.isCommitting = true
 	go func() {
 		version, err := t.commit(ctx, plan)
@@ -91,7 +97,7 @@
 			Key:   name,
 		})
 	}
-	for _, name := range append(plan.Cleared, plan.Remove...) {
+	for _, name := range slices.Concat(plan.Cleared, plan.Remove) {
 		removes = append(removes, rowstore.Row{
 			Table: stallTable,
 			Key:   name,
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -194,11 +194,30 @@
 		}
 		return 1
 	})
-	result := s.result(rows)
+	result := s.result(page(rows, r.URL.Query().Get("Source")))
+	result.HasMore = len(result.Rows) > 0 && result.Rows[len(result.Rows)-1].Key != rows[len(rows)-1].Key
 	s.mutex.Unlock()
 	answer(w, http.StatusOK, result)
 }
 
+// pageRows is how many rows one answer holds, and maxEntries how many conditions,
+// writes and removes a transaction may have, as the platform's pages say.
+const (
+	pageRows   = 500
+	maxEntries = 100
+)
+
+// page returns the rows of one answer: from a key on, as many as it may hold.
+func page(rows []wire.Row, from string) []wire.Row {
+	start := slices.IndexFunc(rows, func(row wire.Row) bool {
+		return row.Key >= from
+	})
+	if start < 0 {
+		return nil
+	}
+	return rows[start:min(len(rows), start+pageRows)]
+}
+
 // handleFeed returns changes.
 func (s *Store) handleFeed(w http.ResponseWriter, r *http.Request) {
 	if !s.enter(w, r) {
@@ -269,6 +288,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if len(transaction.Conditions)+len(transaction.Writes)+len(transaction.Removes) > maxEntries {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	s.mutex.Lock()
 	status, result := s.commit(transaction)
 	fault := s.fault
