Let requests that are late already yield to those that can be in time

Change: a client tells how long it will still wait, and clients of a route begin with the same patience; so a daemon knows how long a client has been asking. One whose goal is past goes one level behind those of its own priority.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"headcourse/core/fleet"
 	"headcourse/core/request"
 	"headcourse/core/retry"
+	"headcourse/core/urgency"
 	"headcourse/io/backend"
 	"headcourse/io/logline"
 	"headcourse/io/tcp"
@@ -66,6 +67,7 @@
 	registry metrics.Registry
 	backends *backend.Client
 	tracker  balancer.Tracker
+	patience urgency.Patience
 	budgets  *retry.Budgets
 	http     *fasthttp.Server
 	listener net.Listener
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -97,6 +97,7 @@
 	if j.route.Timeout > 0 {
 		wait = min(wait, j.route.Timeout)
 	}
+	j.asked = j.request.Arrived.Add(-j.server.patience.Waited(j.route.Name, wait))
 	j.deadline = j.request.Arrived.Add(wait)
 	return 0, request.ReasonNone
 }
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -11,6 +11,7 @@
 	"headcourse/core/config"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
+	"headcourse/core/urgency"
 	"headcourse/io/backend"
 )
 
@@ -36,8 +37,11 @@
 	organisation string
 	service      string
 	priority     int
-	deadline     time.Time
-	forget       func()
+	// asked is when the client asked first, before this attempt if it tried
+	// before.
+	asked    time.Time
+	deadline time.Time
+	forget   func()
 
 	// excluded are servers that were asked; sends counts them, runs those that
 	// may have run the request.
@@ -171,6 +175,20 @@
 	return false
 }
 
+// level returns how urgent the request is at a server, or noPriority where the
+// operator gave none.
+func (j *job) level() int {
+	if j.priority < 0 {
+		return noPriority
+	}
+	isLate := j.route.Goal > 0 && time.Since(j.asked) > j.route.Goal
+	if j.events > 0 {
+		// It goes on after a break; the pause decides.
+		isLate = j.route.PauseGoal > 0 && time.Since(j.lastEventAt) > j.route.PauseGoal
+	}
+	return urgency.Level(j.priority, isLate)
+}
+
 // pick chooses the server for the next send.
 func (j *job) pick() (fleet.Server, func(), bool) {
 	serving := j.server.source.View().Fleet.Serving(j.service, j.request.Model)
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -58,7 +58,7 @@
 		Server:       server.ID,
 		Organisation: j.organisation,
 		Left:         left,
-		Priority:     j.priority,
+		Priority:     j.level(),
 		LastEvent:    last,
 	})
 	result := j.exchangeWith(server, head)
