Avoid groups with a slow member at all daemons, and replace the member

Change: a daemon that looks into a silent group reads the members' pace as well and tells the store of a slow one; all daemons avoid groups that are told of, and the leader gently ends such a group where its domain has a spare with the weights. A slow server is no spare until it works as usual. Without a spare the group goes on and is cleared when it is well.

--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -129,6 +129,23 @@
 	return [...]string{"silent", "alive", "refused"}[s]
 }
 
+// Found is what a probe of a server found out.
+type Found struct {
+	Sign Sign
+	// Pace is how many times longer than usual the server's work takes; 0: not
+	// told.
+	Pace float64
+}
+
+// slowPace is the pace from which a server counts as slow: a stream's first event
+// then takes longer than its goal, and its pauses nearly so.
+const slowPace = 2
+
+// IsSlow tells whether the server answered and works much slower than usual.
+func (f Found) IsSlow() bool {
+	return f.Sign == Alive && f.Pace >= slowPace
+}
+
 // World is what the controller decides by.
 type World struct {
 	Config *config.Config
--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -17,6 +17,9 @@
 	probeAgain = 120 * time.Millisecond
 	// probeDeadAgain is the same for a free server that did not answer.
 	probeDeadAgain = time.Second
+	// probeSlowAgain is the time between two probes of a server that is slow, in a
+	// group or free.
+	probeSlowAgain = time.Second
 	// probeValid is how long a sign of life counts.
 	probeValid = time.Second
 	// silences is how many probes in a row must be silent for a server to count
@@ -67,6 +70,7 @@
 // sign is the last signs of life of a server.
 type sign struct {
 	last     Sign
+	isSlow   bool
 	at       time.Time
 	silences int
 	asked    time.Time
@@ -83,8 +87,10 @@
 	isGentle    bool
 	endingSince time.Time
 	isSuspected bool
-	wasOpen     bool
-	isRemoving  bool
+	// slow is a member that makes the group slow, as far as known.
+	slow       string
+	wasOpen    bool
+	isRemoving bool
 	// isHeadOut tells that the group ended because its head is known to be out.
 	isHeadOut bool
 	// hasHeadLeft tells that the head itself took the order to leave;
@@ -166,18 +172,19 @@
 	}
 }
 
-// Probed notes the sign of life of a server.
-func (c *Controller) Probed(id string, found Sign) {
+// Probed notes what a probe of a server found.
+func (c *Controller) Probed(id string, found Found) {
 	if c.signs == nil {
 		c.signs = map[string]sign{}
 	}
 	former := c.signs[id]
 	next := sign{
-		last:  found,
-		at:    time.Now(),
-		asked: former.asked,
+		last:   found.Sign,
+		isSlow: found.IsSlow(),
+		at:     time.Now(),
+		asked:  former.asked,
 	}
-	if found != Alive {
+	if found.Sign != Alive {
 		next.silences = former.silences + 1
 	}
 	c.signs[id] = next
--- a/core/assembly/layout.go
+++ b/core/assembly/layout.go
@@ -48,12 +48,9 @@
 		inDomain: map[string]map[string]int{},
 		choices:  map[choiceKey]choice{},
 	}
-	taken := map[string]bool{}
+	taken := c.taken()
 	isListed := map[string]bool{}
 	note := func(record Record, counts bool) {
-		for _, id := range record.Members {
-			taken[id] = true
-		}
 		if record.Service == service.Name && counts {
 			head, _ := world.Fleet.Server(record.Members[0])
 			at.add(head.Domain, record.Model)
@@ -118,7 +115,8 @@
 }
 
 // isFree tells whether a server without a record may join a group: it is in no
-// group that could still serve, and it did not fail to answer lately.
+// group that could still serve, it did not fail to answer lately, and it is not
+// slow.
 func (c *Controller) isFree(server fleet.Server, plan *Plan) bool {
 	if known := c.signs[server.ID]; known.last != Alive && known.silences >= silences {
 		if time.Since(known.asked) > probeDeadAgain {
@@ -126,6 +124,12 @@
 		}
 		return false
 	}
+	if c.signs[server.ID].isSlow {
+		if time.Since(c.signs[server.ID].asked) > probeSlowAgain {
+			c.probe(server, plan)
+		}
+		return false
+	}
 	return server.Membership.State == fleet.NoGroup || c.isClosed(server.Membership)
 }
 
--- a/core/assembly/sim_test.go
+++ b/core/assembly/sim_test.go
@@ -27,6 +27,7 @@
 	id       string
 	domain   string
 	isDead   bool
+	pace     float64
 	goneAt   time.Time
 	isCut    bool
 	cutAt    time.Time
@@ -59,6 +60,8 @@
 	violated []string
 	view     fleet.View
 	orders   map[string]int
+	// cleared counts how often the suspicion of a group was dropped.
+	cleared map[string]int
 }
 
 // lateOrder is an order that is carried out later.
@@ -74,6 +77,7 @@
 		records: map[string]assembly.Record{},
 		epoch:   10,
 		orders:  map[string]int{},
+		cleared: map[string]int{},
 	}
 	for d := range domains {
 		for range servers {
@@ -319,12 +323,17 @@
 }
 
 // probe returns a server's sign of life.
-func (s *simFleet) probe(id string) assembly.Sign {
+func (s *simFleet) probe(id string) assembly.Found {
 	one := s.servers[id]
 	if one == nil || one.isDead {
-		return assembly.Silent
+		return assembly.Found{
+			Sign: assembly.Silent,
+		}
+	}
+	return assembly.Found{
+		Sign: assembly.Alive,
+		Pace: one.pace,
 	}
-	return assembly.Alive
 }
 
 // stored returns the records, as a new leader reads them.
@@ -359,6 +368,9 @@
 	for _, server := range plan.Probes {
 		c.Probed(server.ID, s.probe(server.ID))
 	}
+	for _, group := range plan.Cleared {
+		s.cleared[group]++
+	}
 	for _, order := range plan.Orders {
 		s.orders[order.Kind.String()]++
 		c.Ordered(order, s.give(order, fateOf(order)))
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -36,6 +36,8 @@
 type Candidate struct {
 	ID       string
 	Capacity int
+	// IsTroubled tells that other daemons found it standing still or slow.
+	IsTroubled bool
 }
 
 // Tracker knows what this daemon has under way at each server. It is safe for
@@ -131,6 +133,9 @@
 		spread = 0.5
 		// restScore puts resting servers after any that is not.
 		restScore = 1e9
+		// troubledScore puts servers in trouble after those that are well, and
+		// before those that this daemon itself found silent.
+		troubledScore = 1e8
 		// fullScore puts servers that are full by this daemon's requests alone
 		// after those that are not.
 		fullScore = 1e6
@@ -142,6 +147,9 @@
 	if candidate.Capacity > 0 && s.inFlight >= candidate.Capacity {
 		score += fullScore
 	}
+	if candidate.IsTroubled {
+		score += troubledScore
+	}
 	if now.Before(s.restTill) {
 		score += restScore * (1 + s.restTill.Sub(now).Seconds())
 	}
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -57,6 +57,20 @@
 	qt.Assert(t, count["b"] < count["a"]/2, qt.IsTrue, qt.Commentf("%v", count))
 }
 
+func TestServerInTroubleIsUsedOnlyWhenNoOtherIsLeft(t *testing.T) {
+	var tracker balancer.Tracker
+	both := candidates()
+	both[0].IsTroubled = true
+	for range 20 {
+		chosen, _, ok := tracker.Pick(both, nil, 100)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, chosen.ID, qt.Equals, "b")
+	}
+	chosen, _, ok := tracker.Pick(both, map[string]bool{"b": true}, 100)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, chosen.ID, qt.Equals, "a")
+}
+
 func TestSilentServerRestsUntilItIsHeard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var tracker balancer.Tracker
--- a/entry/control.go
+++ b/entry/control.go
@@ -163,12 +163,12 @@
 
 // probe asks a server for a sign of life.
 func (t *term) probe(ctx context.Context, server fleet.Server) {
-	sign := t.daemon.workers.Probe(server)
+	found := t.daemon.workers.Probe(server)
 	t.tell(ctx, func() {
-		t.controller.Probed(server.ID, sign)
+		t.controller.Probed(server.ID, found)
 	})
-	if sign != assembly.Alive {
-		t.daemon.log.Info("groups: server probed", zap.String("server", server.ID), zap.String("sign", sign.String()))
+	if found.Sign != assembly.Alive || found.IsSlow() {
+		t.daemon.log.Info("groups: server probed", zap.String("server", server.ID), zap.String("sign", found.Sign.String()), zap.Float64("pace", found.Pace))
 	}
 }
 
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -94,6 +93,12 @@
 	}
 }
 
+// IsTroubled tells whether requests are known, by any daemon's word, to stand still
+// or to be slow at a server's group.
+func (d *Daemon) IsTroubled(server fleet.Server) bool {
+	return server.Membership.State != fleet.NoGroup && d.told.has(server.Membership)
+}
+
 // has tells whether a group's stall has been told.
 func (t *toldStalls) has(m fleet.Membership) bool {
 	t.mutex.Lock()
@@ -150,48 +155,66 @@
 	}
 }
 
-// lookInto asks the members of a server's group for a sign of life, and tells
-// the store if one of them does not answer twice.
+// lookInto asks the members of a server's group for a sign of life and their pace,
+// and tells the store if one of them does not answer twice, or is slow.
 func (d *Daemon) lookInto(ctx context.Context, head fleet.Server) {
-	signs := make(chan string)
+	symptoms := make(chan symptom)
 	members := d.view.Load().Fleet.Members(head.Membership)
 	for _, member := range members {
 		go func() {
-			if d.answers(member) {
-				signs <- ""
-				return
-			}
-			signs <- member.ID
+			symptoms <- d.examine(member)
 		}()
 	}
-	silent := ""
+	worst := symptom{}
 	for range members {
-		silent = cmp.Or(<-signs, silent)
+		worst = worst.orWorse(<-symptoms)
 	}
-	if silent == "" {
+	if worst.server == "" {
 		return
 	}
 	// Daemons notice together; the first one's word saves the others theirs.
 	time.Sleep(rand.N(tellSpread))
 	if !d.told.has(head.Membership) {
-		d.tellStall(ctx, head, silent)
+		d.tellStall(ctx, head, worst)
+	}
+}
+
+// symptom is what is wrong with a member of a group; the zero value: nothing.
+type symptom struct {
+	server string
+	found  assembly.Found
+}
+
+// orWorse returns the worse of two symptoms: silence before slowness.
+func (s symptom) orWorse(other symptom) symptom {
+	if s.server == "" || (other.server != "" && other.found.Sign != assembly.Alive) {
+		return other
 	}
+	return s
 }
 
-// answers tells whether a server answers one of two probes: a packet may get
-// lost.
-func (d *Daemon) answers(server fleet.Server) bool {
+// examine returns what is wrong with a server, as far as two probes tell: a packet
+// may get lost.
+func (d *Daemon) examine(server fleet.Server) symptom {
 	const tries = 2
+	var found assembly.Found
 	for range tries {
-		if d.workers.Probe(server) == assembly.Alive {
-			return true
+		found = d.workers.Probe(server)
+		if found.Sign == assembly.Alive && !found.IsSlow() {
+			return symptom{}
 		}
+		if found.IsSlow() {
+			break
+		}
+	}
+	return symptom{
+		server: server.ID,
+		found:  found,
 	}
-	return false
 }
 
 // tellStall writes one stall.
-func (d *Daemon) tellStall(ctx context.Context, server fleet.Server, silent string) {
+func (d *Daemon) tellStall(ctx context.Context, server fleet.Server, why symptom) {
 	m := server.Membership
 	encoded, err := json.Marshal(stall{
 		Epoch: m.Epoch,
@@ -222,5 +245,5 @@
 	if errors.As(err, &conflict) {
 		return
 	}
-	d.log.Info("groups: requests stand still", zap.String("group", m.Group), zap.Int64("epoch", m.Epoch), zap.String("head", server.ID), zap.String("silent_member", silent), logline.Err(err))
+	d.log.Info("groups: requests stand still or are slow", zap.String("group", m.Group), zap.Int64("epoch", m.Epoch), zap.String("head", server.ID), zap.String("member", why.server), zap.String("sign", why.found.Sign.String()), zap.Float64("pace", why.found.Pace), logline.Err(err))
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -55,6 +55,8 @@
 	// whether keys may still be accepted by it.
 	Age() time.Duration
 	KeysFresh() bool
+	// IsTroubled tells whether other daemons found a server standing still or slow.
+	IsTroubled(server fleet.Server) bool
 	// Stalled is told of a server that stands still with requests under way.
 	Stalled(server fleet.Server)
 }
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -195,8 +195,9 @@
 	candidates := make([]balancer.Candidate, len(serving))
 	for i, server := range serving {
 		candidates[i] = balancer.Candidate{
-			ID:       server.ID,
-			Capacity: server.Capacity,
+			ID:         server.ID,
+			Capacity:   server.Capacity,
+			IsTroubled: j.server.source.IsTroubled(server),
 		}
 	}
 	chosen, done, ok := j.server.tracker.Pick(candidates, j.excluded, j.request.Cost())
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -32,6 +32,14 @@
 	members []string
 	seen    int64
 	mood    Mood
+	pace    float64
+}
+
+// SetPace makes the server's report say how many times longer its work takes.
+func (s *Server) SetPace(pace float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.pace = pace
 }
 
 // Mood is how a server treats requests.
@@ -163,6 +171,12 @@
 	s.platform.Store.put(wire.TableServers, s.id, encoded)
 }
 
+// report is what a server answers to a probe.
+type report struct {
+	wire.EngineState
+	wire.Report
+}
+
 // handleReport answers a probe.
 func (s *Server) handleReport(w http.ResponseWriter, r *http.Request) {
 	if !s.isExpected(w, r) {
@@ -172,7 +186,12 @@
 	defer s.mutex.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	// Whoever went away gets nothing.
-	_ = json.NewEncoder(w).Encode(s.state.EngineState)
+	_ = json.NewEncoder(w).Encode(report{
+		EngineState: s.state.EngineState,
+		Report: wire.Report{
+			Pace: s.pace,
+		},
+	})
 }
 
 // isExpected tells whether a call is for this start; it answers 421 otherwise.
