Believe a told silence once, and load all before the first request

Change: the row that tells of a stall names the silent member; that counts as one silence, and one probe of the leader's own decides. Before the first request, and within 8 s of the start, all servers load at once.

--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -165,10 +165,19 @@
 	}
 }
 
-// Suspect notes that a daemon's requests stand still at a group.
-func (c *Controller) Suspect(name string, epoch int64) {
-	if g, ok := c.groups[name]; ok && g.record.Epoch == epoch && g.ending == "" {
-		g.isSuspected = true
+// Suspect notes that a daemon's requests stand still at a group, or are slow there,
+// and the member that did not answer that daemon (empty: none). That silence counts
+// as one: a probe of the controller's own decides.
+func (c *Controller) Suspect(name string, epoch int64, silent string) {
+	g, ok := c.groups[name]
+	if !ok || g.record.Epoch != epoch || g.ending != "" {
+		return
+	}
+	g.isSuspected = true
+	if silent != "" && c.signs[silent].silences == 0 {
+		c.Probed(silent, Found{
+			Sign: Silent,
+		})
 	}
 }
 
--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -155,9 +155,10 @@
 	}
 }
 
-// mayLoad tells whether so many loads may begin now.
+// mayLoad tells whether so many loads may begin now. Those before the first request
+// do not count, as the platform's pages say.
 func (c *Controller) mayLoad(loads int, engine *config.Engine, world World) bool {
-	if loads == 0 {
+	if loads == 0 || world.IsStart {
 		return true
 	}
 	now := time.Now()
--- a/entry/control.go
+++ b/entry/control.go
@@ -17,6 +17,10 @@
 const (
 	// stepEvery is the time between two steps without news.
 	stepEvery = 100 * time.Millisecond
+	// startTime is how long the start of the whole system lasts at most, during
+	// which loads are not counted. Clients come 10 s after the VMs; this daemon may
+	// be sent its first request later than others.
+	startTime = 8 * time.Second
 	// newsQueue bounds news that wait for the control goroutine.
 	newsQueue = 256
 	// leaseWait is how long one call waits for a change of the lease, which its
@@ -83,9 +87,9 @@
 	}
 	d.isLeading.Store(true)
 	defer d.isLeading.Store(false)
-	d.told.listen(func(group string, epoch int64) {
+	d.told.listen(func(group string, told stall) {
 		t.tell(ctx, func() {
-			t.controller.Suspect(group, epoch)
+			t.controller.Suspect(group, told.Epoch, told.Silent)
 		})
 	})
 	defer d.told.listen(nil)
@@ -156,7 +160,7 @@
 		Config:     view.Config,
 		Fleet:      view.Fleet,
 		IsSteady:   d.outage.Load().IsSteady(),
-		IsStart:    d.settings.IsFirstStart && !d.gateway.HadRequests(),
+		IsStart:    d.settings.IsFirstStart && !d.gateway.HadRequests() && time.Since(d.began) < startTime,
 		StallTime:  d.settings.StallTime,
 		LoadWindow: d.settings.LoadWindow,
 		LoadExcess: d.settings.LoadExcess,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,6 +61,7 @@
 	registry metrics.Registry
 	// start is the id of this start of the daemon.
 	start   string
+	began   time.Time
 	store   rowstore.Store
 	workers *platform.Workers
 	gateway *gateway.Server
@@ -94,6 +95,9 @@
 	changed chan struct{}
 	// listRead is closed when the list of the daemons was read.
 	listRead chan struct{}
+	// known is closed when configuration and servers were read.
+	known     chan struct{}
+	knownOnce sync.Once
 	// isLeading tells that this daemon forms groups.
 	isLeading atomic.Bool
 
@@ -125,10 +129,12 @@
 		log:      log,
 		registry: metrics.NewRegistry(),
 		start:    uuid.NewString(),
+		began:    time.Now(),
 		workers:  platform.NewWorkers(),
 		stalls:   make(chan fleet.Server, stallQueue),
 		changed:  make(chan struct{}, 1),
 		listRead: make(chan struct{}),
+		known:    make(chan struct{}),
 	}
 	store := platform.NewStore(known.Store)
 	store.Called = func(call string, took time.Duration) {
@@ -204,6 +210,21 @@
 	return *d.view.Load()
 }
 
+// Known is closed when configuration and servers were read for the first time.
+func (d *Daemon) Known() <-chan struct{} {
+	return d.known
+}
+
+// noteKnown closes known if it is time. KeysFresh holds soon after: the follower
+// confirms what it has just read.
+func (d *Daemon) noteKnown() {
+	if d.view.Load().Config != nil && d.serversRead.Load() && d.KeysFresh() {
+		d.knownOnce.Do(func() {
+			close(d.known)
+		})
+	}
+}
+
 // Age returns how old the view of the configuration may be.
 func (d *Daemon) Age() time.Duration {
 	age, _ := d.fresh.Age()
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -39,6 +39,8 @@
 type stall struct {
 	Epoch int64  `json:"epoch"`
 	By    string `json:"by"`
+	// Silent is the member that did not answer; empty where one is slow.
+	Silent string `json:"silent,omitempty"`
 }
 
 // Stalled notes a group at which requests stand still. It never waits.
@@ -55,44 +57,46 @@
 // toldStalls are the stalls that the store tells of. The zero value is empty.
 type toldStalls struct {
 	mutex  sync.Mutex
-	epochs map[string]int64
-	heard  func(group string, epoch int64)
+	stalls map[string]stall
+	heard  func(group string, told stall)
 }
 
 // listen has heard called for each stall, those that are known first; nil ends
 // it.
-func (t *toldStalls) listen(heard func(group string, epoch int64)) {
+func (t *toldStalls) listen(heard func(group string, told stall)) {
 	t.mutex.Lock()
 	t.heard = heard
-	known := maps.Clone(t.epochs)
+	known := maps.Clone(t.stalls)
 	t.mutex.Unlock()
 	if heard == nil {
 		return
 	}
-	for group, epoch := range known {
-		heard(group, epoch)
+	for group, told := range known {
+		heard(group, told)
 	}
 }
 
-// take takes a row: the epoch of a group at which requests stand still, or 0
-// where the row is gone.
-func (t *toldStalls) take(group string, epoch int64) {
+// take takes a row.
+func (t *toldStalls) take(group string, told stall) {
 	t.mutex.Lock()
-	if t.epochs == nil {
-		t.epochs = map[string]int64{}
-	}
-	if epoch == 0 {
-		delete(t.epochs, group)
-	} else {
-		t.epochs[group] = epoch
+	if t.stalls == nil {
+		t.stalls = map[string]stall{}
 	}
+	t.stalls[group] = told
 	heard := t.heard
 	t.mutex.Unlock()
-	if heard != nil && epoch != 0 {
-		heard(group, epoch)
+	if heard != nil {
+		heard(group, told)
 	}
 }
 
+// forget notes that a row is gone.
+func (t *toldStalls) forget(group string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.stalls, group)
+}
+
 // IsTroubled tells whether requests are known, by any daemon's word, to stand still
 // or to be slow at a server's group.
 func (d *Daemon) IsTroubled(server fleet.Server) bool {
@@ -103,7 +107,7 @@
 func (t *toldStalls) has(m fleet.Membership) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.epochs[m.Group] == m.Epoch
+	return t.stalls[m.Group].Epoch == m.Epoch
 }
 
 // stallFollower follows the stalls that the store tells of.
@@ -111,7 +115,7 @@
 	take := func(rows []rowstore.Row, _ int64, _ time.Time) {
 		for _, row := range rows {
 			if row.Deleted {
-				d.told.take(row.Key, 0)
+				d.told.forget(row.Key)
 				continue
 			}
 			var told stall
@@ -119,7 +123,7 @@
 				d.log.Error("groups: stall not taken", zap.String("group", row.Key), logline.Err(errors.Wrap(err, "decode stall")))
 				continue
 			}
-			d.told.take(row.Key, told.Epoch)
+			d.told.take(row.Key, told)
 		}
 	}
 	return &rowstore.Follower{
@@ -216,10 +220,14 @@
 // tellStall writes one stall.
 func (d *Daemon) tellStall(ctx context.Context, server fleet.Server, why symptom) {
 	m := server.Membership
-	encoded, err := json.Marshal(stall{
+	told := stall{
 		Epoch: m.Epoch,
 		By:    d.settings.Name,
-	})
+	}
+	if why.found.Sign != assembly.Alive {
+		told.Silent = why.server
+	}
+	encoded, err := json.Marshal(told)
 	if err != nil {
 		d.log.Error("groups: stall not told", logline.Err(err))
 		return
