Let a part of the requests yield in overload; hold those before the first view

And after a kill of all daemons 490 requests were refused within 0.7 s, because the daemons had not read configuration and servers yet; 96 of them between 35.0 s and 35.25 s, where daemons waited 0.6 s for a relay.

Change: each daemon learns for each kind of request how many of those that do not yield are late, and lets a part yield: they get the level below, and are served when there is room. One that yields without overload loses nothing. Requests that come before the first view are held, at most 0.7 s and a quarter of the client's time; a first read waits 250 ms for a relay.

--- a/core/request/request.go
+++ b/core/request/request.go
@@ -108,4 +108,5 @@
 	ReasonDeadline      Reason = "deadline"
 	ReasonClientGone    Reason = "client_gone"
 	ReasonNoBudget      Reason = "retry_budget"
+	ReasonOverload      Reason = "overload"
 )
--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -37,7 +37,7 @@
 	// a store that is down a hundred times a second.
 	behind = 6
 	// relayReadTime bounds reading a table from a relay.
-	relayReadTime = 600 * time.Millisecond
+	relayReadTime = 250 * time.Millisecond
 )
 
 // errStale reports that a relay's copy is too old.
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -22,6 +22,7 @@
 			}
 		}
 		d.fresh.Confirm(asOf)
+		d.noteKnown()
 	}
 	return &rowstore.Follower{
 		Store:    d.chain,
@@ -118,6 +119,7 @@
 		view.Fleet = view.Fleet.WithAll(version, servers, d.outage.Load().LostUntil())
 	})
 	d.serversRead.Store(true)
+	d.noteKnown()
 	d.log.Info("servers: read", zap.Int("servers", len(servers)), zap.Int64("table_version", version))
 }
 
--- a/io/gateway/figures.go
+++ b/io/gateway/figures.go
@@ -16,6 +16,7 @@
 	countFailed    = "requests_failed."
 	countResumed   = "streams_resumed."
 	countDone      = "requests_done."
+	countYielding  = "requests_yielding."
 )
 
 // Names of histograms, in milliseconds.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -11,6 +11,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
@@ -51,6 +52,8 @@
 // Source gives the view and takes what requests find out.
 type Source interface {
 	View() View
+	// Known is closed when configuration and servers were read for the first time.
+	Known() <-chan struct{}
 	// Age is how old the view of configuration and keys may be; KeysFresh
 	// whether keys may still be accepted by it.
 	Age() time.Duration
@@ -63,16 +66,18 @@
 
 // Server serves clients. Use Listen.
 type Server struct {
-	source   Source
-	dialect  Dialect
-	log      *zap.Logger
-	registry metrics.Registry
-	backends *backend.Client
-	tracker  balancer.Tracker
-	patience urgency.Patience
-	budgets  *retry.Budgets
-	http     *fasthttp.Server
-	listener net.Listener
+	source       Source
+	dialect      Dialect
+	viewPatience time.Duration
+	log          *zap.Logger
+	registry     metrics.Registry
+	backends     *backend.Client
+	tracker      balancer.Tracker
+	patience     urgency.Patience
+	overload     urgency.Overload
+	budgets      *retry.Budgets
+	http         *fasthttp.Server
+	listener     net.Listener
 	// gone finds out which clients went away.
 	gone    tcp.Watcher
 	stop    context.CancelFunc
@@ -111,6 +116,9 @@
 	Budgets  *retry.Budgets
 	Registry metrics.Registry
 	Log      *zap.Logger
+	// ViewPatience is how long a request is held at most until the daemon has read
+	// what it serves by; 0: the default.
+	ViewPatience time.Duration
 }
 
 // Listen serves clients at IP:port.
@@ -121,14 +129,15 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	server := &Server{
-		source:   options.Source,
-		dialect:  options.Dialect,
-		log:      options.Log,
-		registry: options.Registry,
-		backends: &backend.Client{},
-		budgets:  options.Budgets,
-		listener: listener,
-		stop:     stop,
+		source:       options.Source,
+		dialect:      options.Dialect,
+		viewPatience: cmp.Or(options.ViewPatience, viewPatience),
+		log:          options.Log,
+		registry:     options.Registry,
+		backends:     &backend.Client{},
+		budgets:      options.Budgets,
+		listener:     listener,
+		stop:         stop,
 	}
 	server.http = &fasthttp.Server{
 		Handler:                      server.handle,
--- /dev/null
+++ b/io/gateway/gateway_test.go
@@ -0,0 +1,178 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+	"headcourse/core/retry"
+	"headcourse/io/gateway"
+	"headcourse/platform"
+	"headcourse/platform/wire"
+)
+
+// host and path are where the tests' route is.
+const (
+	host = "water.example"
+	path = "/status/"
+)
+
+// source is a view that the tests give.
+type source struct {
+	view  gateway.View
+	known chan struct{}
+}
+
+// newSource returns a source of a view that is known.
+func newSource(view gateway.View) *source {
+	s := &source{
+		view:  view,
+		known: make(chan struct{}),
+	}
+	close(s.known)
+	return s
+}
+
+// View returns the view.
+func (s *source) View() gateway.View { return s.view }
+
+// Known is closed when the view is known.
+func (s *source) Known() <-chan struct{} { return s.known }
+
+// Age is always 0.
+func (s *source) Age() time.Duration { return 0 }
+
+// KeysFresh is always true.
+func (s *source) KeysFresh() bool { return true }
+
+// IsTroubled is never true.
+func (s *source) IsTroubled(fleet.Server) bool { return false }
+
+// Stalled notes nothing.
+func (s *source) Stalled(fleet.Server) {}
+
+// listen starts a gateway and returns its address.
+func listen(t *testing.T, from gateway.Source, patience time.Duration) (*gateway.Server, string) {
+	t.Helper()
+	server, err := gateway.Listen(gateway.Options{
+		Address:      "127.0.0.1:0",
+		Source:       from,
+		Dialect:      platform.Dialect{},
+		Budgets:      &retry.Budgets{},
+		Registry:     metrics.NewRegistry(),
+		Log:          zap.NewNop(),
+		ViewPatience: patience,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(server.Kill)
+	return server, server.Address()
+}
+
+// ask sends a request that waits so long and returns the answer's status.
+func ask(t *testing.T, address, id string, wait time.Duration) (status int, header http.Header) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.Host = host
+	request.Header.Set(wire.HeaderID, id)
+	request.Header.Set(wire.HeaderDeadline, strconv.FormatInt(wait.Milliseconds(), 10))
+	answer, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() {
+		_ = answer.Body.Close()
+	}()
+	_, err = io.ReadAll(answer.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return answer.StatusCode, answer.Header
+}
+
+// After a restart of all daemons, hundreds of requests were refused in the tenths of
+// a second before the first view was read.
+func TestRequestBeforeTheFirstViewIsHeldUntilItIsRead(t *testing.T) {
+	from := &source{
+		view: gateway.View{
+			Config: config.New(config.Config{}),
+		},
+		known: make(chan struct{}),
+	}
+	server, address := listen(t, from, time.Minute)
+	go func() {
+		for server.Open() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		close(from.known)
+	}()
+	status, _ := ask(t, address, "r1", time.Hour)
+	// The configuration has no routes; before it was known the answer is 503.
+	qt.Assert(t, status, qt.Equals, http.StatusNotFound)
+}
+
+func TestRequestWithoutAViewIsRefusedInTheEnd(t *testing.T) {
+	_, address := listen(t, &source{
+		known: make(chan struct{}),
+	}, time.Millisecond)
+	status, header := ask(t, address, "r1", time.Hour)
+	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, header.Get("Retry-After"), qt.Not(qt.Equals), "")
+}
+
+// Found after a loss of power of all daemons: clients that had waited for seconds
+// went before those that could still be in time.
+func TestClientThatIsLateAlreadyYieldsWithinItsPriority(t *testing.T) {
+	levels := make(chan string, 1)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		levels <- r.Header.Get(wire.HeaderPriority)
+		w.Header().Set(wire.HeaderID, r.Header.Get(wire.HeaderID))
+		w.Header().Set(wire.HeaderSeal, "seal")
+	}))
+	t.Cleanup(backend.Close)
+	_, address := listen(t, newSource(gateway.View{
+		Config: config.New(config.Config{
+			Routes: []config.Route{
+				{
+					Name:     "status",
+					Host:     host,
+					Prefix:   path,
+					Kind:     config.Safe,
+					Goal:     time.Minute,
+					Timeout:  time.Hour,
+					Priority: 2,
+					Backends: []config.Backend{
+						{
+							Service: "board",
+							Weight:  1,
+						},
+					},
+					MaxAttempts: 1,
+				},
+			},
+		}),
+		Fleet: fleet.View{}.WithAll(1, []fleet.Server{
+			{
+				ID:       "i-1",
+				Service:  "board",
+				Address:  backend.Listener.Addr().(*net.TCPAddr).String(),
+				Capacity: 6,
+			},
+		}, time.Now()),
+	}), time.Minute)
+
+	status, _ := ask(t, address, "r1", time.Hour)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, <-levels, qt.Equals, "4")
+
+	// It has waited for half an hour, which is past its goal.
+	status, _ = ask(t, address, "r2", 30*time.Minute)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, <-levels, qt.Equals, "5")
+}
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -41,7 +41,11 @@
 	// before.
 	asked    time.Time
 	deadline time.Time
-	forget   func()
+	// yields tells that the request gives way to others of its kind, since not all
+	// can be in time; isNoted that it was told to the overload.
+	yields  bool
+	isNoted bool
+	forget  func()
 
 	// excluded are servers that were asked; sends counts them, runs those that
 	// may have run the request.
@@ -181,7 +185,7 @@
 	if j.priority < 0 {
 		return noPriority
 	}
-	isLate := j.route.Goal > 0 && time.Since(j.asked) > j.route.Goal
+	isLate := j.yields || !urgency.InTime(j.asked, time.Now(), j.route.Goal)
 	if j.events > 0 {
 		// It goes on after a break; the pause decides.
 		isLate = j.route.PauseGoal > 0 && time.Since(j.lastEventAt) > j.route.PauseGoal
@@ -189,6 +193,16 @@
 	return urgency.Level(j.priority, isLate)
 }
 
+// noteBegun tells the overload whether the request's answer began in time. One that
+// yields, or was late when it came, says nothing about it.
+func (j *job) noteBegun() {
+	if j.isNoted || j.yields || j.route.Kind != config.Stream || !urgency.InTime(j.asked, j.request.Arrived, j.route.Goal) {
+		return
+	}
+	j.isNoted = true
+	j.server.overload.Note(j.kind(), urgency.InTime(j.asked, time.Now(), j.route.Goal))
+}
+
 // pick chooses the server for the next send.
 func (j *job) pick() (fleet.Server, func(), bool) {
 	serving := j.server.source.View().Fleet.Serving(j.service, j.request.Model)
--- a/io/gateway/line.go
+++ b/io/gateway/line.go
@@ -31,6 +31,9 @@
 	if j.forget != nil {
 		j.forget()
 	}
+	if j.sends > 0 && j.events == 0 {
+		j.noteBegun()
+	}
 	j.server.open.Add(-1)
 	took := time.Since(j.request.Arrived)
 	isGood := reason == request.ReasonNone && status < fasthttp.StatusInternalServerError
@@ -68,6 +71,9 @@
 	if j.route != nil {
 		fields = append(fields, zap.String("route", j.route.Name), zap.String("organisation", j.organisation))
 	}
+	if j.yields {
+		fields = append(fields, zap.Bool("yields", true))
+	}
 	if j.events > 0 {
 		fields = append(fields,
 			zap.Int("events", j.events),
