--- a/command/command_test.go
+++ b/command/command_test.go
@@ -109,6 +109,7 @@
 	{"relay"},
 	{"slopes"},
 	{"plot"},
+	{"days"},
 }
 
 // TestReference makes the reference from the programs' own help.
--- a/labcommand/labcommand.go
+++ b/labcommand/labcommand.go
@@ -20,6 +20,7 @@
 	Slopes   SlopesCommand   `cmd:"" help:"Measure what control costs a daemon at rest, before a platform in another process."`
 	Relay    RelayCommand    `cmd:"" help:"Measure what a daemon adds to streams, against a direct connection."`
 	Plot     PlotCommand     `cmd:"" help:"Draw columns of a measurement as SVG."`
+	Days     DaysCommand     `cmd:"" help:"Write what the standard days of a site were worth, from the bench's journal."`
 	Routes   RoutesCommand   `cmd:"" help:"Compare routing policies on the same load, in virtual time."`
 	Load     LoadCommand     `cmd:"" help:"Send callers' load to daemons and check every answer."`
 	Soak     SoakCommand     `cmd:"" help:"Play random faults against daemons that soak/run starts, and check every answer."`
