--- a/core/assembly/assembly_test.go
+++ b/core/assembly/assembly_test.go
@@ -177,6 +177,35 @@
 	})
 }
 
+// Found in incident inc-2a94: the record of a group whose whole domain was lost at
+// 11 s still stood at the end of the day.
+func TestRecordOfALostDomainIsDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := started(6)
+		head := headOf(s, "large")
+		for _, one := range s.servers {
+			if one.domain == head.domain {
+				s.kill(one.id)
+			}
+		}
+		settle(s, c, false, 70*time.Second)
+		qt.Assert(t, s.violated, qt.HasLen, 0)
+		_, isThere := s.records[head.group]
+		qt.Assert(t, isThere, qt.IsFalse)
+		// It is not dropped while its servers may come back soon.
+		s, c = started(6)
+		head = headOf(s, "large")
+		for _, one := range s.servers {
+			if one.domain == head.domain {
+				s.kill(one.id)
+			}
+		}
+		settle(s, c, false, 15*time.Second)
+		_, isThere = s.records[head.group]
+		qt.Assert(t, isThere, qt.IsTrue)
+	})
+}
+
 func TestNewLeaderGoesOnWithoutJoiningAnew(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, _ := started(6)
--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -32,6 +32,9 @@
 	// stageAgain is when a server that did not take an order to load is asked
 	// again: it is loading, perhaps by another daemon's order.
 	stageAgain = 3 * time.Second
+	// forgetTime is how long a group none of whose members is there is waited for:
+	// three stall times and more, after which a head that lives is broken.
+	forgetTime = 20 * time.Second
 	// stallMargin is added to the time after which a silent head is broken.
 	stallMargin = time.Second
 )
--- a/core/assembly/finish.go
+++ b/core/assembly/finish.go
@@ -70,12 +70,27 @@
 		}
 		g.order(server, Leave, false, g.ending, plan)
 	}
-	if c.withdrawMembers(g, world, plan) {
+	if c.withdrawMembers(g, world, plan) || isForgotten(g, world) {
 		return true
 	}
 	return !g.withoutMember.IsZero() && time.Since(g.withoutMember) > world.StallTime+stallMargin
 }
 
+// isForgotten tells whether nothing has been heard of any member for so long that
+// the group's record is dropped: a whole domain was lost. Should its servers come
+// back, they leave the group without a record before they are used.
+func isForgotten(g *group, world World) bool {
+	if !world.IsSteady || time.Since(g.endingSince) < forgetTime {
+		return false
+	}
+	for _, id := range g.record.Members {
+		if _, ok := world.Fleet.Known(id); ok {
+			return false
+		}
+	}
+	return true
+}
+
 // withdrawMembers orders the other members of a group to leave, and notes since
 // when one of them is surely out. It tells whether all that are there say that
 // they are out: then none of them could be in two groups. One without an entry
