--- a/entry/control.go
+++ b/entry/control.go
@@ -21,6 +21,10 @@
 	// which loads are not counted. Clients come 10 s after the VMs; this daemon may
 	// be sent its first request later than others.
 	startTime = 8 * time.Second
+	// ordersAtOnce bounds the orders under way: a server answers in some
+	// milliseconds, so thousands are given in a second; those to a zone that is
+	// dark take 0.6 s each.
+	ordersAtOnce = 256
 	// newsQueue bounds news that wait for the control goroutine.
 	newsQueue = 256
 	// leaseWait is how long one call waits for a change of the lease, which its
@@ -70,6 +74,8 @@
 	lease      *leader.Lease
 	controller assembly.Controller
 	news       chan func()
+	// turns holds a token for each order under way.
+	turns chan struct{}
 	// mustLoad tells that the records in the store may be others than known.
 	mustLoad bool
 	// pending are changes that wait for the one being committed.
@@ -83,6 +89,7 @@
 		daemon:   d,
 		lease:    lease,
 		news:     make(chan func(), newsQueue),
+		turns:    make(chan struct{}, ordersAtOnce),
 		mustLoad: true,
 	}
 	d.isLeading.Store(true)
@@ -178,8 +185,16 @@
 	}
 }
 
-// give gives one order.
+// give gives one order, when it is its turn.
 func (t *term) give(ctx context.Context, order assembly.Order) {
+	select {
+	case t.turns <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() {
+		<-t.turns
+	}()
 	if !t.lease.Holds() {
 		return
 	}
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -46,9 +46,10 @@
 // default times. It is safe for concurrent use.
 type Client struct {
 	// ConnectTimeout bounds connecting; IdleTimeout bounds the silence of a
-	// peer within an exchange.
+	// peer within an exchange; KeepFor is how long an unused connection is kept.
 	ConnectTimeout time.Duration
 	IdleTimeout    time.Duration
+	KeepFor        time.Duration
 
 	mutex sync.Mutex
 	kept  map[string]*fasthttp.HostClient
@@ -59,9 +60,9 @@
 const (
 	defaultConnectTimeout = time.Second
 	defaultIdleTimeout    = 30 * time.Second
-	// keepFor is how long an unused connection is kept. It is short, so that a
-	// peer seldom closes a connection in the moment it is used again.
-	keepFor = 5 * time.Second
+	// defaultKeepFor is short, so that a peer seldom closes a connection in the
+	// moment it is used again.
+	defaultKeepFor = 5 * time.Second
 	// maxConns bounds the connections to one peer.
 	maxConns = 4096
 )
@@ -128,7 +129,7 @@
 	return &fasthttp.HostClient{
 		Addr:                          address,
 		MaxConns:                      maxConns,
-		MaxIdleConnDuration:           keepFor,
+		MaxIdleConnDuration:           orDefault(c.KeepFor, defaultKeepFor),
 		MaxIdemponentCallAttempts:     1,
 		DisableHeaderNamesNormalizing: false,
 		DisablePathNormalizing:        true,
