Do not take a head that only stopped listening for a dead one

The head was leaving (scale_in at 1.2 s): its entry went, it stopped listening and still finished its work. The leader's probe was refused at 5.0408 s, its group counted as ended at 5.0414 s, and its members were joined elsewhere at 5.0765 s without leaving.

Change: a refused connection tells of a crash only while the server's entry stands and does not say that it leaves. Otherwise the members are told to leave, and are used when they say that they have; a refused member without an entry counts as out after 10 s. A leaving head is given time for its work.

--- a/core/assembly/assembly_test.go
+++ b/core/assembly/assembly_test.go
@@ -190,6 +190,23 @@
 	})
 }
 
+// Found by a hunt on a deployment of our own (TWO, scale-1 with seed 363847341756):
+// a leaving head had stopped listening and was taken for dead, while it still finished
+// its work; its members were joined to another group without leaving.
+func TestMembersLeaveAHeadThatOnlyStoppedListening(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := started(6)
+		head := headOf(s, "large")
+		s.servers[head.id].isDeaf = true
+
+		settle(s, c, false, 8*time.Second)
+
+		qt.Assert(t, s.violated, qt.HasLen, 0)
+		// The head itself serves to its end; its members form the next group.
+		qt.Assert(t, s.serving("large") >= 6, qt.IsTrue)
+	})
+}
+
 // Found in incident inc-2a94: the record of a group whose whole domain was lost at
 // 11 s still stood at the end of the day.
 func TestRecordOfALostDomainIsDropped(t *testing.T) {
--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -27,6 +27,9 @@
 	silences = 2
 	// closeTime is how long a group whose members leave may finish its work.
 	closeTime = 2500 * time.Millisecond
+	// leaveTime is how long a leaving server that has stopped listening may still be
+	// in its group, as the platform's pages say.
+	leaveTime = 10 * time.Second
 	// formSlack is how much longer than its load a group may take to form.
 	formSlack = 12 * time.Second
 	// stageAgain is when a server that did not take an order to load is asked
--- a/core/assembly/finish.go
+++ b/core/assembly/finish.go
@@ -26,7 +26,10 @@
 	id := g.record.Members[0]
 	head, ok := world.Fleet.Server(id)
 	isOut := ok && !head.Membership.In(g.record.Name, g.record.Epoch)
-	if isOut || g.hasHeadLeft || c.isRefused(id) {
+	// A server that leaves stops listening and still finishes its work, for up to
+	// 10 s; one that crashed keeps its entry for some heartbeats.
+	hasCrashed := ok && !head.Draining && c.isRefused(id)
+	if isOut || g.hasHeadLeft || hasCrashed {
 		g.isHeadOut = true
 		return true
 	}
@@ -48,8 +51,8 @@
 	return false
 }
 
-// isRefused tells whether nothing listened at a server's address just now, so
-// that its process is gone.
+// isRefused tells whether nothing listened at a server's address just now, or
+// another server did.
 func (c *Controller) isRefused(id string) bool {
 	known := c.signs[id]
 	return known.last == Refused && time.Since(known.at) < probeValid
@@ -63,7 +66,8 @@
 	if server, ok := world.Fleet.Known(id); ok {
 		c.probe(server, plan)
 		isDead, _ := c.isDead(id)
-		isPatient := g.isGentle && !isDead && time.Since(g.endingSince) < closeTime
+		mayWork := !isDead || c.isRefused(id)
+		isPatient := g.isGentle && mayWork && time.Since(g.endingSince) < closeTime
 		if isPatient {
 			g.order(server, Close, false, g.ending, plan)
 			return false
@@ -103,7 +107,7 @@
 		case ok && member.Membership.In(g.record.Name, g.record.Epoch):
 			in++
 			g.order(member, Leave, false, g.ending, plan)
-		case ok || c.isRefused(id):
+		case ok, c.isRefused(id) && time.Since(g.endingSince) > leaveTime:
 			out++
 		}
 	}
--- a/core/assembly/sim_test.go
+++ b/core/assembly/sim_test.go
@@ -24,12 +24,15 @@
 
 // simServer is one start of a simulated model engine.
 type simServer struct {
-	id       string
-	domain   string
-	isDead   bool
-	pace     float64
-	goneAt   time.Time
-	isCut    bool
+	id     string
+	domain string
+	isDead bool
+	pace   float64
+	goneAt time.Time
+	isCut  bool
+	// isDeaf servers leave: their entry is gone and they take no connection, but
+	// they finish their work.
+	isDeaf   bool
 	cutAt    time.Time
 	drains   bool
 	seen     int64
@@ -147,7 +150,7 @@
 // apply carries out an order and returns its result.
 func (s *simFleet) apply(order assembly.Order) assembly.Result {
 	one := s.servers[order.Server.ID]
-	if one == nil || one.isDead {
+	if one == nil || one.isDead || one.isDeaf {
 		return assembly.NoAnswer
 	}
 	isSame := one.group == order.Group && one.epoch == order.Epoch && one.state != fleet.NoGroup
@@ -278,7 +281,7 @@
 		if one.isDead && now.Sub(one.goneAt) > simLapse {
 			continue
 		}
-		if one.isCut && now.Sub(one.cutAt) > simLapse {
+		if one.isDeaf || (one.isCut && now.Sub(one.cutAt) > simLapse) {
 			continue
 		}
 		if one.isDead || one.isCut {
@@ -330,6 +333,11 @@
 			Sign: assembly.Silent,
 		}
 	}
+	if one.isDeaf {
+		return assembly.Found{
+			Sign: assembly.Refused,
+		}
+	}
 	return assembly.Found{
 		Sign: assembly.Alive,
 		Pace: one.pace,
