Let late streams take only part of the places after a start

At 36.0 s to 36.5 s 1,150 requests came, all late already; they took every place of 33 groups, and of those of the next two seconds 109 of 411 were in time. Levels decide who is let in next, not who runs.

Change: in the first 4 s after a daemon's first view, streams that came late wait for their turn: those under way before their first event may take 0.3 of the places, divided by the daemons. Nobody waits longer than 0.45 s or a quarter of its time.

--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -169,6 +169,13 @@
 	return d.roster.list.IsRelay(d.settings.Name)
 }
 
+// Daemons returns how many daemons there are, as far as known.
+func (d *Daemon) Daemons() int {
+	d.roster.mutex.Lock()
+	defer d.roster.mutex.Unlock()
+	return max(1, d.roster.list.Len())
+}
+
 // isListed tells whether the list has this daemon as it is.
 func (d *Daemon) isListed() bool {
 	d.roster.mutex.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -98,6 +98,7 @@
 	// known is closed when configuration and servers were read.
 	known     chan struct{}
 	knownOnce sync.Once
+	knownAt   atomic.Pointer[time.Time]
 	// isLeading tells that this daemon forms groups.
 	isLeading atomic.Bool
 
@@ -215,11 +216,22 @@
 	return d.known
 }
 
+// KnownFor returns how long ago that was; 0 before.
+func (d *Daemon) KnownFor() time.Duration {
+	at := d.knownAt.Load()
+	if at == nil {
+		return 0
+	}
+	return time.Since(*at)
+}
+
 // noteKnown closes known if it is time. KeysFresh holds soon after: the follower
 // confirms what it has just read.
 func (d *Daemon) noteKnown() {
 	if d.view.Load().Config != nil && d.serversRead.Load() && d.KeysFresh() {
 		d.knownOnce.Do(func() {
+			now := time.Now()
+			d.knownAt.Store(&now)
 			close(d.known)
 		})
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -54,10 +54,14 @@
 	View() View
 	// Known is closed when configuration and servers were read for the first time.
 	Known() <-chan struct{}
+	// KnownFor is how long ago that was; 0 before.
+	KnownFor() time.Duration
 	// Age is how old the view of configuration and keys may be; KeysFresh
 	// whether keys may still be accepted by it.
 	Age() time.Duration
 	KeysFresh() bool
+	// Daemons is how many daemons there are.
+	Daemons() int
 	// IsTroubled tells whether other daemons found a server standing still or slow.
 	IsTroubled(server fleet.Server) bool
 	// Stalled is told of a server that stands still with requests under way.
@@ -75,6 +79,7 @@
 	tracker      balancer.Tracker
 	patience     urgency.Patience
 	overload     urgency.Overload
+	lane         urgency.Lane
 	budgets      *retry.Budgets
 	http         *fasthttp.Server
 	listener     net.Listener
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -49,12 +49,18 @@
 // Known is closed when the view is known.
 func (s *source) Known() <-chan struct{} { return s.known }
 
+// KnownFor is always a moment.
+func (s *source) KnownFor() time.Duration { return time.Millisecond }
+
 // Age is always 0.
 func (s *source) Age() time.Duration { return 0 }
 
 // KeysFresh is always true.
 func (s *source) KeysFresh() bool { return true }
 
+// Daemons is always 1.
+func (s *source) Daemons() int { return 1 }
+
 // IsTroubled is never true.
 func (s *source) IsTroubled(fleet.Server) bool { return false }
 
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -24,6 +24,14 @@
 	noPriority = -1
 	// leastLeft is the least time that must remain for a send.
 	leastLeft = 5 * time.Millisecond
+	// laneShare is the part of an engine's places that late requests may take in the
+	// laneTime after a start, about twice what a backlog of clients took to be served;
+	// lanePatience is how long one waits for its turn, lanePart the part of its time
+	// at most. A client gives a stream up after two seconds of silence.
+	laneShare    = 0.3
+	laneTime     = 4 * time.Second
+	lanePatience = 450 * time.Millisecond
+	lanePart     = 4
 	// answerLimit bounds an answer that is not a stream.
 	answerLimit = 32 << 20
 )
@@ -59,6 +67,9 @@
 	// last is the id of the last event that the client has.
 	last int64
 
+	// leaveLane ends the wait for the first event of a request that came late.
+	leaveLane func()
+
 	// exchange is the one under way, or nil; mutex guards it, since the client
 	// may go away at any time.
 	mutex    sync.Mutex
@@ -99,7 +110,9 @@
 // serve sends the request until there is an answer for the client, or no
 // further send is allowed.
 func (j *job) serve(ctx *fasthttp.RequestCtx) {
-	for {
+	j.awaitLane()
+	defer j.leaveLane()
+	for !j.isGone.Load() {
 		result := j.try(j.last)
 		if result.reason == request.ReasonNone {
 			j.deliver(ctx, result)
@@ -110,6 +123,9 @@
 			return
 		}
 	}
+	j.fail(ctx, tried{
+		reason: request.ReasonClientGone,
+	})
 }
 
 // deliver gives the client a server's answer.
@@ -203,6 +219,32 @@
 	j.server.overload.Note(j.kind(), urgency.InTime(j.asked, time.Now(), j.route.Goal))
 }
 
+// awaitLane lets a stream that is late already wait while many such are under way,
+// so that those that come next find room. It does so only after a start, when all
+// clients come back at once: in a lasting overload late requests would wait for each
+// other until their clients give up.
+func (j *job) awaitLane() {
+	j.leaveLane = func() {}
+	isBack := j.server.source.KnownFor() < laneTime
+	if !isBack || j.route.Kind != config.Stream || urgency.InTime(j.asked, j.request.Arrived, j.route.Goal) {
+		return
+	}
+	kind := j.service + "/" + j.request.Model
+	patience := min(lanePatience, time.Until(j.deadline)/lanePart)
+	j.leaveLane = j.server.lane.Enter(kind, j.laneLimit(), patience)
+}
+
+// laneLimit returns how many late requests of the model this daemon may have under
+// way: its part of a share of all places.
+func (j *job) laneLimit() int {
+	places := 0
+	view := j.server.source.View()
+	for _, server := range view.Fleet.Serving(j.service, j.request.Model) {
+		places += server.Capacity
+	}
+	return max(1, int(laneShare*float64(places)/float64(max(1, j.server.source.Daemons()))))
+}
+
 // pick chooses the server for the next send.
 func (j *job) pick() (fleet.Server, func(), bool) {
 	serving := j.server.source.View().Fleet.Serving(j.service, j.request.Model)
