--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -113,39 +113,6 @@
 	return [...]string{"taken", "no_answer", "unfit", "fenced", "not_known", "other_server"}[r]
 }
 
-// Sign is what a probe of a server found.
-type Sign int
-
-// The signs of life. Refused: nothing listens at its address, or another
-// server does.
-const (
-	Silent Sign = iota
-	Alive
-	Refused
-)
-
-// String returns the sign as it stands in logs.
-func (s Sign) String() string {
-	return [...]string{"silent", "alive", "refused"}[s]
-}
-
-// Found is what a probe of a server found out.
-type Found struct {
-	Sign Sign
-	// Pace is how many times longer than usual the server's work takes; 0: not
-	// told.
-	Pace float64
-}
-
-// slowPace is the pace from which a server counts as slow: a stream's first event
-// then takes longer than its goal, and its pauses nearly so.
-const slowPace = 2
-
-// IsSlow tells whether the server answered and works much slower than usual.
-func (f Found) IsSlow() bool {
-	return f.Sign == Alive && f.Pace >= slowPace
-}
-
 // World is what the controller decides by.
 type World struct {
 	Config *config.Config
@@ -162,53 +129,3 @@
 	LoadWindow time.Duration
 	LoadExcess float64
 }
-
-// Plan is what to do next.
-type Plan struct {
-	Create []Record
-	Remove []string
-	Orders []Order
-	Probes []fleet.Server
-	// Cleared are groups whose suspicion was dropped, so that daemons may tell
-	// of them again.
-	Cleared []string
-	// Notes are changes of what the controller believes, for the log.
-	Notes []Note
-}
-
-// Cut returns the part of the plan's changes of records that fits a transaction of
-// so many rows, and the rest. A removed group takes two rows: its record and what
-// daemons told of it.
-func (p Plan) Cut(rows int) (first, rest Plan) {
-	const rowsOfRemoved = 2
-	create := min(len(p.Create), rows)
-	rows -= create
-	remove := min(len(p.Remove), rows/rowsOfRemoved)
-	rows -= remove * rowsOfRemoved
-	cleared := min(len(p.Cleared), rows)
-	first = Plan{
-		Create:  p.Create[:create],
-		Remove:  p.Remove[:remove],
-		Cleared: p.Cleared[:cleared],
-	}
-	rest = Plan{
-		Create:  p.Create[create:],
-		Remove:  p.Remove[remove:],
-		Cleared: p.Cleared[cleared:],
-	}
-	return first, rest
-}
-
-// HasChanges tells whether the plan changes records.
-func (p Plan) HasChanges() bool {
-	return len(p.Create)+len(p.Remove)+len(p.Cleared) > 0
-}
-
-// Note is one change of belief about a group.
-type Note struct {
-	Group  string
-	Epoch  int64
-	Model  string
-	What   string
-	Reason string
-}
--- a/core/assembly/check.go
+++ b/core/assembly/check.go
@@ -7,6 +7,9 @@
 	"headcourse/core/fleet"
 )
 
+// formSlack is how much longer than its load a group may take to form.
+const formSlack = 12 * time.Second
+
 // check brings a group one step nearer to serving, or finds out that it can
 // serve no more.
 func (c *Controller) check(g *group, world World, plan *Plan) {
@@ -137,86 +140,3 @@
 	}
 	return "", false
 }
-
-// whySuspected probes the members of a group at which requests stand still or are
-// slow, and returns why it must end, or nothing. A group with a slow member goes
-// on, and stays suspected, where no spare could take that member's place.
-func (c *Controller) whySuspected(g *group, world World, plan *Plan) (reason string, isGentle bool) {
-	if !g.isSuspected {
-		return "", false
-	}
-	allKnown := true
-	slow := ""
-	for _, id := range g.record.Members {
-		server, ok := world.Fleet.Server(id)
-		if !ok {
-			continue
-		}
-		isDead, isKnown := c.isDead(id)
-		if isDead {
-			return "requests stand still and member " + id + " does not answer", false
-		}
-		if !isKnown {
-			allKnown = false
-			c.probe(server, plan)
-		}
-		if c.signs[id].isSlow {
-			slow = id
-		}
-	}
-	if !allKnown {
-		return "", false
-	}
-	if slow != "" {
-		return c.whySlow(g, slow, world, plan)
-	}
-	g.isSuspected = false
-	g.slow = ""
-	plan.Cleared = append(plan.Cleared, g.record.Name)
-	g.note("suspicion dropped", "all members answer", plan)
-	return "", false
-}
-
-// whySlow returns why a group with a slow member must end, or nothing where it
-// could not form again without that member.
-func (c *Controller) whySlow(g *group, slow string, world World, plan *Plan) (reason string, isGentle bool) {
-	if g.slow != slow {
-		g.slow = slow
-		g.note("group slow", "member "+slow+" is slow", plan)
-	}
-	if c.hasSpareFor(g, slow, world, plan) {
-		return "member " + slow + " is slow", true
-	}
-	return "", false
-}
-
-// hasSpareFor tells whether a free server of a member's domain keeps the weights
-// of the group's model.
-func (c *Controller) hasSpareFor(g *group, member string, world World, plan *Plan) bool {
-	lost, _ := world.Fleet.Server(member)
-	taken := c.taken()
-	for _, server := range world.Fleet.Servers() {
-		isNear := server.Service == g.record.Service && server.Domain == lost.Domain && server.IsEngine && !server.Draining
-		if isNear && !taken[server.ID] && server.HasStaged(g.record.Model) && c.isFree(server, plan) {
-			return true
-		}
-	}
-	return false
-}
-
-// taken returns the servers that are members of a group that has a record, or is
-// about to have one.
-func (c *Controller) taken() map[string]bool {
-	taken := map[string]bool{}
-	for _, g := range c.groups {
-		for _, id := range g.record.Members {
-			taken[id] = true
-		}
-	}
-	for _, record := range c.creating {
-		for _, id := range record.Members {
-			taken[id] = true
-		}
-	}
-	return taken
-}
--- a/core/assembly/finish.go
+++ b/core/assembly/finish.go
@@ -6,6 +6,20 @@
 	"headcourse/core/fleet"
 )
 
+// Times of an end.
+const (
+	// closeTime is how long a group whose members leave may finish its work.
+	closeTime = 2500 * time.Millisecond
+	// leaveTime is how long a leaving server that has stopped listening may still be
+	// in its group, as the platform's pages say.
+	leaveTime = 10 * time.Second
+	// forgetTime is how long a group none of whose members is there is waited for:
+	// three stall times and more, after which a head that lives is broken.
+	forgetTime = 20 * time.Second
+	// stallMargin is added to the time after which a silent head is broken.
+	stallMargin = time.Second
+)
+
 // finish brings an ending group to its end: the head is closed and leaves, and
 // the record is removed when the head is known not to serve.
 func (c *Controller) finish(g *group, world World, plan *Plan) {
@@ -51,13 +65,6 @@
 	return false
 }
 
-// isRefused tells whether nothing listened at a server's address just now, or
-// another server did.
-func (c *Controller) isRefused(id string) bool {
-	known := c.signs[id]
-	return known.last == Refused && time.Since(known.at) < probeValid
-}
-
 // isLostHeadDone does the same for a head that does not answer, or whose entry
 // is gone. It may be cut off and still serve for other daemons. It is told to
 // leave; and its members are: without them it stands still, and is broken after
--- /dev/null
+++ b/core/assembly/group.go
@@ -0,0 +1,88 @@
+package assembly
+
+import (
+	"time"
+
+	"headcourse/core/fleet"
+)
+
+// group is what the controller knows of a group beside its record.
+type group struct {
+	record Record
+	since  time.Time
+	asked  map[string]asked
+	// ending is why the group ends; empty while it is to serve. A gentle end
+	// lets it finish its work.
+	ending      string
+	isGentle    bool
+	endingSince time.Time
+	isSuspected bool
+	// slow is a member that makes the group slow, as far as known.
+	slow       string
+	wasOpen    bool
+	isRemoving bool
+	// isHeadOut tells that the group ended because its head is known to be out.
+	isHeadOut bool
+	// hasHeadLeft tells that the head itself took the order to leave;
+	// withoutMember since when it is surely without one of its members.
+	hasHeadLeft   bool
+	withoutMember time.Time
+}
+
+// asked is the last order given to a member.
+type asked struct {
+	kind Kind
+	at   time.Time
+}
+
+// newGroup returns the group of a record.
+func newGroup(record Record) *group {
+	return &group{
+		record: record,
+		since:  time.Now(),
+		asked:  map[string]asked{},
+	}
+}
+
+// end makes a group end.
+func (g *group) end(reason string, isGentle bool) {
+	g.ending = reason
+	g.isGentle = isGentle
+	g.endingSince = time.Now()
+}
+
+// order gives an order to a member unless the same was given just now.
+func (g *group) order(server fleet.Server, kind Kind, cutoff bool, reason string, plan *Plan) {
+	last, ok := g.asked[server.ID]
+	if ok && last.kind == kind && time.Since(last.at) < askAgain {
+		return
+	}
+	g.asked[server.ID] = asked{
+		kind: kind,
+		at:   time.Now(),
+	}
+	order := Order{
+		Server: server,
+		Kind:   kind,
+		Group:  g.record.Name,
+		Epoch:  g.record.Epoch,
+		Cutoff: cutoff,
+		Reason: reason,
+	}
+	if kind == Join {
+		order.Model = g.record.Model
+		order.Members = g.record.Members
+	}
+	plan.Orders = append(plan.Orders, order)
+}
+
+// note adds a change of belief to the plan.
+func (g *group) note(what, reason string, plan *Plan) {
+	plan.Notes = append(plan.Notes, Note{
+		Group:  g.record.Name,
+		Epoch:  g.record.Epoch,
+		Model:  g.record.Model,
+		What:   what,
+		Reason: reason,
+	})
+}
--- a/core/assembly/layout.go
+++ b/core/assembly/layout.go
@@ -156,3 +156,20 @@
 	}
 	return best, bestPart < 1
 }
+
+// taken returns the servers that are members of a group that has a record, or is
+// about to have one.
+func (c *Controller) taken() map[string]bool {
+	taken := map[string]bool{}
+	for _, g := range c.groups {
+		for _, id := range g.record.Members {
+			taken[id] = true
+		}
+	}
+	for _, record := range c.creating {
+		for _, id := range record.Members {
+			taken[id] = true
+		}
+	}
+	return taken
+}
--- /dev/null
+++ b/core/assembly/plan.go
@@ -0,0 +1,53 @@
+package assembly
+
+import "headcourse/core/fleet"
+
+// Plan is what to do next.
+type Plan struct {
+	Create []Record
+	Remove []string
+	Orders []Order
+	Probes []fleet.Server
+	// Cleared are groups whose suspicion was dropped, so that daemons may tell
+	// of them again.
+	Cleared []string
+	// Notes are changes of what the controller believes, for the log.
+	Notes []Note
+}
+
+// Cut returns the part of the plan's changes of records that fits a transaction of
+// so many rows, and the rest. A removed group takes two rows: its record and what
+// daemons told of it.
+func (p Plan) Cut(rows int) (first, rest Plan) {
+	const rowsOfRemoved = 2
+	create := min(len(p.Create), rows)
+	rows -= create
+	remove := min(len(p.Remove), rows/rowsOfRemoved)
+	rows -= remove * rowsOfRemoved
+	cleared := min(len(p.Cleared), rows)
+	first = Plan{
+		Create:  p.Create[:create],
+		Remove:  p.Remove[:remove],
+		Cleared: p.Cleared[:cleared],
+	}
+	rest = Plan{
+		Create:  p.Create[create:],
+		Remove:  p.Remove[remove:],
+		Cleared: p.Cleared[cleared:],
+	}
+	return first, rest
+}
+
+// HasChanges tells whether the plan changes records.
+func (p Plan) HasChanges() bool {
+	return len(p.Create)+len(p.Remove)+len(p.Cleared) > 0
+}
+
+// Note is one change of belief about a group.
+type Note struct {
+	Group  string
+	Epoch  int64
+	Model  string
+	What   string
+	Reason string
+}
--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -9,9 +9,15 @@
 	"headcourse/core/fleet"
 )
 
-// stageMargin is how much longer than a load a stage order may take before it
-// is given again.
-const stageMargin = 3 * time.Second
+// Times of stage orders.
+const (
+	// stageMargin is how much longer than a load a stage order may take before it
+	// is given again.
+	stageMargin = 3 * time.Second
+	// stageAgain is when a server that did not take an order to load is asked
+	// again: it is loading, perhaps by another daemon's order.
+	stageAgain = 3 * time.Second
+)
 
 // stageFree has free servers load weights to their hosts, so that a repair
 // takes no load: first for models that lack groups, then as spares.
