Take the planning and the suspicion of assembly apart into short functions

Cause: layout() counted groups and listed servers in one; whySuspected looked at members and judged them in one; a free server that was silent and one that was slow were each probed again by the same lines, with two constants of the same worth; and which servers groups may be made of was written twice. Change: countGroups and listFree; examine returns what is known of the members; isMaterial; one probeUnfitAgain, whose comment no longer says that it holds in groups, where probeValid does. choose returns a choice, so that soonest has its name alone.

--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -118,23 +118,32 @@
 	return "g" + strconv.FormatInt(version, base) + "-" + strconv.Itoa(number)
 }
 
-// soonest returns the servers that form a group of the model soonest, and how
-// many of them must load its weights first; nil where there are too few.
-func soonest(free []fleet.Server, model config.Model) (members []fleet.Server, loads int) {
+// choice is the servers that would form a group soonest.
+type choice struct {
+	// members are nil where there are too few servers.
+	members []fleet.Server
+	// loads is how many of them must load the model's weights first.
+	loads int
+}
+
+// choose returns the free servers that would form a group of a model soonest.
+func choose(free []fleet.Server, model config.Model) choice {
 	if len(free) < model.Size {
-		return nil, 0
+		return choice{}
 	}
 	ranked := slices.Clone(free)
 	slices.SortStableFunc(ranked, func(a, b fleet.Server) int {
 		return cmp.Compare(joinRank(a, model.Name), joinRank(b, model.Name))
 	})
-	members = ranked[:model.Size]
-	for _, member := range members {
+	chosen := choice{
+		members: ranked[:model.Size],
+	}
+	for _, member := range chosen.members {
 		if joinRank(member, model.Name) >= rankLoad {
-			loads++
+			chosen.loads++
 		}
 	}
-	return members, loads
+	return chosen
 }
 
 // rankLoad and above are the ranks of servers that must load weights.
--- a/core/assembly/layout.go
+++ b/core/assembly/layout.go
@@ -27,8 +27,8 @@
 	live     map[string]int
 	inDomain map[string]map[string]int
 	total    int
-	// choices are the servers that would form the next group, by domain and model;
-	// a domain's are forgotten when its free servers change.
+	// choices are kept by domain and model, since planning asks for the same ones
+	// again and again; a domain's are forgotten when its free servers change.
 	choices map[choiceKey]choice
 }
 
@@ -38,12 +38,6 @@
 	model  string
 }
 
-// choice is what soonest returned.
-type choice struct {
-	members []fleet.Server
-	loads   int
-}
-
 // layout returns the state of a service.
 func (c *Controller) layout(service *config.Service, world World, plan *Plan) *layout {
 	at := &layout{
@@ -53,22 +47,36 @@
 		inDomain: map[string]map[string]int{},
 		choices:  map[choiceKey]choice{},
 	}
-	taken := c.taken()
-	isListed := map[string]bool{}
-	note := func(record Record, counts bool) {
-		if record.Service == service.Name && counts {
+	c.countGroups(at, world)
+	c.listFree(at, world, plan)
+	return at
+}
+
+// countGroups counts the groups of the service that are to serve.
+func (c *Controller) countGroups(at *layout, world World) {
+	note := func(record Record) {
+		if record.Service == at.service.Name {
 			head, _ := world.Fleet.Server(record.Members[0])
 			at.add(head.Domain, record.Model)
 		}
 	}
 	for _, g := range c.groups {
-		note(g.record, g.ending == "")
+		if g.ending == "" {
+			note(g.record)
+		}
 	}
 	for _, record := range c.creating {
-		note(record, true)
+		note(record)
 	}
+}
+
+// listFree counts the servers that the service's groups may be made of, and lists
+// those that are free.
+func (c *Controller) listFree(at *layout, world World, plan *Plan) {
+	taken := c.taken()
+	isListed := map[string]bool{}
 	for _, server := range world.Fleet.Servers() {
-		if server.Service != service.Name || !server.IsEngine || server.Draining {
+		if !isMaterial(server, at.service.Name) {
 			continue
 		}
 		at.total++
@@ -80,7 +88,12 @@
 			at.free[server.Domain] = append(at.free[server.Domain], server)
 		}
 	}
-	return at
+}
+
+// isMaterial tells whether groups of a service may be made of a server, free or
+// not.
+func isMaterial(server fleet.Server, service string) bool {
+	return server.Service == service && server.IsEngine && !server.Draining
 }
 
 // soonest returns the servers of a domain that form a group of a model soonest.
@@ -91,7 +104,7 @@
 	}
 	known, ok := l.choices[key]
 	if !ok {
-		known.members, known.loads = soonest(l.free[domain], model)
+		known = choose(l.free[domain], model)
 		l.choices[key] = known
 	}
 	return known
@@ -123,14 +136,10 @@
 // group that could still serve, it did not fail to answer lately, and it is not
 // slow.
 func (c *Controller) isFree(server fleet.Server, plan *Plan) bool {
-	if known := c.signs[server.ID]; known.last != Alive && known.silences >= silences {
-		if time.Since(known.asked) > probeDeadAgain {
-			c.probe(server, plan)
-		}
-		return false
-	}
-	if c.signs[server.ID].isSlow {
-		if time.Since(c.signs[server.ID].asked) > probeSlowAgain {
+	known := c.signs[server.ID]
+	isSilent := known.last != Alive && known.silences >= silences
+	if isSilent || known.isSlow {
+		if time.Since(known.asked) > probeUnfitAgain {
 			c.probe(server, plan)
 		}
 		return false
--- a/core/assembly/signs.go
+++ b/core/assembly/signs.go
@@ -10,11 +10,8 @@
 const (
 	// probeAgain is the time between two probes of one server.
 	probeAgain = 120 * time.Millisecond
-	// probeDeadAgain is the same for a free server that did not answer.
-	probeDeadAgain = time.Second
-	// probeSlowAgain is the time between two probes of a server that is slow, in a
-	// group or free.
-	probeSlowAgain = time.Second
+	// probeUnfitAgain is the same for a free server that did not answer or is slow.
+	probeUnfitAgain = time.Second
 	// probeValid is how long a sign of life counts.
 	probeValid = time.Second
 	// silences is how many probes in a row must be silent for a server to count
@@ -22,7 +19,7 @@
 	silences = 2
 )
 
-// Sign is what a probe of a server found.
+// Sign is a sign of life of a server, or its lack.
 type Sign int
 
 // The signs of life. Refused: nothing listens at its address, or another
@@ -55,13 +52,15 @@
 	return f.Sign == Alive && f.Pace >= slowPace
 }
 
-// sign is the last signs of life of a server.
+// sign is what the last probes of a server found.
 type sign struct {
-	last     Sign
-	isSlow   bool
-	at       time.Time
+	last   Sign
+	isSlow bool
+	// at is when a probe last told something, asked when one was last sent.
+	at    time.Time
+	asked time.Time
+	// silences counts the probes since the last sign of life.
 	silences int
-	asked    time.Time
 }
 
 // Probed notes what a probe of a server found.
--- a/core/assembly/suspect.go
+++ b/core/assembly/suspect.go
@@ -23,8 +23,37 @@
 	if !g.isSuspected {
 		return "", false
 	}
-	allKnown := true
-	slow := ""
+	found := c.examine(g, world, plan)
+	switch {
+	case found.dead != "":
+		return "requests stand still and member " + found.dead + " does not answer", false
+	case !found.allKnown:
+		return "", false
+	case found.slow != "":
+		return c.whySlow(g, found.slow, world, plan)
+	}
+	g.isSuspected = false
+	g.slow = ""
+	plan.Cleared = append(plan.Cleared, g.record.Name)
+	g.note("suspicion dropped", "all members answer", plan)
+	return "", false
+}
+
+// examined is what is known of the members of a suspected group.
+type examined struct {
+	// dead and slow each name a member that is so; empty: none.
+	dead string
+	slow string
+	// allKnown tells that there are recent signs of all members.
+	allKnown bool
+}
+
+// examine looks at the members of a group up to the first dead one, and probes those
+// without recent signs.
+func (c *Controller) examine(g *group, world World, plan *Plan) examined {
+	found := examined{
+		allKnown: true,
+	}
 	for _, id := range g.record.Members {
 		server, ok := world.Fleet.Server(id)
 		if !ok {
@@ -32,27 +61,18 @@
 		}
 		isDead, isKnown := c.isDead(id)
 		if isDead {
-			return "requests stand still and member " + id + " does not answer", false
+			found.dead = id
+			return found
 		}
 		if !isKnown {
-			allKnown = false
+			found.allKnown = false
 			c.probe(server, plan)
 		}
 		if c.signs[id].isSlow {
-			slow = id
+			found.slow = id
 		}
 	}
-	if !allKnown {
-		return "", false
-	}
-	if slow != "" {
-		return c.whySlow(g, slow, world, plan)
-	}
-	g.isSuspected = false
-	g.slow = ""
-	plan.Cleared = append(plan.Cleared, g.record.Name)
-	g.note("suspicion dropped", "all members answer", plan)
-	return "", false
+	return found
 }
 
 // whySlow returns why a group with a slow member must end, or nothing where it
@@ -74,8 +94,9 @@
 	lost, _ := world.Fleet.Server(member)
 	taken := c.taken()
 	for _, server := range world.Fleet.Servers() {
-		isNear := server.Service == g.record.Service && server.Domain == lost.Domain && server.IsEngine && !server.Draining
-		if isNear && !taken[server.ID] && server.HasStaged(g.record.Model) && c.isFree(server, plan) {
+		isNear := server.Domain == lost.Domain && isMaterial(server, g.record.Service)
+		isFit := server.HasStaged(g.record.Model) && !taken[server.ID]
+		if isNear && isFit && c.isFree(server, plan) {
 			return true
 		}
 	}
