Name what happens once in entry, and keep the view in a file of its own

Change: mark is something that happens once and can be waited for; noteKnown asks isReady; view.go holds what requests are served by.

--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -58,8 +58,6 @@
 	known   map[string]neighbours.Daemon
 	list    neighbours.List
 	clients map[string]*relay.Client
-	// read is done when the whole list is read for the first time.
-	read sync.Once
 }
 
 // listFollower follows the list of the daemons. Rows of VMs that are gone stay,
@@ -107,9 +105,7 @@
 	}
 	d.chooseRelays()
 	if isWhole {
-		r.read.Do(func() {
-			close(d.listRead)
-		})
+		d.listRead.set()
 	}
 }
 
@@ -118,7 +114,7 @@
 func (d *Daemon) afterList(task func(context.Context)) func(context.Context) {
 	return func(ctx context.Context) {
 		select {
-		case <-d.listRead:
+		case <-d.listRead.isSet:
 		case <-ctx.Done():
 		case <-time.After(listPatience):
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,11 +93,10 @@
 	told   toldStalls
 	// changed tells the leader that the view is another.
 	changed chan struct{}
-	// listRead is closed when the list of the daemons was read.
-	listRead chan struct{}
-	// known is closed when configuration and servers were read.
-	known     chan struct{}
-	knownOnce sync.Once
+	// listRead is set when the list of the daemons was read, known when
+	// configuration and servers were.
+	listRead mark
+	known    mark
 	// isLeading tells that this daemon forms groups.
 	isLeading atomic.Bool
 
@@ -133,8 +132,8 @@
 		workers:  platform.NewWorkers(),
 		stalls:   make(chan fleet.Server, stallQueue),
 		changed:  make(chan struct{}, 1),
-		listRead: make(chan struct{}),
-		known:    make(chan struct{}),
+		listRead: newMark(),
+		known:    newMark(),
 	}
 	store := platform.NewStore(known.Store)
 	store.Called = func(call string, took time.Duration) {
@@ -205,58 +204,6 @@
 	return d.ready.address
 }
 
-// View returns what the daemon knows now.
-func (d *Daemon) View() gateway.View {
-	return *d.view.Load()
-}
-
-// Known is closed when configuration and servers were read for the first time.
-func (d *Daemon) Known() <-chan struct{} {
-	return d.known
-}
-
-// noteKnown closes known if it is time. KeysFresh holds soon after: the follower
-// confirms what it has just read.
-func (d *Daemon) noteKnown() {
-	if d.view.Load().Config != nil && d.serversRead.Load() && d.KeysFresh() {
-		d.knownOnce.Do(func() {
-			close(d.known)
-		})
-	}
-}
-
-// Age returns how old the view of the configuration may be.
-func (d *Daemon) Age() time.Duration {
-	age, _ := d.fresh.Age()
-	return age
-}
-
-// KeysFresh tells whether the view is young enough to accept keys by: a key
-// that was withdrawn must be dead within the bound, also where the daemon was
-// frozen or cut off.
-func (d *Daemon) KeysFresh() bool {
-	age, isKnown := d.fresh.Age()
-	return isKnown && age < d.settings.RevokeWithin-revokeMargin
-}
-
-// isReady tells whether clients should be sent here.
-func (d *Daemon) isReady() bool {
-	return d.view.Load().Config != nil && d.serversRead.Load() && d.KeysFresh()
-}
-
-// change replaces the view by what edit makes of it.
-func (d *Daemon) change(edit func(view *gateway.View)) {
-	d.mutex.Lock()
-	next := *d.view.Load()
-	edit(&next)
-	d.view.Store(&next)
-	d.mutex.Unlock()
-	select {
-	case d.changed <- struct{}{}:
-	default:
-	}
-}
-
 // Reload takes new settings that can change while the daemon runs.
 func (d *Daemon) Reload(known settings.Settings) {
 	d.log.Info("daemon: settings read again", zap.String("name", known.Name))
