--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -16,14 +16,6 @@
 // goal, and long enough for another daemon's choice or a freed place.
 const comeBack = 250 * time.Millisecond
 
-// How long a request is held until the daemon has read what it serves by: at most
-// viewPatience, twice what a start took on the users' bench, and a part of the
-// client's time.
-const (
-	viewPatience = 700 * time.Millisecond
-	viewPart     = 4
-)
-
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	read, err := s.dialect.ReadRequest(ctx)
@@ -69,24 +61,6 @@
 	ctx.SetStatusCode(status)
 }
 
-// awaitView holds a request that comes before the daemon has read what it serves by.
-// After a restart of all daemons that takes some tenths of a second; a refusal would
-// cost the client more than the wait.
-func (j *job) awaitView() {
-	known := j.server.source.Known()
-	select {
-	case <-known:
-		return
-	default:
-	}
-	timer := time.NewTimer(min(j.server.viewPatience, j.request.Wait/viewPart))
-	defer timer.Stop()
-	select {
-	case <-known:
-	case <-timer.C:
-	}
-}
-
 // admit finds the route, the organisation and the service of a request, or
 // returns the status and the reason of its refusal.
 func (j *job) admit() (int, request.Reason) {
@@ -120,16 +94,20 @@
 		}
 	}
 	j.service = pickService(j.route)
+	j.setTimes()
+	j.drawYielding()
+	return 0, request.ReasonNone
+}
+
+// setTimes works out until when the client waits, and since when.
+func (j *job) setTimes() {
 	wait := j.request.Wait
 	if j.route.Timeout > 0 {
 		wait = min(wait, j.route.Timeout)
 	}
-	j.asked = j.request.Arrived.Add(-j.server.patience.Waited(j.route.Name, wait))
+	waited := j.server.patience.Waited(j.route.Name, wait)
+	j.asked = j.request.Arrived.Add(-waited)
 	j.deadline = j.request.Arrived.Add(wait)
-	if j.yields = rand.Float64() < j.server.overload.Part(j.kind()); j.yields {
-		j.server.count(countYielding, request.ReasonOverload)
-	}
-	return 0, request.ReasonNone
 }
 
 // pickService draws one of a route's services by weight.
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -11,7 +11,6 @@
 	"headcourse/core/config"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
-	"headcourse/core/urgency"
 	"headcourse/io/backend"
 )
 
@@ -42,10 +41,9 @@
 	asked    time.Time
 	deadline time.Time
 	// yields tells that the request gives way to others of its kind, since not all
-	// can be in time; isNoted that it was told to the overload.
-	yields  bool
-	isNoted bool
-	forget  func()
+	// can be in time.
+	yields bool
+	forget func()
 
 	// excluded are servers that were asked; sends counts them, runs those that
 	// may have run the request.
@@ -179,30 +177,6 @@
 	return false
 }
 
-// level returns how urgent the request is at a server, or noPriority where the
-// operator gave none.
-func (j *job) level() int {
-	if j.priority < 0 {
-		return noPriority
-	}
-	isLate := j.yields || !urgency.InTime(j.asked, time.Now(), j.route.Goal)
-	if j.events > 0 {
-		// It goes on after a break; the pause decides.
-		isLate = j.route.PauseGoal > 0 && time.Since(j.lastEventAt) > j.route.PauseGoal
-	}
-	return urgency.Level(j.priority, isLate)
-}
-
-// noteBegun tells the overload whether the request's answer began in time. One that
-// yields, or was late when it came, says nothing about it.
-func (j *job) noteBegun() {
-	if j.isNoted || j.yields || j.route.Kind != config.Stream || !urgency.InTime(j.asked, j.request.Arrived, j.route.Goal) {
-		return
-	}
-	j.isNoted = true
-	j.server.overload.Note(j.kind(), urgency.InTime(j.asked, time.Now(), j.route.Goal))
-}
-
 // pick chooses the server for the next send.
 func (j *job) pick() (fleet.Server, func(), bool) {
 	serving := j.server.source.View().Fleet.Serving(j.service, j.request.Model)
--- a/io/gateway/line.go
+++ b/io/gateway/line.go
@@ -32,7 +32,7 @@
 		j.forget()
 	}
 	if j.sends > 0 && j.events == 0 {
-		j.noteBegun()
+		j.tellOverload()
 	}
 	j.server.open.Add(-1)
 	took := time.Since(j.request.Arrived)
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -119,7 +119,7 @@
 		tracker.Silence(s.job.kind(), balancer.Pause, pause)
 	}
 	if s.job.events == 0 {
-		s.job.noteBegun()
+		s.job.tellOverload()
 		s.job.firstEvent = now.Sub(s.job.request.Arrived)
 	} else {
 		s.job.longestPause = max(s.job.longestPause, now.Sub(s.job.lastEventAt))
