Keep which relays are avoided in a type of its own

Change: avoidance knows which relays failed lately and for how long they are not asked; the chain asks it. callTo names the function that ask takes.

--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -10,16 +10,6 @@
 
 // Times of a chain.
 const (
-	// avoidTime is how long a relay that failed is not asked again, twice as long
-	// with each further failure, up to longestAvoid: asking one whose VM is gone
-	// costs the wait for it.
-	avoidTime    = 2 * time.Second
-	longestAvoid = 16 * time.Second
-	// noCopyAvoid is the same for a relay that answers but has no young copy: its
-	// word costs little, and it is the first to hear when the store is back.
-	noCopyAvoid = 200 * time.Millisecond
-	// mostFailures bounds the doubling.
-	mostFailures = 3
 	// relayTime is how much longer than the wait a relay's answer may take.
 	relayTime = 400 * time.Millisecond
 	// longestRelayed is the longest wait asked of a relay: one that has died
@@ -56,7 +46,7 @@
 
 	mutex  sync.Mutex
 	relays []Relay
-	avoid  map[string]avoided
+	avoid  avoidance
 	// failedAt is when the store last failed a call, and directAt when it was last
 	// asked.
 	failedAt time.Time
@@ -66,13 +56,6 @@
 	relayed int64
 }
 
-// avoided is a relay that failed: until when it is not asked, and how often it
-// failed in a row.
-type avoided struct {
-	until time.Time
-	times int
-}
-
 // Relay is another daemon that answers from its copy.
 type Relay struct {
 	Name   string
@@ -86,7 +69,7 @@
 		store:  store,
 		clock:  clock,
 		limits: limits,
-		avoid:  map[string]avoided{},
+		avoid:  avoidance{},
 	}
 }
 
@@ -111,7 +94,7 @@
 	defer c.mutex.Unlock()
 	var usable []Relay
 	for _, relay := range c.relays {
-		if time.Now().After(c.avoid[relay.Name].until) {
+		if !c.avoid.has(relay.Name) {
 			usable = append(usable, relay)
 		}
 	}
@@ -122,21 +105,10 @@
 func (c *Chain) note(relay string, err error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if errors.Is(err, ErrNoCopy) {
-		c.avoid[relay] = avoided{
-			until: time.Now().Add(noCopyAvoid),
-		}
-		return
+	c.avoid.note(relay, err)
+	if err == nil {
+		c.relayed++
 	}
-	if err != nil {
-		known := c.avoid[relay]
-		known.until = time.Now().Add(min(avoidTime<<known.times, longestAvoid))
-		known.times = min(known.times+1, mostFailures)
-		c.avoid[relay] = known
-		return
-	}
-	delete(c.avoid, relay)
-	c.relayed++
 }
 
 // Read reads a table. Only one relay is asked before the store: a daemon that has
@@ -164,8 +136,11 @@
 	})
 }
 
+// callTo makes one call to a relay, or to the store.
+type callTo func(ctx context.Context, to Reader) (Result, error)
+
 // ask makes a call to the relays in turn, and then to the store.
-func (c *Chain) ask(ctx context.Context, table string, relays []Relay, limit time.Duration, call func(context.Context, Reader) (Result, error)) (Result, error) {
+func (c *Chain) ask(ctx context.Context, table string, relays []Relay, limit time.Duration, call callTo) (Result, error) {
 	for _, relay := range relays {
 		limited, cancel := context.WithTimeout(ctx, limit)
 		result, err := call(limited, relay.Reader)
