--- a/labcommand/days.go
+++ b/labcommand/days.go
@@ -35,13 +35,7 @@
 
 // writeDays writes the scores that played all days of the last one.
 func writeDays(out io.Writer, scores []journal.Run) error {
-	var names []string
-	for _, day := range scores[len(scores)-1].Days {
-		if day.IsStandard() {
-			names = append(names, day.Name)
-		}
-	}
-	slices.Sort(names)
+	names := standardDays(scores[len(scores)-1])
 	writer := csv.NewWriter(out)
 	rows := [][]string{slices.Concat([]string{"run", "id", "mean"}, names, []string{"purpose"})}
 	for _, score := range scores {
@@ -52,6 +46,18 @@
 	return errors.Wrap(writer.WriteAll(rows), "write days")
 }
 
+// standardDays returns the names of a run's standard days, ordered.
+func standardDays(run journal.Run) []string {
+	var names []string
+	for _, day := range run.Days {
+		if day.IsStandard() {
+			names = append(names, day.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // dayRow returns the row of one score, and whether it played all days.
 func dayRow(number int, score journal.Run, names []string) ([]string, bool) {
 	worth := map[string]float64{}
