Part table and page in the stand-in of the store

Cause: one handler gathered the rows of a table, ordered them, cut a page and worked out from the page's last key whether there are more; the bounds of calls stood between two handlers. Change: table and page, which also tells whether more rows follow; the bounds stand at the head of the file. cmp.Compare orders the rows.

--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -9,6 +9,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -35,6 +36,15 @@
 	Lossy
 )
 
+// Bounds of calls, as the platform's pages say.
+const (
+	// pageRows is how many rows of a table one answer holds.
+	pageRows = 500
+	// maxEntries is how many conditions, writes and removes a transaction may have
+	// together.
+	maxEntries = 100
+)
+
 // Store is the platform's store. Use startStore.
 type Store struct {
 	server  *http.Server
@@ -181,41 +191,40 @@
 	if !s.enter(w, r) {
 		return
 	}
+	query := r.URL.Query()
 	s.mutex.Lock()
+	rows, hasMore := page(s.table(query.Get("Table")), query.Get("Source"))
+	result := s.result(rows)
+	s.mutex.Unlock()
+	result.HasMore = hasMore
+	answer(w, http.StatusOK, result)
+}
+
+// table returns the rows of a table, ordered by key. The mutex is held.
+func (s *Store) table(name string) []wire.Row {
 	var rows []wire.Row
 	for at, row := range s.rows {
-		if at.table == r.URL.Query().Get("Table") {
+		if at.table == name {
 			rows = append(rows, row)
 		}
 	}
 	slices.SortFunc(rows, func(a, b wire.Row) int {
-		if a.Key < b.Key {
-			return -1
-		}
-		return 1
+		return cmp.Compare(a.Key, b.Key)
 	})
-	result := s.result(page(rows, r.URL.Query().Get("Source")))
-	result.HasMore = len(result.Rows) > 0 && result.Rows[len(result.Rows)-1].Key != rows[len(rows)-1].Key
-	s.mutex.Unlock()
-	answer(w, http.StatusOK, result)
+	return rows
 }
 
-// pageRows is how many rows one answer holds, and maxEntries how many conditions,
-// writes and removes a transaction may have, as the platform's pages say.
-const (
-	pageRows   = 500
-	maxEntries = 100
-)
-
-// page returns the rows of one answer: from a key on, as many as it may hold.
-func page(rows []wire.Row, from string) []wire.Row {
+// page returns the rows of one answer, from a key on as many as it may hold, and
+// whether there are more after them.
+func page(rows []wire.Row, from string) ([]wire.Row, bool) {
 	start := slices.IndexFunc(rows, func(row wire.Row) bool {
 		return row.Key >= from
 	})
 	if start < 0 {
-		return nil
+		return nil, false
 	}
-	return rows[start:min(len(rows), start+pageRows)]
+	end := min(len(rows), start+pageRows)
+	return rows[start:end], end < len(rows)
 }
 
 // handleFeed returns changes.
