Say once what a plan's changes are, and in which order relays are asked

Cause: entry appended the three fields of a plan's changes by hand, beside Cut and HasChanges which know them; the order of relays compared zones with nested ifs and wrote one hash twice; "served" did not tell what it counts. Change: Plan.AddChanges; distance and turnFor of a daemon; daemonsPerRelay; stageSpares out of stageFree; comments of entry's fields that had fallen behind.

--- a/core/assembly/plan.go
+++ b/core/assembly/plan.go
@@ -15,6 +15,13 @@
 	Notes []Note
 }
 
+// AddChanges adds the changes of records of a later plan.
+func (p *Plan) AddChanges(later Plan) {
+	p.Create = append(p.Create, later.Create...)
+	p.Remove = append(p.Remove, later.Remove...)
+	p.Cleared = append(p.Cleared, later.Cleared...)
+}
+
 // Cut returns the part of the plan's changes of records that fits a transaction of
 // so many rows, and the rest. A removed group takes two rows: its record and what
 // daemons told of it.
--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -36,9 +36,15 @@
 		}
 		c.stageMissing(at, model, world, plan)
 	}
+	c.stageSpares(at, world, plan)
+}
+
+// stageSpares has servers that hold nothing load weights as spares.
+func (c *Controller) stageSpares(at *layout, world World, plan *Plan) {
 	for _, domain := range at.domains {
 		for _, server := range at.free[domain] {
-			if len(server.Staged) == 0 && len(server.Models) == 0 && !c.isStaging(server) {
+			isEmpty := len(server.Staged) == 0 && len(server.Models) == 0
+			if isEmpty && !c.isStaging(server) {
 				c.stageSpare(at, domain, server, world, plan)
 			}
 		}
--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -26,10 +26,10 @@
 	// Relays is how many daemons follow the store for the others, at least: one
 	// may be gone, another cut off, and the third still serves.
 	Relays = 3
-	// served is how many daemons of a zone one relay serves. With 79 daemons the
+	// daemonsPerRelay is how many daemons of a zone one relay serves. With 79 daemons the
 	// busiest relay of 16 used a twentieth of its VM's processor; each relay costs
 	// about 90 calls a minute to the store.
-	served = 32
+	daemonsPerRelay = 32
 )
 
 // Daemon is one daemon of the list.
@@ -117,7 +117,7 @@
 	chosen := map[string]int{}
 	var relays, others []Daemon
 	for _, daemon := range l.daemons {
-		if chosen[daemon.Zone]*served < inZone[daemon.Zone] {
+		if chosen[daemon.Zone]*daemonsPerRelay < inZone[daemon.Zone] {
 			chosen[daemon.Zone]++
 			relays = append(relays, daemon)
 		} else {
@@ -136,13 +136,23 @@
 	}
 	order := slices.Clone(l.relays())
 	slices.SortFunc(order, func(a, b Daemon) int {
-		if (a.Zone == zone) != (b.Zone == zone) {
-			if a.Zone == zone {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(xxhash.Sum64String(name+"/"+a.Name), xxhash.Sum64String(name+"/"+b.Name))
+		return cmp.Or(
+			cmp.Compare(a.distance(zone), b.distance(zone)),
+			cmp.Compare(a.turnFor(name), b.turnFor(name)),
+		)
 	})
 	return order
 }
+
+// distance is 0 within the daemon's zone and 1 beyond it.
+func (d Daemon) distance(zone string) int {
+	if d.Zone == zone {
+		return 0
+	}
+	return 1
+}
+
+// turnFor orders relays for another daemon, for each in a way of its own.
+func (d Daemon) turnFor(name string) uint64 {
+	return xxhash.Sum64String(name + "/" + d.Name)
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -78,7 +78,7 @@
 	turns chan struct{}
 	// mustLoad tells that the records in the store may be others than known.
 	mustLoad bool
-	// pending are changes that wait for the one being committed.
+	// pending are changes of records that wait for the one being committed.
 	pending      assembly.Plan
 	isCommitting bool
 }
@@ -154,9 +154,7 @@
 	for _, order := range plan.Orders {
 		go t.give(ctx, order)
 	}
-	t.pending.Create = append(t.pending.Create, plan.Create...)
-	t.pending.Remove = append(t.pending.Remove, plan.Remove...)
-	t.pending.Cleared = append(t.pending.Cleared, plan.Cleared...)
+	t.pending.AddChanges(plan)
 	t.commitPending(ctx)
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -59,7 +59,7 @@
 	settings settings.Settings
 	log      *zap.Logger
 	registry metrics.Registry
-	// start is the id of this start of the daemon.
+	// start is the id of this start of the daemon, began when it was.
 	start   string
 	began   time.Time
 	store   rowstore.Store
@@ -87,8 +87,8 @@
 	serversRead atomic.Bool
 	// outage is the last time that the servers' table could not be followed.
 	outage atomic.Pointer[fleet.Outage]
-	// stalls are servers that stand still and wait to be looked into; told those
-	// that the store tells of.
+	// stalls are heads at which requests stand still, to be looked into; told are the
+	// groups that the store tells of.
 	stalls chan fleet.Server
 	told   toldStalls
 	// changed tells the leader that the view is another.
