Bring package comments up to what the packages do now

Cause: the comments of urgency, gateway, balancer and assembly did not tell of yielding in overload, of held requests and urgency, of servers in trouble, and of slow members and dropped records. InTime stood in overload.go, which does not use it. Change: a sentence or two each; InTime stands beside Level.

--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -10,7 +10,12 @@
 //
 // A group ends at its head. Members are used again only when the head is known
 // not to serve any more: it tells so, its process is gone, or it was silent for
-// longer than a group stands still before it breaks.
+// longer than a group stands still before it breaks. Where nothing has been heard of
+// any member for long, the record alone is dropped.
+//
+// A group at which daemons found requests standing still or slow is suspected: its
+// members are probed. It ends if one of them is dead, and also if one is slow and a
+// spare can take its place.
 //
 // A Controller does no I/O. It is told what happened and returns what to do; the
 // caller owns it with one goroutine. Whoever takes over from another daemon
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -9,7 +9,8 @@
 // What a daemon sees of a server decides whether it is used at all. A group
 // that lost a member goes on taking requests and answers none; its silence,
 // over all of its streams, is the first sign. It is then rested, with a single
-// request let through from time to time to find out whether it works again.
+// request let through from time to time to find out whether it works again. A server
+// that other daemons found in trouble comes after those that are well.
 package balancer
 
 import (
--- a/core/urgency/overload.go
+++ b/core/urgency/overload.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 )
 
 // Figures of overload.
@@ -48,9 +47,3 @@
 	defer o.mutex.Unlock()
 	return o.parts[kind]
 }
-
-// InTime tells whether an answer that began at a time is within a goal; a goal of 0
-// is always met.
-func InTime(asked, began time.Time, goal time.Duration) bool {
-	return goal <= 0 || began.Sub(asked) <= goal
-}
--- a/core/urgency/urgency.go
+++ b/core/urgency/urgency.go
@@ -9,6 +9,9 @@
 // A client does not tell when it first asked. It tells how long it will still
 // wait, and clients of a route start with the same patience; so one that will wait
 // less than others do has been waiting for the difference.
+//
+// Where not all can be in time although none waited before, a part of them yields,
+// drawn by chance, so that the others are in time: Overload decides how large a part.
 package urgency
 
 import (
@@ -56,3 +59,9 @@
 	}
 	return min(level, leastUrgent)
 }
+
+// InTime tells whether an answer that began at a time is within a goal; a goal of 0
+// is always met.
+func InTime(asked, began time.Time, goal time.Duration) bool {
+	return goal <= 0 || began.Sub(asked) <= goal
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -8,6 +8,9 @@
 // else ends with 502 or 504. A request is sent again only if it was not run,
 // or its route allows it to run more than once; and only within the budget
 // that all daemons share.
+//
+// A request that comes before the daemon has read what it serves by is held for a
+// moment. Each send tells the server how urgent the request is.
 package gateway
 
 import (
