Take the check of keys out of the gateway's admit

Change: admitKey finds the organisation or refuses; comments name what admit now also finds, and that the time of the first attempt is only as far as known.

--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -61,8 +61,8 @@
 	ctx.SetStatusCode(status)
 }
 
-// admit finds the route, the organisation and the service of a request, or
-// returns the status and the reason of its refusal.
+// admit finds the route, the organisation and the service of a request, and how
+// urgent it is, or returns the status and the reason of its refusal.
 func (j *job) admit() (int, request.Reason) {
 	view := j.server.source.View()
 	if view.Config == nil {
@@ -80,18 +80,8 @@
 		return fasthttp.StatusNotFound, request.ReasonNoRoute
 	}
 	j.priority = j.route.Priority
-	if view.Config.NeedsKey(j.route) {
-		if !j.server.source.KeysFresh() {
-			return fasthttp.StatusServiceUnavailable, request.ReasonStale
-		}
-		organisation := view.Config.Organisation(j.request.Key)
-		if organisation == nil {
-			return fasthttp.StatusUnauthorized, request.ReasonNoKey
-		}
-		j.organisation = organisation.Name
-		if organisation.HasPriority {
-			j.priority = organisation.Priority
-		}
+	if status, reason := j.admitKey(); reason != request.ReasonNone {
+		return status, reason
 	}
 	j.service = pickService(j.route)
 	j.setTimes()
@@ -99,6 +89,26 @@
 	return 0, request.ReasonNone
 }
 
+// admitKey finds the organisation of a request whose route needs a key, or returns
+// the status and the reason of its refusal.
+func (j *job) admitKey() (int, request.Reason) {
+	if !j.config.NeedsKey(j.route) {
+		return 0, request.ReasonNone
+	}
+	if !j.server.source.KeysFresh() {
+		return fasthttp.StatusServiceUnavailable, request.ReasonStale
+	}
+	organisation := j.config.Organisation(j.request.Key)
+	if organisation == nil {
+		return fasthttp.StatusUnauthorized, request.ReasonNoKey
+	}
+	j.organisation = organisation.Name
+	if organisation.HasPriority {
+		j.priority = organisation.Priority
+	}
+	return 0, request.ReasonNone
+}
+
 // setTimes works out until when the client waits, and since when.
 func (j *job) setTimes() {
 	wait := j.request.Wait
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -36,8 +36,8 @@
 	organisation string
 	service      string
 	priority     int
-	// asked is when the client asked first, before this attempt if it tried
-	// before.
+	// asked is when the client asked first, as far as known: before this attempt if
+	// it tried before.
 	asked    time.Time
 	deadline time.Time
 	// yields tells that the request gives way to others of its kind, since not all
