--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -9,9 +9,15 @@
 	"headcourse/core/fleet"
 )
 
-// stageMargin is how much longer than a load a stage order may take before it
-// is given again.
-const stageMargin = 3 * time.Second
+// Times of stage orders.
+const (
+	// stageMargin is how much longer than a load a stage order may take before it
+	// is given again.
+	stageMargin = 3 * time.Second
+	// stageAgain is when a server that did not take an order to load is asked
+	// again: it is loading, perhaps by another daemon's order.
+	stageAgain = 3 * time.Second
+)
 
 // stageFree has free servers load weights to their hosts, so that a repair
 // takes no load: first for models that lack groups, then as spares.
@@ -30,9 +36,15 @@
 		}
 		c.stageMissing(at, model, world, plan)
 	}
+	c.stageSpares(at, world, plan)
+}
+
+// stageSpares has servers that hold nothing load weights as spares.
+func (c *Controller) stageSpares(at *layout, world World, plan *Plan) {
 	for _, domain := range at.domains {
 		for _, server := range at.free[domain] {
-			if len(server.Staged) == 0 && len(server.Models) == 0 && !c.isStaging(server) {
+			isEmpty := len(server.Staged) == 0 && len(server.Models) == 0
+			if isEmpty && !c.isStaging(server) {
 				c.stageSpare(at, domain, server, world, plan)
 			}
 		}
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -11,7 +11,6 @@
 	"headcourse/core/config"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
-	"headcourse/core/urgency"
 	"headcourse/io/backend"
 )
 
@@ -24,14 +23,6 @@
 	noPriority = -1
 	// leastLeft is the least time that must remain for a send.
 	leastLeft = 5 * time.Millisecond
-	// laneShare is the part of an engine's places that late requests may take in the
-	// laneTime after a start, about twice what a backlog of clients took to be served;
-	// lanePatience is how long one waits for its turn, lanePart the part of its time
-	// at most. A client gives a stream up after two seconds of silence.
-	laneShare    = 0.3
-	laneTime     = 4 * time.Second
-	lanePatience = 450 * time.Millisecond
-	lanePart     = 4
 	// answerLimit bounds an answer that is not a stream.
 	answerLimit = 32 << 20
 )
@@ -45,15 +36,14 @@
 	organisation string
 	service      string
 	priority     int
-	// asked is when the client asked first, before this attempt if it tried
-	// before.
+	// asked is when the client asked first, as far as known: before this attempt if
+	// it tried before.
 	asked    time.Time
 	deadline time.Time
 	// yields tells that the request gives way to others of its kind, since not all
-	// can be in time; isNoted that it was told to the overload.
-	yields  bool
-	isNoted bool
-	forget  func()
+	// can be in time.
+	yields bool
+	forget func()
 
 	// excluded are servers that were asked; sends counts them, runs those that
 	// may have run the request.
@@ -195,56 +185,6 @@
 	return false
 }
 
-// level returns how urgent the request is at a server, or noPriority where the
-// operator gave none.
-func (j *job) level() int {
-	if j.priority < 0 {
-		return noPriority
-	}
-	isLate := j.yields || !urgency.InTime(j.asked, time.Now(), j.route.Goal)
-	if j.events > 0 {
-		// It goes on after a break; the pause decides.
-		isLate = j.route.PauseGoal > 0 && time.Since(j.lastEventAt) > j.route.PauseGoal
-	}
-	return urgency.Level(j.priority, isLate)
-}
-
-// noteBegun tells the overload whether the request's answer began in time. One that
-// yields, or was late when it came, says nothing about it.
-func (j *job) noteBegun() {
-	if j.isNoted || j.yields || j.route.Kind != config.Stream || !urgency.InTime(j.asked, j.request.Arrived, j.route.Goal) {
-		return
-	}
-	j.isNoted = true
-	j.server.overload.Note(j.kind(), urgency.InTime(j.asked, time.Now(), j.route.Goal))
-}
-
-// awaitLane lets a stream that is late already wait while many such are under way,
-// so that those that come next find room. It does so only after a start, when all
-// clients come back at once: in a lasting overload late requests would wait for each
-// other until their clients give up.
-func (j *job) awaitLane() {
-	j.leaveLane = func() {}
-	isBack := j.server.source.KnownFor() < laneTime
-	if !isBack || j.route.Kind != config.Stream || urgency.InTime(j.asked, j.request.Arrived, j.route.Goal) {
-		return
-	}
-	kind := j.service + "/" + j.request.Model
-	patience := min(lanePatience, time.Until(j.deadline)/lanePart)
-	j.leaveLane = j.server.lane.Enter(kind, j.laneLimit(), patience)
-}
-
-// laneLimit returns how many late requests of the model this daemon may have under
-// way: its part of a share of all places.
-func (j *job) laneLimit() int {
-	places := 0
-	view := j.server.source.View()
-	for _, server := range view.Fleet.Serving(j.service, j.request.Model) {
-		places += server.Capacity
-	}
-	return max(1, int(laneShare*float64(places)/float64(max(1, j.server.source.Daemons()))))
-}
-
 // pick chooses the server for the next send.
 func (j *job) pick() (fleet.Server, func(), bool) {
 	serving := j.server.source.View().Fleet.Serving(j.service, j.request.Model)
