--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -102,6 +103,40 @@
 	return answer.StatusCode, answer.Header
 }
 
+// oneServer returns a view of one backend server behind one route.
+func oneServer(backend *httptest.Server, kind config.Kind) gateway.View {
+	return gateway.View{
+		Config: config.New(config.Config{
+			Routes: []config.Route{
+				{
+					Name:     "status",
+					Host:     host,
+					Prefix:   path,
+					Kind:     kind,
+					Goal:     time.Minute,
+					Timeout:  time.Hour,
+					Priority: 2,
+					Backends: []config.Backend{
+						{
+							Service: "board",
+							Weight:  1,
+						},
+					},
+					MaxAttempts: 1,
+				},
+			},
+		}),
+		Fleet: fleet.View{}.WithAll(1, []fleet.Server{
+			{
+				ID:       "i-1",
+				Service:  "board",
+				Address:  backend.Listener.Addr().(*net.TCPAddr).String(),
+				Capacity: 6,
+			},
+		}, time.Now()),
+	}
+}
+
 // After a restart of all daemons, hundreds of requests were refused in the tenths of
 // a second before the first view was read.
 func TestRequestBeforeTheFirstViewIsHeldUntilItIsRead(t *testing.T) {
@@ -142,36 +177,7 @@
 		w.Header().Set(wire.HeaderSeal, "seal")
 	}))
 	t.Cleanup(backend.Close)
-	_, address := listen(t, newSource(gateway.View{
-		Config: config.New(config.Config{
-			Routes: []config.Route{
-				{
-					Name:     "status",
-					Host:     host,
-					Prefix:   path,
-					Kind:     config.Safe,
-					Goal:     time.Minute,
-					Timeout:  time.Hour,
-					Priority: 2,
-					Backends: []config.Backend{
-						{
-							Service: "board",
-							Weight:  1,
-						},
-					},
-					MaxAttempts: 1,
-				},
-			},
-		}),
-		Fleet: fleet.View{}.WithAll(1, []fleet.Server{
-			{
-				ID:       "i-1",
-				Service:  "board",
-				Address:  backend.Listener.Addr().(*net.TCPAddr).String(),
-				Capacity: 6,
-			},
-		}, time.Now()),
-	}), time.Minute)
+	_, address := listen(t, newSource(oneServer(backend, config.Safe)), time.Minute)
 
 	status, _ := ask(t, address, "r1", time.Hour)
 	qt.Assert(t, status, qt.Equals, http.StatusOK)
@@ -182,3 +188,43 @@
 	qt.Assert(t, status, qt.Equals, http.StatusOK)
 	qt.Assert(t, <-levels, qt.Equals, "5")
 }
+
+// A server that works on for a client who has left wastes a place (GONE).
+func TestServerIsLeftWhenItsClientGoes(t *testing.T) {
+	left := make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderID, r.Header.Get(wire.HeaderID))
+		w.Header().Set(wire.HeaderSeal, "seal")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, err := io.WriteString(w, "id: 1\ndata: first\n\n")
+		qt.Check(t, err, qt.IsNil)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+		close(left)
+	}))
+	t.Cleanup(func() {
+		backend.CloseClientConnections()
+		backend.Close()
+	})
+	_, address := listen(t, newSource(oneServer(backend, config.Stream)), time.Minute)
+
+	ctx, leave := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.Host = host
+	request.Header.Set(wire.HeaderID, "r1")
+	// The deadline must not be what ends the work.
+	request.Header.Set(wire.HeaderDeadline, strconv.FormatInt(time.Hour.Milliseconds(), 10))
+	answer, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.ReadFull(answer.Body, make([]byte, 1))
+	qt.Assert(t, err, qt.IsNil)
+
+	leave()
+	qt.Check(t, answer.Body.Close(), qt.IsNil)
+	select {
+	case <-left:
+	case <-time.After(45 * time.Second):
+		t.Fatal("the server still works for a client that has left")
+	}
+}
