--- a/core/urgency/overload.go
+++ b/core/urgency/overload.go
@@ -31,7 +31,8 @@
 func (o *Overload) Note(kind string, inTime bool) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if o.parts == nil || len(o.parts) >= mostKinds {
+	_, isKnown := o.parts[kind]
+	if o.parts == nil || (!isKnown && len(o.parts) >= mostKinds) {
 		o.parts = map[string]float64{}
 	}
 	if inTime {
--- a/core/urgency/urgency.go
+++ b/core/urgency/urgency.go
@@ -42,7 +42,8 @@
 func (p *Patience) Waited(route string, wait time.Duration) time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.longest == nil || len(p.longest) >= mostRoutes {
+	_, isKnown := p.longest[route]
+	if p.longest == nil || (!isKnown && len(p.longest) >= mostRoutes) {
 		p.longest = map[string]time.Duration{}
 	}
 	longest := max(wait, p.longest[route])
--- a/core/urgency/urgency_test.go
+++ b/core/urgency/urgency_test.go
@@ -36,6 +36,17 @@
 	qt.Assert(t, patience.Waited("plans", 2*time.Second), qt.Equals, time.Duration(0))
 }
 
+func TestFullMemoryKeepsTheRoutesItKnows(t *testing.T) {
+	const most = 4096
+	var patience urgency.Patience
+	for i := range most {
+		patience.Waited(fmt.Sprint(i), 8*time.Second)
+	}
+	for i := range most {
+		qt.Assert(t, patience.Waited(fmt.Sprint(i), 2*time.Second), qt.Equals, 6*time.Second)
+	}
+}
+
 func TestLateRequestsStayWithinTheirPriority(t *testing.T) {
 	qt.Assert(t, urgency.Level(0, false), qt.Equals, 0)
 	qt.Assert(t, urgency.Level(0, true) < urgency.Level(1, false), qt.IsTrue)
