Lose no events that come together with the end of a connection

A read that returned both events and an error took the events as passed on, so that the next server went on after them; but the next server's first events replaced them before the client had them.

Change: an error that comes together with events is kept until they are passed on, at the first event of a stream as well as later.

--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -105,6 +107,20 @@
 
 // oneServer returns a view of one backend server behind one route.
 func oneServer(backend *httptest.Server, kind config.Kind) gateway.View {
+	return someServers(kind, backend.Listener.Addr().String())
+}
+
+// someServers returns a view of backend servers behind one route.
+func someServers(kind config.Kind, addresses ...string) gateway.View {
+	var servers []fleet.Server
+	for i, address := range addresses {
+		servers = append(servers, fleet.Server{
+			ID:       "i-" + strconv.Itoa(i),
+			Service:  "board",
+			Address:  address,
+			Capacity: 6,
+		})
+	}
 	return gateway.View{
 		Config: config.New(config.Config{
 			Routes: []config.Route{
@@ -122,18 +138,12 @@
 							Weight:  1,
 						},
 					},
-					MaxAttempts: 1,
+					MaxAttempts: 2,
+					Resumable:   kind == config.Stream,
 				},
 			},
 		}),
-		Fleet: fleet.View{}.WithAll(1, []fleet.Server{
-			{
-				ID:       "i-1",
-				Service:  "board",
-				Address:  backend.Listener.Addr().(*net.TCPAddr).String(),
-				Capacity: 6,
-			},
-		}, time.Now()),
+		Fleet: fleet.View{}.WithAll(1, servers, time.Now()),
 	}
 }
 
@@ -228,3 +238,72 @@
 		t.Fatal("the server still works for a client that has left")
 	}
 }
+
+// cutting serves streams of three events over raw connections. A request for the
+// whole stream gets two events and the beginning of a chunk that never ends; one that
+// goes on after an event gets the rest.
+func cutting(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() {
+		_ = listener.Close()
+	})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go cutOne(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// cutOne answers one request.
+func cutOne(conn net.Conn) {
+	defer func() {
+		_ = conn.Close()
+	}()
+	asked, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" +
+		wire.HeaderSeal + ": seal\r\n" + wire.HeaderID + ": " + asked.Header.Get(wire.HeaderID) + "\r\n\r\n"
+	last, err := strconv.Atoi(asked.Header.Get(wire.HeaderLastEvent))
+	if err != nil {
+		last = 0
+	}
+	events := ""
+	for i := last + 1; i <= 3; i++ {
+		events += fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)
+	}
+	answer := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(events), events)
+	if last == 0 {
+		// Two events of a chunk that was to be longer.
+		answer = fmt.Sprintf("%x\r\n%s", 2*len(events), events[:len(events)*2/3])
+	}
+	// A client that went away gets nothing.
+	_, _ = io.WriteString(conn, head+answer)
+}
+
+// Found by a hunt of a deployment of our own (ORDER, mix with seed 459474126019): events
+// that were read together with the end of a connection were lost, and the next server
+// went on after them.
+func TestEventsBeforeABreakAreNotLost(t *testing.T) {
+	_, address := listen(t, newSource(someServers(config.Stream, cutting(t), cutting(t))), time.Minute)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.Host = host
+	request.Header.Set(wire.HeaderID, "r1")
+	answer, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() {
+		_ = answer.Body.Close()
+	}()
+	body, err := io.ReadAll(answer.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(body), qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n")
+}
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -41,10 +41,13 @@
 	isUnnumbered bool
 	// sent is when the request was sent; heard is when this server's last event
 	// came.
-	sent   time.Time
-	heard  time.Time
-	buffer [readSize]byte
-	closed bool
+	sent  time.Time
+	heard time.Time
+	// failure is an error that came together with events; it counts when these have
+	// been passed on.
+	failure error
+	buffer  [readSize]byte
+	closed  bool
 }
 
 // Read returns the next whole events. Its error ends the client's connection
@@ -72,6 +75,9 @@
 
 // read reads from the server once and moves whole events to ready.
 func (s *stream) read() error {
+	if s.failure != nil {
+		return s.failure
+	}
 	n, err := s.exchange.Read(s.buffer[:])
 	if n > 0 {
 		s.splitter.Write(s.buffer[:n])
@@ -81,6 +87,12 @@
 		s.isWhole = true
 		s.ready = append(s.ready, s.splitter.Rest()...)
 		s.exchange.Finish(s.mayKeep, s.answer.KeepFor)
+		return err
+	}
+	if err != nil && len(s.ready) > 0 {
+		// The next server goes on after these events, so they must not be lost.
+		s.failure = err
+		return nil
 	}
 	return err
 }
@@ -163,6 +175,7 @@
 	s.done = next.stream.done
 	s.splitter = next.stream.splitter
 	s.ready = next.stream.ready
+	s.failure = next.stream.failure
 	s.isWhole = next.stream.isWhole
 	s.isUnnumbered = next.stream.isUnnumbered
 	s.sent = next.stream.sent
