Serve on by the last good configuration where withdrawal of keys is not strict

Change: core/revocation says how old a view may be. Where withdrawal is strict nothing changes. Where it is not, keys of the last good view are accepted for as long as neither the store nor a relay is heard; a key or a route that such a view does not hold gets 503, never 401 or 404. Readiness stays bound to a current view, and its changes are logged.

--- /dev/null
+++ b/core/revocation/revocation_test.go
@@ -0,0 +1,32 @@
+package revocation_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/revocation"
+)
+
+const within = 5 * time.Second
+
+func TestStrictWithdrawalEndsKeysBeforeTheBound(t *testing.T) {
+	policy := revocation.Policy{
+		IsStrict: true,
+		Within:   within,
+	}
+	qt.Assert(t, policy.MayAccept(within-revocation.Margin-time.Millisecond), qt.IsTrue)
+	qt.Assert(t, policy.MayAccept(within-revocation.Margin), qt.IsFalse)
+	qt.Assert(t, policy.MayAccept(time.Hour), qt.IsFalse)
+}
+
+func TestOtherwiseTheLastGoodConfigurationIsServedOn(t *testing.T) {
+	policy := revocation.Policy{
+		Within: within,
+	}
+	qt.Assert(t, policy.MayAccept(time.Hour), qt.IsTrue)
+	// But it is not current, so nothing is denied by it.
+	qt.Assert(t, policy.IsCurrent(time.Hour), qt.IsFalse)
+	qt.Assert(t, policy.IsCurrent(time.Second), qt.IsTrue)
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -35,6 +35,9 @@
 	ApplyWithin time.Duration
 	// RevokeWithin is when a withdrawn key must be dead everywhere.
 	RevokeWithin time.Duration
+	// IsRevocationStrict tells that it must be so also where a daemon cannot hear of
+	// the withdrawal.
+	IsRevocationStrict bool
 	// DrainWithin is when a leaving server must get no new requests.
 	DrainWithin time.Duration
 	// HeartbeatInterval is the time between two heartbeats of a server.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,9 +49,6 @@
 	// that leads: each step of a group's forming waits for it.
 	serverSettle = 40 * time.Millisecond
 	relaySettle  = 120 * time.Millisecond
-	// revokeMargin is kept away from the bound of withdrawn keys: a store that
-	// drops its history may tell nothing for a second before.
-	revokeMargin = 1200 * time.Millisecond
 )
 
 // Daemon is one running daemon. Use Start.
@@ -97,6 +94,8 @@
 	// configuration and servers were.
 	listRead mark
 	known    mark
+	// wasReady is what isReady told last, for the log.
+	wasReady atomic.Bool
 	// isLeading tells that this daemon forms groups.
 	isLeading atomic.Bool
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -15,6 +15,7 @@
 
 	"headcourse/core/fleet"
 	"headcourse/core/rowstore"
+	"headcourse/core/settings"
 	"headcourse/entry"
 	"headcourse/lab/standin"
 	"headcourse/platform"
@@ -62,11 +63,18 @@
 
 // startDaemon starts a daemon by a settings file of its own.
 func (s *site) startDaemon(name string) *entry.Daemon {
+	s.t.Helper()
+	return s.startDaemonWith(name, func(*settings.Settings) {})
+}
+
+// startDaemonWith starts a daemon by a settings file of its own, edited.
+func (s *site) startDaemonWith(name string, edit func(known *settings.Settings)) *entry.Daemon {
 	s.t.Helper()
 	path, err := s.platform.WriteSettings(name, 0, 0, 0)
 	qt.Assert(s.t, err, qt.IsNil)
 	known, err := platform.ReadSettings(path)
 	qt.Assert(s.t, err, qt.IsNil)
+	edit(&known)
 	daemon, err := entry.Start(known, s.log.With(zap.String("daemon", name)))
 	qt.Assert(s.t, err, qt.IsNil)
 	return daemon
@@ -312,6 +320,39 @@
 	}, isWhole)
 }
 
+// Where withdrawal is not strict, an outage of the store ends nothing: on a day of the
+// users' bench everything was refused for three seconds of it. Keys still die as soon
+// as the store is heard.
+func TestWithoutTheStoreTheLastGoodConfigurationIsServedOnWhereTheOperatorChoseSo(t *testing.T) {
+	s := newSite(t, 1)
+	s.daemons = append(s.daemons, s.startDaemonWith("front-b", func(known *settings.Settings) {
+		known.IsRevocationStrict = false
+	}))
+	s.await(func() standin.Answer {
+		return get(s.client(1, standin.KeyOne))
+	}, isWhole)
+
+	s.platform.Store.SetFault(standin.Silent)
+	s.await(func() standin.Answer {
+		return get(s.client(0, standin.KeyOne))
+	}, hasStatus(http.StatusServiceUnavailable))
+	s.await(func() standin.Answer {
+		return get(s.client(1, "a key that may have been added"))
+	}, hasStatus(http.StatusServiceUnavailable))
+	qt.Assert(t, get(s.client(1, standin.KeyOne)), qt.Satisfies, isWhole)
+
+	s.platform.Store.SetFault(standin.Well)
+	s.platform.ChangeConfig(func(config *wire.Config) {
+		config.Tenants[0].APIKeys = []string{"new-key"}
+	})
+	s.await(func() standin.Answer {
+		return get(s.client(1, standin.KeyOne))
+	}, hasStatus(http.StatusUnauthorized))
+	s.await(func() standin.Answer {
+		return get(s.client(1, "new-key"))
+	}, isWhole)
+}
+
 func TestForgottenHistoryAndLostAnswersChangeNothing(t *testing.T) {
 	s := newSite(t, 2)
 	s.platform.Store.SetFault(standin.Lossy)
--- a/entry/view.go
+++ b/entry/view.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"headcourse/core/revocation"
 	"headcourse/io/gateway"
 )
 
@@ -17,18 +20,38 @@
 	return age
 }
 
-// KeysFresh tells whether the view is young enough to accept keys by: a key
-// that was withdrawn must be dead within the bound, also where the daemon was
-// frozen or cut off.
-func (d *Daemon) KeysFresh() bool {
+// MayAcceptKeys tells whether keys of the view may be accepted, also where the daemon
+// was frozen or cut off.
+func (d *Daemon) MayAcceptKeys() bool {
+	age, isKnown := d.fresh.Age()
+	return isKnown && d.revocation().MayAccept(age)
+}
+
+// IsCurrent tells whether the view shows all that has been in force for longer than
+// the bound, so that what it does not hold may be denied.
+func (d *Daemon) IsCurrent() bool {
 	age, isKnown := d.fresh.Age()
-	return isKnown && age < d.settings.RevokeWithin-revokeMargin
+	return isKnown && d.revocation().IsCurrent(age)
+}
+
+// revocation returns how old the view may be.
+func (d *Daemon) revocation() revocation.Policy {
+	return revocation.Policy{
+		IsStrict: d.settings.IsRevocationStrict,
+		Within:   d.settings.RevokeWithin,
+	}
 }
 
 // isReady tells whether clients should be sent here: configuration and servers were
-// read, and keys may be accepted.
+// read, and the view is current. A daemon that is cut off serves on those that have a
+// connection to it, where keys may still be accepted, but others serve new ones
+// better; where the store is away for all of them, the balancer uses all of them.
 func (d *Daemon) isReady() bool {
-	return d.view.Load().Config != nil && d.serversRead.Load() && d.KeysFresh()
+	isReady := d.view.Load().Config != nil && d.serversRead.Load() && d.IsCurrent()
+	if d.wasReady.Swap(isReady) != isReady {
+		d.log.Info("daemon: readiness changed", zap.Bool("is_ready", isReady), zap.Int64("config_age_ms", d.Age().Milliseconds()), zap.Bool("accepts_keys", d.MayAcceptKeys()))
+	}
+	return isReady
 }
 
 // Known is closed when configuration and servers were read for the first time.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -59,10 +59,12 @@
 	Known() <-chan struct{}
 	// KnownFor is how long ago that was; 0 before.
 	KnownFor() time.Duration
-	// Age is how old the view of configuration and keys may be; KeysFresh
-	// whether keys may still be accepted by it.
+	// Age is how old the view of configuration and keys may be; MayAcceptKeys
+	// whether keys may still be accepted by it; IsCurrent whether keys and routes
+	// that it does not hold may be denied.
 	Age() time.Duration
-	KeysFresh() bool
+	MayAcceptKeys() bool
+	IsCurrent() bool
 	// Daemons is how many daemons there are.
 	Daemons() int
 	// IsTroubled tells whether other daemons found a server standing still or slow.
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -34,6 +34,10 @@
 type source struct {
 	view  gateway.View
 	known chan struct{}
+	// isRevoked and isOutdated tell that keys may not be accepted by the view, and
+	// that nothing may be denied by it.
+	isRevoked  bool
+	isOutdated bool
 }
 
 // newSource returns a source of a view that is known.
@@ -58,8 +62,11 @@
 // Age is always 0.
 func (s *source) Age() time.Duration { return 0 }
 
-// KeysFresh is always true.
-func (s *source) KeysFresh() bool { return true }
+// MayAcceptKeys tells what the test chose.
+func (s *source) MayAcceptKeys() bool { return !s.isRevoked }
+
+// IsCurrent tells what the test chose.
+func (s *source) IsCurrent() bool { return !s.isOutdated }
 
 // Daemons is always 1.
 func (s *source) Daemons() int { return 1 }
@@ -177,6 +184,21 @@
 	qt.Assert(t, header.Get("Retry-After"), qt.Not(qt.Equals), "")
 }
 
+// A view that may be outdated denies nothing: the route may have been added since.
+func TestOutdatedViewRefusesWhatItDoesNotHold(t *testing.T) {
+	from := newSource(gateway.View{
+		Config: config.New(config.Config{}),
+	})
+	_, address := listen(t, from, time.Minute)
+	status, _ := ask(t, address, "r1", time.Hour)
+	qt.Assert(t, status, qt.Equals, http.StatusNotFound)
+
+	from.isOutdated = true
+	status, header := ask(t, address, "r2", time.Hour)
+	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, header.Get("Retry-After"), qt.Not(qt.Equals), "")
+}
+
 // Found after a loss of power of all daemons: clients that had waited for seconds
 // went before those that could still be in time.
 func TestClientThatIsLateAlreadyYieldsWithinItsPriority(t *testing.T) {
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -74,10 +74,7 @@
 	}
 	j.route = view.Config.Route(j.request.Host, j.request.Path())
 	if j.route == nil {
-		if !j.server.source.KeysFresh() {
-			return fasthttp.StatusServiceUnavailable, request.ReasonStale
-		}
-		return fasthttp.StatusNotFound, request.ReasonNoRoute
+		return j.deny(fasthttp.StatusNotFound, request.ReasonNoRoute)
 	}
 	j.priority = j.route.Priority
 	if status, reason := j.admitKey(); reason != request.ReasonNone {
@@ -95,12 +92,12 @@
 	if !j.config.NeedsKey(j.route) {
 		return 0, request.ReasonNone
 	}
-	if !j.server.source.KeysFresh() {
+	if !j.server.source.MayAcceptKeys() {
 		return fasthttp.StatusServiceUnavailable, request.ReasonStale
 	}
 	organisation := j.config.Organisation(j.request.Key)
 	if organisation == nil {
-		return fasthttp.StatusUnauthorized, request.ReasonNoKey
+		return j.deny(fasthttp.StatusUnauthorized, request.ReasonNoKey)
 	}
 	j.organisation = organisation.Name
 	if organisation.HasPriority {
@@ -109,6 +106,15 @@
 	return 0, request.ReasonNone
 }
 
+// deny returns how a request is refused for which the view holds no route or no key;
+// where the view is not current, one may have been added since.
+func (j *job) deny(status int, reason request.Reason) (int, request.Reason) {
+	if !j.server.source.IsCurrent() {
+		return fasthttp.StatusServiceUnavailable, request.ReasonStale
+	}
+	return status, reason
+}
+
 // setTimes works out until when the client waits, and since when.
 func (j *job) setTimes() {
 	wait := j.request.Wait
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -34,7 +34,7 @@
 // try sends the request to one server, after the last event that the client
 // has, and reads its answer, or a stream's up to its first event.
 func (j *job) try(last int64) tried {
-	if j.config.NeedsKey(j.route) && !j.server.source.KeysFresh() {
+	if j.config.NeedsKey(j.route) && !j.server.source.MayAcceptKeys() {
 		return tried{
 			reason: request.ReasonStale,
 		}
