Tell refused clients when service is expected; hold none while the store is away

Cause: Retry-After was 0.25 s for every reason and every client, and a request that came to a daemon which could not read the store was held for 0.7 s and then refused.

Change: the time is that of what is waited for (a place, a group, the store), within the third of its time that a client obeys, and drawn from a range so that clients do not return together. A daemon that has found the store away refuses at once.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,9 +91,10 @@
 	// changed tells the leader that the view is another.
 	changed chan struct{}
 	// listRead is set when the list of the daemons was read, known when
-	// configuration and servers were.
-	listRead mark
-	known    mark
+	// configuration and servers were, unreadable when one of these could not be.
+	listRead   mark
+	known      mark
+	unreadable mark
 	// wasReady is what isReady told last, for the log.
 	wasReady atomic.Bool
 	// isLeading tells that this daemon forms groups.
@@ -123,16 +124,17 @@
 // newDaemon returns a daemon that neither listens nor runs yet.
 func newDaemon(known settings.Settings, log *zap.Logger) *Daemon {
 	d := &Daemon{
-		settings: known,
-		log:      log,
-		registry: metrics.NewRegistry(),
-		start:    uuid.NewString(),
-		began:    time.Now(),
-		workers:  platform.NewWorkers(),
-		stalls:   make(chan fleet.Server, stallQueue),
-		changed:  make(chan struct{}, 1),
-		listRead: newMark(),
-		known:    newMark(),
+		settings:   known,
+		log:        log,
+		registry:   metrics.NewRegistry(),
+		start:      uuid.NewString(),
+		began:      time.Now(),
+		workers:    platform.NewWorkers(),
+		stalls:     make(chan fleet.Server, stallQueue),
+		changed:    make(chan struct{}, 1),
+		listRead:   newMark(),
+		known:      newMark(),
+		unreadable: newMark(),
 	}
 	store := platform.NewStore(known.Store)
 	store.Called = func(call string, took time.Duration) {
--- a/entry/outages.go
+++ b/entry/outages.go
@@ -28,6 +28,7 @@
 // noteOutage notes that a table that is always followed cannot be.
 func (d *Daemon) noteOutage(table string) func(error) {
 	return func(err error) {
+		d.unreadable.set()
 		if known := d.outage.Load(); known.Began.IsZero() || !known.Ended.IsZero() {
 			d.outage.Store(&fleet.Outage{
 				Began: time.Now(),
--- a/entry/view.go
+++ b/entry/view.go
@@ -59,6 +59,11 @@
 	return d.known.isSet
 }
 
+// Unreadable is closed when configuration or servers could not be read.
+func (d *Daemon) Unreadable() <-chan struct{} {
+	return d.unreadable.isSet
+}
+
 // KnownFor returns how long ago that was; 0 before.
 func (d *Daemon) KnownFor() time.Duration {
 	return d.known.since()
--- a/io/gateway/await.go
+++ b/io/gateway/await.go
@@ -12,7 +12,8 @@
 
 // awaitView holds a request that comes before the daemon has read what it serves by.
 // After a restart of all daemons that takes some tenths of a second; a refusal would
-// cost the client more than the wait.
+// cost the client more than the wait. Where the store cannot be read nobody knows how
+// long it takes, and the client is refused at once.
 func (j *job) awaitView() {
 	known := j.server.source.Known()
 	select {
@@ -24,6 +25,7 @@
 	defer timer.Stop()
 	select {
 	case <-known:
+	case <-j.server.source.Unreadable():
 	case <-timer.C:
 	}
 }
--- /dev/null
+++ b/io/gateway/comeback.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"headcourse/core/request"
+)
+
+// When a refused client should try again, by what it waits for. Most clients try once
+// more only, so the time must be long enough for the second try to succeed, and they
+// do not wait longer than a part of their time.
+const (
+	// placePause is for a place: one of a group's frees every 30 ms to 80 ms.
+	placePause = 250 * time.Millisecond
+	// groupPause is for a group: one forms again within 0.6 s to 2 s, and the entries
+	// of servers are back within 2 s of the end of an outage of the store.
+	groupPause = 1500 * time.Millisecond
+	// storePause is for the store, whose outages take seconds.
+	storePause = 2500 * time.Millisecond
+	// obeyedPart is the part of its remaining time that a client waits at most.
+	obeyedPart = 3
+	// leastPause and pauseSpread: the pause is drawn between these parts of it, so
+	// that clients who were refused together do not come back together.
+	leastPause  = 0.6
+	pauseSpread = 0.4
+)
+
+// comeBack returns when a refused client should try again.
+func (j *job) comeBack(reason request.Reason) time.Duration {
+	pause := placePause
+	switch reason {
+	case request.ReasonNotConfigured, request.ReasonStale:
+		pause = storePause
+	case request.ReasonNoServer:
+		pause = groupPause
+	}
+	left := j.request.Wait - time.Since(j.request.Arrived)
+	pause = min(pause, max(0, left/obeyedPart))
+	return time.Duration((leastPause + pauseSpread*rand.Float64()) * float64(pause)).Round(time.Millisecond)
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -57,6 +57,8 @@
 	View() View
 	// Known is closed when configuration and servers were read for the first time.
 	Known() <-chan struct{}
+	// Unreadable is closed when they could not be read.
+	Unreadable() <-chan struct{}
 	// KnownFor is how long ago that was; 0 before.
 	KnownFor() time.Duration
 	// Age is how old the view of configuration and keys may be; MayAcceptKeys
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -34,6 +34,8 @@
 type source struct {
 	view  gateway.View
 	known chan struct{}
+	// unreadable is closed when the view cannot be read; nil: never.
+	unreadable chan struct{}
 	// isRevoked and isOutdated tell that keys may not be accepted by the view, and
 	// that nothing may be denied by it.
 	isRevoked  bool
@@ -56,6 +58,9 @@
 // Known is closed when the view is known.
 func (s *source) Known() <-chan struct{} { return s.known }
 
+// Unreadable is closed when the test says so.
+func (s *source) Unreadable() <-chan struct{} { return s.unreadable }
+
 // KnownFor is always a moment.
 func (s *source) KnownFor() time.Duration { return time.Millisecond }
 
@@ -175,6 +180,48 @@
 	qt.Assert(t, status, qt.Equals, http.StatusNotFound)
 }
 
+// Where the store cannot be read nobody knows when it can: 231 requests were held for
+// 0.7 s and then refused, of which all that follow at once are refused too.
+func TestRequestIsNotHeldWhileTheStoreCannotBeRead(t *testing.T) {
+	from := &source{
+		known:      make(chan struct{}),
+		unreadable: make(chan struct{}),
+	}
+	close(from.unreadable)
+	_, address := listen(t, from, time.Hour)
+	status, header := ask(t, address, "r1", time.Hour)
+	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, comesBack(t, header) >= 1500*time.Millisecond, qt.IsTrue)
+}
+
+// comesBack returns when a refused client is to try again.
+func comesBack(t *testing.T, header http.Header) time.Duration {
+	t.Helper()
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	qt.Assert(t, err, qt.IsNil)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// A client that is sent back too soon spends its last try while nothing can serve it;
+// one that is sent back later than a third of its time does not obey.
+func TestRetryAfterIsWhenServiceIsExpected(t *testing.T) {
+	from := newSource(someServers(config.Stream))
+	_, address := listen(t, from, time.Minute)
+	drawn := map[time.Duration]bool{}
+	for i := range 20 {
+		status, header := ask(t, address, "r"+strconv.Itoa(i), time.Minute)
+		qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+		pause := comesBack(t, header)
+		qt.Assert(t, pause >= 900*time.Millisecond && pause <= 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%s", pause))
+		drawn[pause] = true
+	}
+	// Clients that were refused together do not return together.
+	qt.Assert(t, len(drawn) > 10, qt.IsTrue)
+
+	_, header := ask(t, address, "short", 600*time.Millisecond)
+	qt.Assert(t, comesBack(t, header) <= 200*time.Millisecond, qt.IsTrue)
+}
+
 func TestRequestWithoutAViewIsRefusedInTheEnd(t *testing.T) {
 	_, address := listen(t, &source{
 		known: make(chan struct{}),
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"strconv"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -12,10 +11,6 @@
 	"headcourse/core/request"
 )
 
-// comeBack is when a refused client should try again: soon enough for its
-// goal, and long enough for another daemon's choice or a freed place.
-const comeBack = 250 * time.Millisecond
-
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	read, err := s.dialect.ReadRequest(ctx)
@@ -160,7 +155,7 @@
 	ctx.SetContentType("text/plain")
 	j.server.dialect.Name(ctx, j.request.ID)
 	if status == fasthttp.StatusServiceUnavailable {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(comeBack.Seconds(), 'f', -1, 64))
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(j.comeBack(reason).Seconds(), 'f', -1, 64))
 	}
 	ctx.SetBodyString(string(reason) + "\n")
 	j.end(status, reason)
