Keep a second model at every server, warm spares, and convert groups by need

Change: hosts keep a second model instead; spares join a group of their own once, which is never opened, so that they too rejoin; the leader remembers what each server loaded last, and writes it with the removal of a group, so that a new leader knows; where a model lacks groups that cannot be formed of free servers, a group of a model that is better off yields, if the worse off of both gains by it. Slow groups do not count as theirs. Members are asked for a sign of life before a group is formed of them; a broken head ends its group under a new leader too; a suspicion is answered by signs from after it only; loads that groups wait for go first, and replace no weights that another model lacks.

--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -44,6 +44,9 @@
 	Model   string `json:"model"`
 	// Members are server IDs, the head first.
 	Members []string `json:"members"`
+	// IsWarmUp tells that the group is never opened: its only member joins to have
+	// loaded the model once, and leaves.
+	IsWarmUp bool `json:"is_warm_up,omitempty"`
 }
 
 // Encode returns the record's value in the store.
--- a/core/assembly/check.go
+++ b/core/assembly/check.go
@@ -30,9 +30,14 @@
 		g.wasOpen = true
 		return
 	}
-	if c.joinAll(g, world, plan) {
-		g.order(head, Open, false, "all members are ready", plan)
+	if !c.joinAll(g, world, plan) {
+		return
+	}
+	if g.record.IsWarmUp {
+		g.end("its member has loaded the model", false)
+		return
 	}
+	g.order(head, Open, false, "all members are ready", plan)
 }
 
 // joinAll orders members to join that have not, and tells whether all of them
@@ -59,7 +64,7 @@
 // orderJoin orders a member to join. While one order may still be carried out,
 // giving it again is harmless: it names the same group, epoch and members.
 func (c *Controller) orderJoin(g *group, member fleet.Server, plan *Plan) {
-	if !member.HasLoaded(g.record.Model) && !member.HasStaged(g.record.Model) {
+	if !member.CanRejoin(g.record.Model) && !member.HasStaged(g.record.Model) {
 		if _, ok := g.asked[member.ID]; !ok {
 			c.loads = append(c.loads, time.Now())
 		}
@@ -71,13 +76,12 @@
 // work.
 func (c *Controller) whyEnd(g *group, world World, plan *Plan) (reason string, isGentle bool) {
 	head, hasHead := world.Fleet.Server(g.record.Members[0])
-	if g.wasOpen && hasHead {
-		switch {
-		case !head.Membership.In(g.record.Name, g.record.Epoch):
-			return "the head has left", false
-		case head.Membership.State == fleet.Broken:
-			return "the head is broken", false
-		}
+	isHeadIn := hasHead && head.Membership.In(g.record.Name, g.record.Epoch)
+	switch {
+	case g.wasOpen && hasHead && !isHeadIn:
+		return "the head has left", false
+	case isHeadIn && head.Membership.State == fleet.Broken:
+		return "the head is broken", false
 	}
 	for i, id := range g.record.Members {
 		if reason, isGentle = c.whyLost(g, id, i == 0, world, plan); reason != "" {
--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -27,6 +27,8 @@
 	// counted is how many servers each service had when last looked at.
 	counted map[string]count
 	number  int
+	// conversion is the one under way.
+	conversion conversion
 }
 
 // membershipKey names a group of one epoch.
@@ -39,6 +41,9 @@
 type stageOrder struct {
 	model string
 	until time.Time
+	// isForGroup tells that a group waits for the load: the server is left alone by
+	// other models.
+	isForGroup bool
 }
 
 // count is how many servers there are, and since when.
@@ -64,6 +69,11 @@
 	c.creating = map[string]Record{}
 }
 
+// sortedNames returns the names of groups in their order.
+func sortedNames(groups map[string]*group) []string {
+	return slices.Sorted(maps.Keys(groups))
+}
+
 // Created notes that records were written at a version.
 func (c *Controller) Created(records []Record, epoch int64) {
 	if c.groups == nil {
@@ -120,7 +130,7 @@
 	if world.Config == nil {
 		return plan
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.groups)) {
+	for _, name := range sortedNames(c.groups) {
 		g := c.groups[name]
 		if g.ending == "" {
 			c.check(g, world, &plan)
--- /dev/null
+++ b/core/assembly/convert.go
@@ -0,0 +1,191 @@
+package assembly
+
+import (
+	"time"
+
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+)
+
+// Figures of conversions.
+const (
+	// convertGain is how much better the model that is worst off must be, as a part of
+	// its groups, for a group of another model to be ended for it. The way back would
+	// have to gain as much, so models do not take from each other in turn.
+	convertGain = 0.04
+	// convertBelow is the part of the groups that it needs below which a model is short
+	// enough: a conversion takes a group of the other model away for a second or two,
+	// and its servers' second models with it.
+	convertBelow = 0.85
+	// convertTime bounds a conversion: its groups end within closeTime, and their
+	// servers join at the next step.
+	convertTime = 6 * time.Second
+)
+
+// conversion is the end of groups whose servers are needed for another model, in one
+// domain. The zero value is none.
+type conversion struct {
+	service string
+	domain  string
+	model   string
+	// groups are those that end.
+	groups []*group
+	until  time.Time
+}
+
+// isUnderWay tells whether groups of the conversion still end or their servers are
+// kept for its model.
+func (v conversion) isUnderWay() bool {
+	return time.Now().Before(v.until)
+}
+
+// isReservedFor tells whether the free servers of a domain are kept for another model
+// than the one given.
+func (c *Controller) isReservedFor(at *layout, domain string, model config.Model) bool {
+	v := c.conversion
+	return v.isUnderWay() && v.service == at.service.Name && v.domain == domain && v.model != model.Name
+}
+
+// convert ends groups of models that have many for a model that lacks some and has no
+// servers to form them of, one conversion at a time.
+func (c *Controller) convert(at *layout, world World, plan *Plan) {
+	c.endConversion(at)
+	model, ok := at.neediest(true)
+	if !ok || world.IsStart || !world.IsSteady || c.conversion.isUnderWay() {
+		return
+	}
+	for _, one := range at.service.Engine.Models {
+		at.coming[one.Name] = c.comingGroups(at, one, world)
+	}
+	if at.part(model, at.coming[model.Name]) >= convertBelow {
+		return
+	}
+	best := conversion{}
+	for _, domain := range at.domains {
+		found := c.conversionIn(at, domain, model, world)
+		if len(found.groups) > 0 && (len(best.groups) == 0 || len(found.groups) < len(best.groups)) {
+			best = found
+		}
+	}
+	if len(best.groups) == 0 {
+		return
+	}
+	best.until = time.Now().Add(convertTime)
+	c.conversion = best
+	for _, g := range best.groups {
+		g.end("its servers are needed for "+model.Name, true)
+		g.note("group ends", g.ending, plan)
+	}
+}
+
+// endConversion forgets a conversion whose model got its group.
+func (c *Controller) endConversion(at *layout) {
+	v := c.conversion
+	if !v.isUnderWay() || v.service != at.service.Name {
+		return
+	}
+	for _, g := range v.groups {
+		if c.groups[g.record.Name] == g {
+			return
+		}
+	}
+	// Their servers are free: the step that saw it formed the group, or never will.
+	c.conversion = conversion{}
+}
+
+// conversionIn returns the groups of a domain to end so that a group of a model can be
+// formed there; none where that is not possible or gains nothing.
+func (c *Controller) conversionIn(at *layout, domain string, model config.Model, world World) conversion {
+	found := conversion{
+		service: at.service.Name,
+		domain:  domain,
+		model:   model.Name,
+	}
+	missing := model.Size - usable(at.free[domain], model)
+	taken := map[string]int{}
+	for _, g := range at.groups[domain] {
+		if missing <= 0 {
+			break
+		}
+		gained := usable(c.wellMembers(g, world), model)
+		if gained == 0 || !c.mayTake(g, at, model, taken) {
+			continue
+		}
+		taken[g.record.Model]++
+		missing -= gained
+		found.groups = append(found.groups, g)
+	}
+	if missing > 0 {
+		return conversion{}
+	}
+	return found
+}
+
+// mayTake tells whether a group may be ended for one of a model. A slow one serves
+// nobody well.
+func (c *Controller) mayTake(g *group, at *layout, model config.Model, taken map[string]int) bool {
+	if c.isSlow(g) {
+		return true
+	}
+	return g.record.Model != model.Name && c.isWorth(at, model, g.record.Model, taken)
+}
+
+// isWorth tells whether the worse off of two models is better off after one more group
+// was taken from the other for the first.
+func (c *Controller) isWorth(at *layout, model config.Model, from string, taken map[string]int) bool {
+	other, ok := at.service.Engine.Model(from)
+	if !ok {
+		return true
+	}
+	own, others := at.coming[model.Name], at.coming[from]-taken[from]
+	before := min(at.part(model, own), at.part(other, others))
+	after := min(at.part(model, own+1), at.part(other, others-1))
+	return after > before+convertGain
+}
+
+// wellMembers returns the members of a group that could be members of another.
+func (c *Controller) wellMembers(g *group, world World) []fleet.Server {
+	var members []fleet.Server
+	for _, id := range g.record.Members {
+		server, ok := world.Fleet.Server(id)
+		if ok && !server.Draining && c.isWell(server) {
+			members = append(members, server)
+		}
+	}
+	return members
+}
+
+// comingGroups counts the groups of a model that can be formed of servers that are
+// free soon: those of groups that end or only load a model, with those that are free.
+func (c *Controller) comingGroups(at *layout, model config.Model, world World) int {
+	coming := map[string]int{}
+	for _, domain := range at.domains {
+		coming[domain] = usable(at.free[domain], model)
+	}
+	for _, g := range c.groups {
+		if g.record.Service != at.service.Name || (g.ending == "" && !g.record.IsWarmUp) {
+			continue
+		}
+		members := c.wellMembers(g, world)
+		if len(members) > 0 {
+			coming[members[0].Domain] += usable(members, model)
+		}
+	}
+	groups := 0
+	for _, servers := range coming {
+		groups += servers / model.Size
+	}
+	return groups
+}
+
+// usable counts the servers that can be members of a group of a model without a load
+// from the weight store.
+func usable(servers []fleet.Server, model config.Model) int {
+	count := 0
+	for _, server := range servers {
+		if joinRank(server, model.Name) < rankLoad {
+			count++
+		}
+	}
+	return count
+}
--- a/core/assembly/finish.go
+++ b/core/assembly/finish.go
@@ -32,6 +32,7 @@
 	g.isRemoving = true
 	g.note("group ended", g.ending, plan)
 	plan.Remove = append(plan.Remove, g.record.Name)
+	noteRecent(g.record, world, plan)
 }
 
 // isHeadDone moves the head out of its group and tells whether it is known to
--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -64,15 +64,17 @@
 		return
 	}
 	for {
-		model, ok := at.neediest()
+		model, ok := at.neediest(false)
 		if !ok {
 			break
 		}
 		if !c.formGroup(at, model, world, plan) {
-			at.live[model.Name] = math.MaxInt32 // not now
+			at.postponed[model.Name] = true
 		}
 	}
-	c.stageFree(c.layout(service, world, plan), world, plan)
+	c.convert(at, world, plan)
+	c.warmUp(at, world, plan)
+	c.stageFree(at, world, plan)
 }
 
 // formGroup plans a group of a model in the domain where it forms soonest, and
@@ -82,7 +84,7 @@
 	bestLoads, bestGroups := math.MaxInt, math.MaxInt
 	for _, domain := range at.domains {
 		found := at.soonest(domain, model)
-		if found.members == nil {
+		if found.members == nil || at.isFreeing[domain] || c.isReservedFor(at, domain, model) {
 			continue
 		}
 		groups := at.inDomain[domain][model.Name]
@@ -93,22 +95,28 @@
 	if best == nil || (bestLoads > 0 && !world.IsStart) || !c.mayLoad(bestLoads, at.service.Engine, world) {
 		return false
 	}
-	c.number++
-	record := Record{
-		Name:    groupName(world.Fleet.Version, c.number),
-		Service: at.service.Name,
-		Model:   model.Name,
+	if !world.IsStart && !c.areAlive(best, plan) {
+		return false
 	}
-	for _, member := range best {
+	c.create(Record{
+		Model: model.Name,
+	}, at, best, world, plan)
+	at.add(best[0].Domain, model.Name)
+	return true
+}
+
+// create plans the record of a group of free servers.
+func (c *Controller) create(record Record, at *layout, members []fleet.Server, world World, plan *Plan) {
+	c.number++
+	record.Name = groupName(world.Fleet.Version, c.number)
+	record.Service = at.service.Name
+	for _, member := range members {
 		record.Members = append(record.Members, member.ID)
 		delete(c.staged, member.ID)
 	}
-	domain := best[0].Domain
-	at.take(domain, record.Members)
-	at.add(domain, model.Name)
+	at.take(members[0].Domain, record.Members)
 	c.creating[record.Name] = record
 	plan.Create = append(plan.Create, record)
-	return true
 }
 
 // groupName returns a name that no other group has or had: versions of the
@@ -153,7 +161,7 @@
 // those that must load by how little is lost by it.
 func joinRank(server fleet.Server, model string) int {
 	switch {
-	case server.HasLoaded(model):
+	case server.CanRejoin(model):
 		return 0
 	case server.HasStaged(model):
 		return 1
--- a/core/assembly/group.go
+++ b/core/assembly/group.go
@@ -16,7 +16,10 @@
 	ending      string
 	isGentle    bool
 	endingSince time.Time
+	// isSuspected tells that daemons found requests standing still or slow, first at
+	// suspectedAt.
 	isSuspected bool
+	suspectedAt time.Time
 	// slow is a member that makes the group slow, as far as known.
 	slow       string
 	wasOpen    bool
--- a/core/assembly/plan.go
+++ b/core/assembly/plan.go
@@ -8,6 +8,8 @@
 	Remove []string
 	Orders []Order
 	Probes []fleet.Server
+	// Recent is what servers of domains loaded last, to be written with the rest.
+	Recent []Recent
 	// Cleared are groups whose suspicion was dropped, so that daemons may tell
 	// of them again.
 	Cleared []string
@@ -19,6 +21,7 @@
 func (p *Plan) AddChanges(later Plan) {
 	p.Create = append(p.Create, later.Create...)
 	p.Remove = append(p.Remove, later.Remove...)
+	p.Recent = append(p.Recent, later.Recent...)
 	p.Cleared = append(p.Cleared, later.Cleared...)
 }
 
@@ -32,22 +35,26 @@
 	remove := min(len(p.Remove), rows/rowsOfRemoved)
 	rows -= remove * rowsOfRemoved
 	cleared := min(len(p.Cleared), rows)
+	rows -= cleared
+	recent := min(len(p.Recent), rows)
 	first = Plan{
 		Create:  p.Create[:create],
 		Remove:  p.Remove[:remove],
 		Cleared: p.Cleared[:cleared],
+		Recent:  p.Recent[:recent],
 	}
 	rest = Plan{
 		Create:  p.Create[create:],
 		Remove:  p.Remove[remove:],
 		Cleared: p.Cleared[cleared:],
+		Recent:  p.Recent[recent:],
 	}
 	return first, rest
 }
 
 // HasChanges tells whether the plan changes records.
 func (p Plan) HasChanges() bool {
-	return len(p.Create)+len(p.Remove)+len(p.Cleared) > 0
+	return len(p.Create)+len(p.Remove)+len(p.Cleared)+len(p.Recent) > 0
 }
 
 // Note is one change of belief about a group.
--- a/core/assembly/signs.go
+++ b/core/assembly/signs.go
@@ -14,6 +14,8 @@
 	probeUnfitAgain = time.Second
 	// probeValid is how long a sign of life counts.
 	probeValid = time.Second
+	// aliveFor is how long a sign of life counts where a group is formed.
+	aliveFor = 3 * time.Second
 	// silences is how many probes in a row must be silent for a server to count
 	// as dead.
 	silences = 2
@@ -41,6 +43,8 @@
 	// Pace is how many times longer than usual the server's work takes; 0: not
 	// told.
 	Pace float64
+	// Held is how many requests it runs or lets wait.
+	Held int
 }
 
 // slowPace is the pace from which a server counts as slow: a stream's first event
@@ -56,6 +60,8 @@
 type sign struct {
 	last   Sign
 	isSlow bool
+	// held is how many requests it holds.
+	held int
 	// at is when a probe last told something, asked when one was last sent.
 	at    time.Time
 	asked time.Time
@@ -72,6 +78,7 @@
 	next := sign{
 		last:   found.Sign,
 		isSlow: found.IsSlow(),
+		held:   found.Held,
 		at:     time.Now(),
 		asked:  former.asked,
 	}
@@ -112,9 +119,32 @@
 	}
 }
 
+// areAlive tells whether all servers answered a probe lately; others are asked, and
+// the answer is there some milliseconds later. An entry may be of a server that died
+// while the store was away: a group with such a member was found out after 3 s only.
+func (c *Controller) areAlive(servers []fleet.Server, plan *Plan) bool {
+	areAlive := true
+	for _, server := range servers {
+		known := c.signs[server.ID]
+		if known.last != Alive || time.Since(known.at) > aliveFor {
+			c.probe(server, plan)
+			areAlive = false
+		}
+	}
+	return areAlive
+}
+
 // isRefused tells whether nothing listened at a server's address just now, or
 // another server did.
 func (c *Controller) isRefused(id string) bool {
 	known := c.signs[id]
 	return known.last == Refused && time.Since(known.at) < probeValid
 }
+
+// isWell tells whether a server answered its last probe, or was not asked, and is not
+// slow.
+func (c *Controller) isWell(server fleet.Server) bool {
+	known := c.signs[server.ID]
+	isSilent := known.last != Alive && known.silences >= silences
+	return !isSilent && !known.isSlow
+}
--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -22,11 +22,8 @@
 // stageFree has free servers load weights to their hosts, so that a repair
 // takes no load: first for models that lack groups, then as spares.
 func (c *Controller) stageFree(at *layout, world World, plan *Plan) {
-	if len(c.creating) > 0 {
-		return
-	}
 	for _, model := range at.service.Engine.Models {
-		if at.live[model.Name] >= at.target(model) {
+		if at.live[model.Name] >= at.want(model) {
 			continue
 		}
 		if world.IsStart {
@@ -37,13 +34,18 @@
 		c.stageMissing(at, model, world, plan)
 	}
 	c.stageSpares(at, world, plan)
+	c.stageSeconds(at, world, plan)
 }
 
 // stageSpares has servers that hold nothing load weights as spares.
 func (c *Controller) stageSpares(at *layout, world World, plan *Plan) {
+	if world.IsStart {
+		// They load as they warm up.
+		return
+	}
 	for _, domain := range at.domains {
 		for _, server := range at.free[domain] {
-			isEmpty := len(server.Staged) == 0 && len(server.Models) == 0
+			isEmpty := len(server.Staged) == 0 && server.Recent == ""
 			if isEmpty && !c.isStaging(server) {
 				c.stageSpare(at, domain, server, world, plan)
 			}
@@ -72,17 +74,17 @@
 	if c.isStaging(server) {
 		return c.staged[server.ID].model == model
 	}
-	return server.HasStaged(model) || server.HasLoaded(model)
+	return server.HasStaged(model) || server.CanRejoin(model)
 }
 
 // stageMissing completes the weights for the groups that a model lacks, in the
 // domains where the fewest servers must load them. Domains where all weights are
 // there, or being loaded, count as groups on their way.
 func (c *Controller) stageMissing(at *layout, model config.Model, world World, plan *Plan) {
-	lacking := at.target(model) - at.live[model.Name]
+	lacking := at.want(model) - at.live[model.Name]
 	var chosen [][]fleet.Server
 	for _, domain := range at.domains {
-		loads, isPossible := c.missingIn(at.free[domain], model)
+		loads, isPossible := c.missingIn(at, at.free[domain], model)
 		if isPossible {
 			chosen = append(chosen, loads)
 		}
@@ -92,14 +94,16 @@
 	})
 	for _, servers := range chosen[:min(len(chosen), max(0, lacking))] {
 		for _, server := range servers {
-			c.stage(server, model, at.service.Engine, "a group lacks its weights", world, plan)
+			c.stage(server, model, at.service.Engine, forGroup, world, plan)
 		}
 	}
 }
 
 // missingIn returns the free servers of a domain that must load a model's
-// weights for one more group, empty ones first, and whether there are enough.
-func (c *Controller) missingIn(free []fleet.Server, model config.Model) ([]fleet.Server, bool) {
+// weights for one more group, those first that lose nothing by it, and whether there
+// are enough. One does not load that would lose the weights of a model that lacks
+// groups too.
+func (c *Controller) missingIn(at *layout, free []fleet.Server, model config.Model) ([]fleet.Server, bool) {
 	missing := model.Size
 	var empty, others []fleet.Server
 	for _, server := range free {
@@ -107,6 +111,7 @@
 		case c.willHave(server, model.Name):
 			missing--
 		case c.isStaging(server):
+		case at.keepsLacking(server):
 		case len(server.Staged) == 0:
 			empty = append(empty, server)
 		default:
@@ -126,26 +131,53 @@
 // stageSpare has an empty server load the weights that its domain lacks most.
 func (c *Controller) stageSpare(at *layout, domain string, server fleet.Server, world World, plan *Plan) {
 	if model, ok := c.lacking(at, domain); ok {
-		c.stage(server, model, at.service.Engine, "the domain has no spare with them", world, plan)
+		c.stage(server, model, at.service.Engine, forSpare, world, plan)
 	}
 }
 
+// purpose is what a load is for.
+type purpose struct {
+	// reason is for the log.
+	reason string
+	// spared is how many of the loads that the weight store serves at full speed are
+	// left to more urgent ones. A load takes 12 s to 16 s and is not stopped, and one
+	// more than the store serves makes all of them take longer: so those that can wait
+	// leave room for those that cannot.
+	spared int
+}
+
+// The purposes of loads, the most urgent first.
+var (
+	forGroup = purpose{
+		reason: "a group lacks its weights",
+	}
+	forSpare = purpose{
+		reason: "the domain has no spare with them",
+		spared: 1,
+	}
+	forSecond = purpose{
+		reason: "a second model for its host",
+		spared: 3,
+	}
+)
+
 // stage orders a server to load weights, unless too many loads are under way.
-func (c *Controller) stage(server fleet.Server, model config.Model, engine *config.Engine, reason string, world World, plan *Plan) {
-	isCrowded := !world.IsStart && len(c.staged) >= max(1, engine.LoadsAtOnce)
+func (c *Controller) stage(server fleet.Server, model config.Model, engine *config.Engine, why purpose, world World, plan *Plan) {
+	isCrowded := !world.IsStart && len(c.staged) >= max(1, engine.LoadsAtOnce-why.spared)
 	if isCrowded || !c.mayLoad(1, engine, world) {
 		return
 	}
 	c.loads = append(c.loads, time.Now())
 	c.staged[server.ID] = stageOrder{
-		model: model.Name,
-		until: time.Now().Add(model.Load + stageMargin),
+		model:      model.Name,
+		until:      time.Now().Add(model.Load + stageMargin),
+		isForGroup: why == forGroup,
 	}
 	plan.Orders = append(plan.Orders, Order{
 		Server: server,
 		Kind:   Stage,
 		Model:  model.Name,
-		Reason: reason,
+		Reason: why.reason,
 	})
 }
 
@@ -161,6 +193,10 @@
 				spares++
 			}
 		}
+		spares += at.warming[choiceKey{
+			domain: domain,
+			model:  model.Name,
+		}]
 		used := float64(at.inDomain[domain][model.Name]*model.Size) + model.Share
 		score := used / float64((1+spares)*(1+spares))
 		if score > bestScore {
--- a/core/assembly/suspect.go
+++ b/core/assembly/suspect.go
@@ -1,5 +1,7 @@
 package assembly
 
+import "time"
+
 // Suspect notes that a daemon's requests stand still at a group, or are slow there,
 // and the member that did not answer that daemon (empty: none). That silence counts
 // as one: a probe of the controller's own decides.
@@ -8,7 +10,10 @@
 	if !ok || g.record.Epoch != epoch || g.ending != "" {
 		return
 	}
-	g.isSuspected = true
+	if !g.isSuspected {
+		g.isSuspected = true
+		g.suspectedAt = time.Now()
+	}
 	if silent != "" && c.signs[silent].silences == 0 {
 		c.Probed(silent, Found{
 			Sign: Silent,
@@ -64,7 +69,8 @@
 			found.dead = id
 			return found
 		}
-		if !isKnown {
+		// A sign from before the suspicion says nothing: heads are looked at anyway.
+		if !isKnown || c.signs[id].at.Before(g.suspectedAt) {
 			found.allKnown = false
 			c.probe(server, plan)
 		}
@@ -83,11 +89,17 @@
 		g.note("group slow", "member "+slow+" is slow", plan)
 	}
 	if c.hasSpareFor(g, slow, world, plan) {
-		return "member " + slow + " is slow", true
+		return "member " + slow + " is slow", false
 	}
 	return "", false
 }
 
+// isSlow tells whether a group has a slow member, as far as known. It serves on, but
+// late, and daemons avoid it where they can: it does not count as one of its model's.
+func (c *Controller) isSlow(g *group) bool {
+	return g.slow != "" && c.signs[g.slow].isSlow
+}
+
 // hasSpareFor tells whether a free server of a member's domain keeps the weights
 // of the group's model.
 func (c *Controller) hasSpareFor(g *group, member string, world World, plan *Plan) bool {
@@ -95,7 +107,7 @@
 	taken := c.taken()
 	for _, server := range world.Fleet.Servers() {
 		isNear := server.Domain == lost.Domain && isMaterial(server, g.record.Service)
-		isFit := server.HasStaged(g.record.Model) && !taken[server.ID]
+		isFit := (server.HasStaged(g.record.Model) || server.CanRejoin(g.record.Model)) && !taken[server.ID]
 		if isNear && isFit && c.isFree(server, plan) {
 			return true
 		}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -55,6 +55,10 @@
 	// Models are loaded; Staged are kept on the host, quick to load.
 	Models []string
 	Staged []string
+	// Recent is the model of its last group since its start, as far as this daemon
+	// saw: its entry tells no model once it has left, but it joins a group of that
+	// one again much sooner than of one that its host keeps.
+	Recent string
 	// Domain is the fabric domain; members of a group should share it.
 	Domain     string
 	Membership Membership
@@ -67,11 +71,27 @@
 	return slices.Contains(s.Staged, model)
 }
 
-// HasLoaded tells whether the model is the one loaded last.
+// HasLoaded tells whether the model is loaded.
 func (s Server) HasLoaded(model string) bool {
 	return slices.Contains(s.Models, model)
 }
 
+// CanRejoin tells whether the server can be a member of a group of a model without
+// loading it.
+func (s Server) CanRejoin(model string) bool {
+	return s.HasLoaded(model) || (model != "" && s.Recent == model)
+}
+
+// after returns the server as its entry tells it now, with what its former entry told.
+func (s Server) after(former Server) Server {
+	if len(s.Models) > 0 {
+		s.Recent = s.Models[0]
+		return s
+	}
+	s.Recent = former.Recent
+	return s
+}
+
 // View is one state of the server table. The zero value is empty.
 type View struct {
 	// Version is the table's version that the view shows.
@@ -129,10 +149,30 @@
 	return next
 }
 
+// WithRecent returns the view with the models that servers loaded last, for those of
+// which this daemon saw none.
+func (v View) WithRecent(models map[string]string) View {
+	next := v
+	next.servers = maps.Clone(v.servers)
+	next.index = &index{}
+	for id, model := range models {
+		server, ok := next.servers[id]
+		if ok && server.Recent == "" {
+			server.Recent = model
+			next.servers[id] = server
+		}
+	}
+	return next
+}
+
 // apply makes one change in a view that nobody else sees yet.
 func (v *View) apply(change Change, lostUntil time.Time) {
 	if !change.Gone {
-		v.servers[change.ID] = change.Server
+		former := v.servers[change.ID]
+		if lost, ok := v.lost[change.ID]; ok {
+			former = lost.server
+		}
+		v.servers[change.ID] = change.Server.after(former)
 		delete(v.lost, change.ID)
 		return
 	}
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -184,8 +185,8 @@
 			d.log.Info("servers: up", zap.String("server", change.ID), zap.String("service", change.Server.Service), zap.String("address", change.Server.Address))
 		case change.Server.Draining && !before.Draining:
 			d.log.Info("servers: leaving", zap.String("server", change.ID), zap.String("group", m.Group))
-		case len(change.Server.Staged) != len(before.Staged):
-			d.log.Info("servers: weights staged", zap.String("server", change.ID), zap.Strings("staged", change.Server.Staged))
+		case !slices.Equal(change.Server.Staged, before.Staged):
+			d.log.Info("servers: weights staged", zap.String("server", change.ID), zap.Strings("staged", change.Server.Staged), zap.Strings("loaded", change.Server.Models))
 		case m.Rank == 0 && m != before.Membership:
 			d.log.Info("servers: head changed", zap.String("server", change.ID), zap.String("group", m.Group), zap.Int64("epoch", m.Epoch), zap.String("state", m.State.String()))
 		}
--- a/entry/records.go
+++ b/entry/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"headcourse/core/assembly"
 	"headcourse/core/rowstore"
+	"headcourse/io/gateway"
 	"headcourse/io/logline"
 	"headcourse/platform"
 )
@@ -71,12 +73,37 @@
 		}
 		records = append(records, record)
 	}
+	if !t.loadRecent(ctx) {
+		return false
+	}
 	t.controller.Load(records)
 	t.mustLoad = false
 	t.daemon.log.Info("groups: records read", zap.Int("groups", len(records)), zap.Int64("table_version", result.Version))
 	return true
 }
 
+// loadRecent reads which models servers loaded last.
+func (t *term) loadRecent(ctx context.Context) bool {
+	result, err := t.daemon.store.Read(ctx, assembly.RecentTable)
+	if err != nil {
+		t.daemon.noteTrouble(assembly.RecentTable)(err)
+		return false
+	}
+	models := map[string]string{}
+	for _, row := range result.Rows {
+		recent, decodeErr := assembly.DecodeRecent(row.Value)
+		if decodeErr != nil {
+			t.daemon.log.Error("groups: recent models not taken", zap.String("domain", row.Key), logline.Err(decodeErr))
+			continue
+		}
+		maps.Copy(models, recent.Models)
+	}
+	t.daemon.change(func(view *gateway.View) {
+		view.Fleet = view.Fleet.WithRecent(models)
+	})
+	return true
+}
+
 // commit writes and removes records, and returns the version of those written.
 func (t *term) commit(ctx context.Context, plan assembly.Plan) (int64, error) {
 	var writes, removes []rowstore.Row
@@ -91,6 +118,17 @@
 			Value: value,
 		})
 	}
+	for _, recent := range lastOfEach(plan.Recent) {
+		value, err := recent.Encode()
+		if err != nil {
+			return 0, err
+		}
+		writes = append(writes, rowstore.Row{
+			Table: assembly.RecentTable,
+			Key:   recent.Domain,
+			Value: value,
+		})
+	}
 	for _, name := range plan.Remove {
 		removes = append(removes, rowstore.Row{
 			Table: assembly.Table,
@@ -110,3 +148,16 @@
 	err := t.lease.Commit(ctx, writes, removes, &version)
 	return version, err
 }
+
+// lastOfEach returns the last of each domain's.
+func lastOfEach(all []assembly.Recent) []assembly.Recent {
+	var last []assembly.Recent
+	seen := map[string]bool{}
+	for _, recent := range slices.Backward(all) {
+		if !seen[recent.Domain] {
+			seen[recent.Domain] = true
+			last = append(last, recent)
+		}
+	}
+	return last
+}
