Plan groups by what callers ask for

Cause: the number of groups of a model was its share of the work at the start, times a fixed part of the servers.

--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -30,6 +30,7 @@
 
 	"headcourse/core/config"
 	"headcourse/core/fleet"
+	"headcourse/core/usage"
 )
 
 // Table is the table of group records; the key is the group's name.
@@ -136,4 +137,6 @@
 	// LoadWindow and LoadExcess bound the loads that may begin.
 	LoadWindow time.Duration
 	LoadExcess float64
+	// Sizes are the mean sizes of requests, as this daemon sees them; nil: not known.
+	Sizes *usage.Sizes
 }
--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -27,6 +27,8 @@
 	// counted is how many servers each service had when last looked at.
 	counted map[string]count
 	number  int
+	// demands are the estimates of what callers ask for.
+	demands map[demandKey]demand
 	// conversion is the one under way.
 	conversion conversion
 }
@@ -140,6 +142,7 @@
 		}
 	}
 	c.endOrphans(world, &plan)
+	c.look(world, &plan)
 	c.form(world, &plan)
 	return plan
 }
--- /dev/null
+++ b/core/assembly/demand_test.go
@@ -0,0 +1,67 @@
+package assembly_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// With requests of the smaller model at 1.6 times its share, its six groups were full
+// for 14 s while twelve servers were free.
+func TestCrowdedModelGetsGroupsOfFreeServers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := equipped(6)
+		s.hold("large", 6)
+		s.hold("small", 26)
+		settle(s, c, false, 6*time.Second)
+		qt.Assert(t, s.serving("large"), qt.Equals, 6)
+		qt.Assert(t, s.serving("small") >= 9, qt.IsTrue, qt.Commentf("%d", s.serving("small")))
+		qt.Assert(t, s.violated, qt.HasLen, 0)
+	})
+}
+
+func TestModelThatIsAskedForLittleYieldsToACrowdedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := equipped(6)
+		for range 30 {
+			s.hold("small", 0)
+			s.hold("large", 26)
+			settle(s, c, false, time.Second)
+		}
+		qt.Assert(t, s.violated, qt.HasLen, 0)
+		qt.Assert(t, s.serving("large") > 7, qt.IsTrue, qt.Commentf("%d", s.serving("large")))
+		qt.Assert(t, s.serving("small") >= 1, qt.IsTrue)
+	})
+}
+
+func TestQuietFleetKeepsItsGroupsAndSpares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := equipped(6)
+		s.hold("large", 7)
+		s.hold("small", 9)
+		settle(s, c, false, 30*time.Second)
+		s.hold("large", 0)
+		s.hold("small", 0)
+		settle(s, c, false, 60*time.Second)
+		qt.Assert(t, s.serving("large"), qt.Equals, 6)
+		qt.Assert(t, s.serving("small"), qt.Equals, 6)
+		qt.Assert(t, s.orders["close"], qt.Equals, 0)
+	})
+}
+
+// Heads are looked at anyway; a sign of life from before a suspicion must not end it.
+func TestLookBeforeASuspicionDoesNotClearIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := equipped(6)
+		settle(s, c, false, 3*time.Second)
+		head := headOf(s, "large")
+		s.kill(head.id)
+		c.Suspect(head.group, head.epoch, "")
+		settle(s, c, false, time.Second)
+		qt.Assert(t, s.cleared[head.group], qt.Equals, 0)
+		_, isThere := s.records[head.group]
+		qt.Assert(t, isThere && s.serving("large") == 6, qt.IsFalse)
+	})
+}
--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -59,6 +59,7 @@
 
 // formService plans one service.
 func (c *Controller) formService(service *config.Service, world World, plan *Plan) {
+	c.estimate(service, world)
 	at := c.layout(service, world, plan)
 	if world.IsStart && !c.hasSettled(at) {
 		return
--- a/core/assembly/layout.go
+++ b/core/assembly/layout.go
@@ -34,6 +34,8 @@
 	holders map[choiceKey]int
 	// warming counts the servers of a domain that load a model to be free again.
 	warming map[choiceKey]int
+	// demands are the estimates of what callers ask for, by model.
+	demands map[string]demand
 	// staged are the loads under way, by server.
 	staged map[string]stageOrder
 	// isFreeing tells of domains in which the record of a group is being removed: its
@@ -71,6 +73,7 @@
 		coming:    map[string]int{},
 		postponed: map[string]bool{},
 		choices:   map[choiceKey]choice{},
+		demands:   c.demandsOf(service),
 	}
 	c.countGroups(at, world)
 	c.listFree(at, world, plan)
@@ -227,7 +230,11 @@
 
 // need returns how many groups a model's requests need to be in time.
 func (l *layout) need(model config.Model) float64 {
-	return float64(l.planned(model))
+	known, ok := l.demands[model.Name]
+	if !ok {
+		return float64(l.planned(model))
+	}
+	return max(leastNeed, known.groups/fullPart)
 }
 
 // want returns how many groups a model gets where servers are free: at least as many
--- a/entry/control.go
+++ b/entry/control.go
@@ -169,6 +169,7 @@
 		StallTime:  d.settings.StallTime,
 		LoadWindow: d.settings.LoadWindow,
 		LoadExcess: d.settings.LoadExcess,
+		Sizes:      d.gateway.Sizes(),
 	}
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"headcourse/core/request"
 	"headcourse/core/retry"
 	"headcourse/core/urgency"
+	"headcourse/core/usage"
 	"headcourse/io/backend"
 	"headcourse/io/logline"
 	"headcourse/io/tcp"
@@ -87,6 +88,7 @@
 	patience     urgency.Patience
 	overload     urgency.Overload
 	lane         urgency.Lane
+	sizes        usage.Sizes
 	budgets      *retry.Budgets
 	http         *fasthttp.Server
 	listener     net.Listener
@@ -185,6 +187,11 @@
 	return s.hadAny.Load()
 }
 
+// Sizes returns the mean sizes of the requests that were answered whole.
+func (s *Server) Sizes() *usage.Sizes {
+	return &s.sizes
+}
+
 // Open returns how many requests are under way.
 func (s *Server) Open() int64 {
 	return s.open.Load()
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -11,6 +11,7 @@
 	"headcourse/core/config"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
+	"headcourse/core/usage"
 	"headcourse/io/backend"
 )
 
@@ -132,6 +133,18 @@
 	j.end(result.answer.Status, request.ReasonNone)
 }
 
+// noteSize notes how large a stream was that was answered whole.
+func (j *job) noteSize() {
+	service := j.config.Service(j.service)
+	if service == nil || service.Engine == nil || j.request.LastEvent > 0 {
+		return
+	}
+	j.server.sizes.Note(j.request.Model, usage.Size{
+		Prompt: float64(j.request.PromptTokens),
+		Answer: float64(j.events * service.Engine.TokensPerEvent),
+	})
+}
+
 // fail tells the client that there is no answer, as exactly as is known.
 func (j *job) fail(ctx *fasthttp.RequestCtx, result tried) {
 	switch {
