Divide the servers by the mix that is asked for

Cause: a model wanted at least as many groups as its share of the work at the start gives, whatever callers ask for. With shares of 0.3 and 0.7 but work of 0.6 and 0.4 (a deployment of our own) spares went to groups that nobody needed.

Change: while a quarter of the servers or more is kept busy, the plan divides them by what is asked of each model; below that by the operator's shares.

--- a/core/assembly/demand.go
+++ b/core/assembly/demand.go
@@ -30,6 +30,9 @@
 	// mostBusy bounds what one group counts: what waits at one beyond that may be its
 	// own trouble.
 	mostBusy = 1.2
+	// leastWork is the part of the servers that must be kept busy for the mix of the
+	// requests to say how servers are to be divided; below it chance decides.
+	leastWork = 0.25
 	// leastNeed is what a model needs that nobody asks for.
 	leastNeed = 0.5
 )
--- a/core/assembly/demand_test.go
+++ b/core/assembly/demand_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/assembly"
 )
 
 // With requests of the smaller model at 1.6 times its share, its six groups were full
@@ -36,6 +38,34 @@
 	})
 }
 
+// With shares of 0.3 and 0.7 but work of 0.6 and 0.4, groups of the smaller model that
+// nobody needed were formed again and again of spares that the larger one lacked later:
+// scale-1 of a deployment of our own earned 0.67, and 0.73 and 0.77 since.
+func TestServersAreDividedByTheMixThatIsAskedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := equipped(6)
+		settleAsked(s, c, 20*time.Second, 4, 0.8)
+		s.loseMember(c, "d0", "small")
+		settleAsked(s, c, 10*time.Second, 4, 0.8)
+		// Four groups' work of the larger model keeps its six; the smaller one does not
+		// get back what nobody asks for.
+		qt.Assert(t, s.serving("large") >= 6, qt.IsTrue, qt.Commentf("%d", s.serving("large")))
+		qt.Assert(t, s.serving("small"), qt.Equals, 5)
+		qt.Assert(t, s.violated, qt.HasLen, 0)
+	})
+}
+
+// settleAsked runs a fleet for a time while so many groups' work is asked of each model,
+// and shared by its groups.
+func settleAsked(s *simFleet, c *assembly.Controller, d time.Duration, large, small float64) {
+	const capacity = 26
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		s.hold("large", int(capacity*large/float64(max(1, s.serving("large")))))
+		s.hold("small", int(capacity*small/float64(max(1, s.serving("small")))))
+		settle(s, c, false, simStep)
+	}
+}
+
 func TestQuietFleetKeepsItsGroupsAndSpares(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, c := equipped(6)
--- a/core/assembly/layout.go
+++ b/core/assembly/layout.go
@@ -221,13 +221,29 @@
 	return server.Membership.State == fleet.NoGroup || c.isClosed(server.Membership)
 }
 
-// planned returns how many groups a model should have by its share of the work, as
-// the operator expects it.
+// planned returns how many groups a model should have by its share of the work.
 func (l *layout) planned(model config.Model) int {
-	servers := model.Share * usedShare * float64(l.total) * (1 + memberRisk*float64(model.Size))
+	servers := l.share(model) * usedShare * float64(l.total) * (1 + memberRisk*float64(model.Size))
 	return max(1, int(math.Round(servers/float64(model.Size))))
 }
 
+// share returns a model's share of the work: as callers ask for it, and as the operator
+// expects it while too little is asked to tell.
+func (l *layout) share(model config.Model) float64 {
+	sum := 0.0
+	for _, one := range l.service.Engine.Models {
+		known, ok := l.demands[one.Name]
+		if !ok {
+			return model.Share
+		}
+		sum += known.groups * float64(one.Size)
+	}
+	if sum < leastWork*float64(l.total) {
+		return model.Share
+	}
+	return l.demands[model.Name].groups * float64(model.Size) / sum
+}
+
 // need returns how many groups a model's requests need to be in time.
 func (l *layout) need(model config.Model) float64 {
 	known, ok := l.demands[model.Name]
