Follow the demand by what full groups can tell; mend a leader's view after an outage

Cause: after an outage of the store all callers return at once and all groups are full. And a daemon that leads, which follows the servers past the relays since they follow one another, asked the store rarely for three seconds after its failure and no relay either: it saw no server for 3.8 s.

Change: where the groups of all models are full the estimates stay; full groups do not lower theirs; nothing is estimated while entries may be missing; a new leader begins from the operator's shares. A leader follows relays while the store has failed lately. Calls for stalls wait 2.5 s, for the list of daemons 5 s, not 10: a call under way when the store falls silent was waited for until 5 s after its return.

--- a/core/assembly/demand.go
+++ b/core/assembly/demand.go
@@ -33,6 +33,8 @@
 	// leastWork is the part of the servers that must be kept busy for the mix of the
 	// requests to say how servers are to be divided; below it chance decides.
 	leastWork = 0.25
+	// fullBusy is the part of its greatest rate from which a group is full.
+	fullBusy = 0.9
 	// leastNeed is what a model needs that nobody asks for.
 	leastNeed = 0.5
 )
@@ -75,21 +77,64 @@
 	return head, ok && g.ending == "" && g.wasOpen && head.Membership.State == fleet.Open
 }
 
-// estimate follows the demand for the models of a service.
+// estimate follows the demand for the models of a service. Soon after an outage entries
+// are missing, and the callers of all of it come at once: that tells nothing.
 func (c *Controller) estimate(service *config.Service, world World) {
+	if !world.IsSteady {
+		return
+	}
 	if c.demands == nil {
 		c.demands = map[demandKey]demand{}
 	}
+	seen := make([]observation, 0, len(service.Engine.Models))
+	areAllFull := true
 	for _, model := range service.Engine.Models {
-		busy, looked, open := c.observe(service, model, world)
-		if looked == 0 {
-			continue
+		one := c.observe(service, model, world)
+		seen = append(seen, one)
+		areAllFull = areAllFull && one.isFull()
+	}
+	if areAllFull {
+		// Full groups tell how many there are, not what is asked: nobody is better off,
+		// and the model with more groups would seem to need more.
+		return
+	}
+	for _, one := range seen {
+		if one.looked > 0 {
+			c.follow(one, service, world)
 		}
-		key := demandKey{
-			service: service.Name,
-			model:   model.Name,
+	}
+}
+
+// follow has the estimate of a model's demand follow an observation.
+func (c *Controller) follow(seen observation, service *config.Service, world World) {
+	key := demandKey{
+		service: service.Name,
+		model:   seen.model.Name,
+	}
+	known, ok := c.demands[key]
+	if !ok {
+		known = c.firstDemand(service, seen.model, world)
+	}
+	groups := seen.groups()
+	if seen.isFull() {
+		// Where some of full groups were lost, no less is asked.
+		groups = max(groups, known.groups)
+	}
+	c.demands[key] = known.following(groups)
+}
+
+// firstDemand returns what the operator expects of a model, from which a new leader
+// begins to follow what it sees.
+func (c *Controller) firstDemand(service *config.Service, model config.Model, world World) demand {
+	servers := 0
+	for _, server := range world.Fleet.Servers() {
+		if isMaterial(server, service.Name) {
+			servers++
 		}
-		c.demands[key] = c.demands[key].following(busy * float64(open) / float64(looked))
+	}
+	return demand{
+		groups: model.Share * usedShare * float64(servers) / float64(model.Size) * fullPart,
+		at:     time.Now(),
 	}
 }
 
@@ -127,9 +172,31 @@
 	}
 }
 
-// observe adds up the work of a model's open groups that were looked at lately, in
-// groups at their greatest rate, and counts these groups and all open ones.
-func (c *Controller) observe(service *config.Service, model config.Model, world World) (busy float64, looked, open int) {
+// observation is what the heads of a model's open groups told lately.
+type observation struct {
+	model config.Model
+	// busy is the sum of the parts of their greatest rate at which the groups work that
+	// were looked at; looked and open count these groups and all open ones.
+	busy   float64
+	looked int
+	open   int
+}
+
+// isFull tells whether the groups could do no more.
+func (o observation) isFull() bool {
+	return o.looked == 0 || o.busy >= fullBusy*float64(o.looked)
+}
+
+// groups returns how many groups at their greatest rate the requests keep busy.
+func (o observation) groups() float64 {
+	return o.busy * float64(o.open) / float64(o.looked)
+}
+
+// observe adds up what a model's open groups hold.
+func (c *Controller) observe(service *config.Service, model config.Model, world World) observation {
+	seen := observation{
+		model: model,
+	}
 	size := service.Engine.Usual
 	if world.Sizes != nil {
 		size = world.Sizes.Of(model.Name, size)
@@ -139,31 +206,23 @@
 		if !ok || g.record.Service != service.Name || g.record.Model != model.Name {
 			continue
 		}
-		open++
+		seen.open++
 		known := c.signs[head.ID]
-		if g.isSuspected {
+		isOld := known.last != Alive || time.Since(known.at) > lookValid*c.lookPause()
+		if isOld || g.isSuspected {
 			// Requests pile up at a group that stands still.
 			continue
 		}
-		if known.last != Alive || time.Since(known.at) > lookValid*c.lookPause() {
-			continue
-		}
-		looked++
-		busy += min(mostBusy, service.Engine.Busy(known.held, size))
+		seen.looked++
+		seen.busy += min(mostBusy, service.Engine.Busy(known.held, size))
 	}
-	return busy, looked, open
+	return seen
 }
 
 // following returns the estimate after it has followed an observation since it was
 // last made.
 func (d demand) following(observed float64) demand {
 	now := time.Now()
-	if d.at.IsZero() {
-		return demand{
-			groups: observed,
-			at:     now,
-		}
-	}
 	constant := fallTime
 	if observed > d.groups {
 		constant = riseTime
--- a/core/fleet/grace.go
+++ b/core/fleet/grace.go
@@ -17,7 +17,7 @@
 	// happened while it was away; latePart bounds the grace of entries that go later, as
 	// a part of the time in which leaving servers must get nothing new.
 	firstNews = 200 * time.Millisecond
-	latePart  = 0.7
+	latePart  = 0.8
 	// lapseHeartbeats is how many heartbeats the shortest outage lasts during which
 	// an entry can lapse: three are missed in a little more than two.
 	lapseHeartbeats = 1.6
--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -133,7 +133,7 @@
 		relayed = min(wait, limit/2)
 	}
 	relays := c.usable()
-	if c.IsDirect != nil && c.IsDirect(table) {
+	if c.IsDirect != nil && c.IsDirect(table) && !c.hasFailed() {
 		relays = nil
 	}
 	return c.ask(ctx, table, relays, relayed+relayTime, func(ctx context.Context, from Reader) (Result, error) {
@@ -187,7 +187,7 @@
 		gap *= behind
 	}
 	now := time.Now()
-	if now.Sub(c.failedAt) < failedFor && now.Sub(c.directAt) < gap {
+	if time.Since(c.failedAt) < failedFor && now.Sub(c.directAt) < gap {
 		return false
 	}
 	c.directAt = now
@@ -195,6 +195,13 @@
 	return true
 }
 
+// hasFailed tells whether the store failed lately, so that it is asked rarely.
+func (c *Chain) hasFailed() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return time.Since(c.failedAt) < failedFor
+}
+
 // noteDirect notes how a call to the store ended.
 func (c *Chain) noteDirect(err error) {
 	c.mutex.Lock()
--- a/core/rowstore/chain_test.go
+++ b/core/rowstore/chain_test.go
@@ -175,3 +175,35 @@
 		qt.Assert(t, direct, qt.Equals, before)
 	})
 }
+
+// A daemon that leads follows the servers past the relays. After an outage of the store
+// it asked the store rarely, as all do, but no relay either: it saw no server for 3.8 s,
+// and repaired nothing.
+func TestTableFollowedDirectlyComesFromRelaysWhileTheStoreHasFailed(t *testing.T) {
+	run(t, func(ctx context.Context, t *testing.T) {
+		store := newFakeStore()
+		store.put("a", "1")
+		w := followEvery(ctx, store, &rowstore.Freshness{}, 400*time.Millisecond)
+		pause(100 * time.Millisecond)
+		behind := lateReader{
+			Reader: store,
+			upAt:   time.Now().Add(time.Hour),
+		}
+		clock := &rowstore.Freshness{}
+		chain := rowstore.NewChain(behind, clock, nil)
+		chain.IsDirect = func(string) bool {
+			return true
+		}
+		chain.SetRelays([]rowstore.Relay{
+			{
+				Name:   "r1",
+				Reader: &w.hub,
+			},
+		})
+		leading := followEvery(ctx, chain, clock, 400*time.Millisecond)
+		pause(time.Second)
+		store.put("a", "2")
+		pause(time.Second)
+		qt.Assert(t, leading.rows["a"], qt.Equals, "2")
+	})
+}
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -20,7 +20,7 @@
 	// others spends little.
 	fewestDaemons = 16
 	// listWait is how long one call waits for changes of the list.
-	listWait = 10 * time.Second
+	listWait = 5 * time.Second
 	// listAgain is the time between two tries to list itself.
 	listAgain = time.Second
 	// listPatience is how long a starting daemon waits for the list before it reads
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -19,8 +19,9 @@
 // key is the group.
 const stallTable = "stalls"
 
-// stallWait is how long one call waits for words of stalls.
-const stallWait = 10 * time.Second
+// stallWait is how long one call waits for words of stalls: a call that is under way when
+// the store falls silent is waited for as long, whether the store is back or not.
+const stallWait = 2500 * time.Millisecond
 
 // stall is a row of stallTable: a group at which requests stand still or are slow.
 type stall struct {
