--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -17,6 +17,11 @@
 // members are probed. It ends if one of them is dead, and also if one is slow and a
 // spare can take its place.
 //
+// How many groups a model has follows what callers ask for, as the groups' heads tell.
+// Free servers stand ready for more than one model: each has been in a group of one,
+// which it joins again within 0.2 s, and its host keeps another. Where a model lacks
+// groups all the same, a group of one that is better off ends for it.
+//
 // A Controller does no I/O. It is told what happened and returns what to do; the
 // caller owns it with one goroutine. Whoever takes over from another daemon
 // loads the records and goes on from what the servers tell.
--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -28,9 +28,9 @@
 	counted map[string]count
 	number  int
 	// demands are the estimates of what callers ask for.
-	demands map[demandKey]demand
+	demands map[modelKey]demand
 	// wanted is how many groups each model was last wanted to have, for the log.
-	wanted map[demandKey]int
+	wanted map[modelKey]int
 	// conversion is the one under way.
 	conversion conversion
 }
--- a/core/assembly/demand.go
+++ b/core/assembly/demand.go
@@ -39,8 +39,8 @@
 	leastNeed = 0.5
 )
 
-// demandKey names a model of a service.
-type demandKey struct {
+// modelKey names a model of a service.
+type modelKey struct {
 	service string
 	model   string
 }
@@ -84,7 +84,7 @@
 		return
 	}
 	if c.demands == nil {
-		c.demands = map[demandKey]demand{}
+		c.demands = map[modelKey]demand{}
 	}
 	seen := make([]observation, 0, len(service.Engine.Models))
 	areAllFull := true
@@ -107,7 +107,7 @@
 
 // follow has the estimate of a model's demand follow an observation.
 func (c *Controller) follow(seen observation, service *config.Service, world World) {
-	key := demandKey{
+	key := modelKey{
 		service: service.Name,
 		model:   seen.model.Name,
 	}
@@ -152,10 +152,10 @@
 // noteWants tells of models that are to have another number of groups than before.
 func (c *Controller) noteWants(at *layout, plan *Plan) {
 	if c.wanted == nil {
-		c.wanted = map[demandKey]int{}
+		c.wanted = map[modelKey]int{}
 	}
 	for _, model := range at.service.Engine.Models {
-		key := demandKey{
+		key := modelKey{
 			service: at.service.Name,
 			model:   model.Name,
 		}
