Play and test open connections that go silent for good

Cause: nothing played a connection that stays open and carries nothing any more, while new ones are well: packets of a machine that was cut off are dropped, not refused. The proxy's harms silenced all connections and reset them at the end.

Change: proxy.Strand silences what is open for good; two more faults of the soak, to the store and to backend servers; one test each for the store's client, for the client of another daemon (which the soak cannot put a proxy before) and for kept connections to backend servers.

--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -304,3 +304,27 @@
 	s.ask(client)
 	qt.Assert(t, opened(client), qt.Equals, int64(2))
 }
+
+// A kept connection may go silent for good without a word: the packets of a machine
+// that was cut off are dropped, not refused.
+func TestKeptConnectionThatIsSilentForGoodIsNotUsedAgain(t *testing.T) {
+	ignore := func(*testing.T, *net.TCPConn) bool {
+		return true
+	}
+	s := serve(t, say(wholeAnswer), ignore, say(wholeAnswer))
+	client := &backend.Client{}
+	qt.Assert(t, s.ask(client), qt.Equals, "whole")
+
+	exchange, err := client.Send("i-0001", s.listener.Addr().String(), []byte(requestHead), nil)
+	qt.Assert(t, err, qt.IsNil)
+	const shortly = 50 * time.Millisecond
+	qt.Assert(t, exchange.SetReadDeadline(time.Now().Add(shortly)), qt.IsNil)
+	var head fasthttp.ResponseHeader
+	qt.Assert(t, exchange.ReadHead(&head), qt.IsNotNil)
+	exchange.Abort()
+
+	qt.Assert(t, s.ask(client), qt.Equals, "whole")
+	made, reused := client.Counts()
+	qt.Assert(t, made, qt.Equals, int64(2))
+	qt.Assert(t, reused, qt.Equals, int64(1))
+}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -12,6 +12,7 @@
 
 	"headcourse/core/rowstore"
 	"headcourse/io/relay"
+	"headcourse/lab/proxy"
 )
 
 // wait is long enough for anything on one machine; nothing depends on it passing.
@@ -143,3 +144,27 @@
 	qt.Assert(t, string(result.Rows[0].Value), qt.Equals, value)
 	qt.Assert(t, count.Load() < int64(len(value)/4), qt.IsTrue, qt.Commentf("%d bytes", count.Load()))
 }
+
+// A connection between daemons may go silent for good and stay open: a call that gets
+// no answer in its time is the last one on it.
+func TestConnectionThatIsSilentForGoodIsLeft(t *testing.T) {
+	_, server, _ := serve(t, row("a", "1", 4))
+	between, err := proxy.Listen(server.Address())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(between.Close)
+	client := relay.NewClient(between.Address())
+	t.Cleanup(client.Close)
+	_, err = client.Read(context.Background(), "t")
+	qt.Assert(t, err, qt.IsNil)
+
+	between.Strand()
+	const shortly = 50 * time.Millisecond
+	bounded, cancel := context.WithTimeout(context.Background(), shortly)
+	defer cancel()
+	_, err = client.Read(bounded, "t")
+	qt.Assert(t, err, qt.ErrorIs, rowstore.ErrUnknown)
+
+	result, err := client.Read(context.Background(), "t")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, result.Rows, qt.HasLen, 1)
+}
--- a/lab/proxy/proxy.go
+++ b/lab/proxy/proxy.go
@@ -47,6 +47,9 @@
 	mutex sync.Mutex
 	harm  Harm
 	conns map[net.Conn]struct{}
+	// strandings counts the calls of Strand; connections that were open at one are
+	// silent from then on.
+	strandings int
 }
 
 // Listen leads a free port of the loopback address to IP:port.
@@ -81,6 +84,22 @@
 	}
 }
 
+// Strand silences the connections that are open now for good: they stay open, and no
+// byte passes any more, whatever harm is set. Connections made later are well.
+func (p *Proxy) Strand() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.strandings++
+}
+
+// isStranded tells whether a connection was silenced for good since it was made, when
+// there had been so many strandings.
+func (p *Proxy) isStranded(strandings int) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.strandings != strandings
+}
+
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -138,17 +157,19 @@
 	p.mutex.Lock()
 	p.conns[near] = struct{}{}
 	p.conns[far] = struct{}{}
+	strandings := p.strandings
 	p.mutex.Unlock()
-	go p.copy(far, near, CutThere)
-	p.copy(near, far, CutBack)
+	go p.copy(far, near, CutThere, strandings)
+	p.copy(near, far, CutBack, strandings)
 	p.mutex.Lock()
 	delete(p.conns, near)
 	delete(p.conns, far)
 	p.mutex.Unlock()
 }
 
-// copy copies one way until it ends; cut is the harm that drops this way.
-func (p *Proxy) copy(to, from net.Conn, cut Harm) {
+// copy copies one way until it ends; cut is the harm that drops this way, strandings
+// how many there were when the connection was made.
+func (p *Proxy) copy(to, from net.Conn, cut Harm, strandings int) {
 	buffer := make([]byte, chunk)
 	for {
 		n, err := from.Read(buffer)
@@ -156,7 +177,7 @@
 		if harm == Delay {
 			time.Sleep(delayTime)
 		}
-		isDropped := harm == Silence || harm == cut
+		isDropped := harm == Silence || harm == cut || p.isStranded(strandings)
 		if n > 0 && !isDropped {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				reset(from)
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -34,6 +34,14 @@
 		name:  "backend server harmed",
 		begin: harmServer,
 	},
+	{
+		name:  "open connections to the store silent for good",
+		begin: strandStore,
+	},
+	{
+		name:  "open connections to a backend server silent for good",
+		begin: strandServer,
+	},
 	{
 		name:  "daemon stopped by SIGTERM",
 		begin: signalOne(unix.SIGTERM),
@@ -164,15 +172,37 @@
 
 // harmServer harms all connections to a backend server.
 func harmServer(s *soak) func() {
-	servers := s.platform.Servers(standin.ServiceModel)
-	if len(servers) == 0 {
+	harmed := s.anyServer()
+	if harmed == nil {
 		return nil
 	}
-	harmed := s.servers[servers[s.random.IntN(len(servers))].Address()]
 	harmed.Set(s.harm())
 	return heal(harmed)
 }
 
+// strandStore silences the open connections of a daemon to the store for good.
+func strandStore(s *soak) func() {
+	s.anyDaemon().store.Strand()
+	return nil
+}
+
+// strandServer silences the open connections to a backend server for good.
+func strandServer(s *soak) func() {
+	if harmed := s.anyServer(); harmed != nil {
+		harmed.Strand()
+	}
+	return nil
+}
+
+// anyServer draws the proxy before a server of the models; nil where there is none.
+func (s *soak) anyServer() *proxy.Proxy {
+	servers := s.platform.Servers(standin.ServiceModel)
+	if len(servers) == 0 {
+		return nil
+	}
+	return s.servers[servers[s.random.IntN(len(servers))].Address()]
+}
+
 // signal sends a signal to the process of a daemon that the script has started,
 // by the id that it left.
 func (s *soak) signal(one *daemon, signal unix.Signal) {
