--- a/core/assembly/second_test.go
+++ b/core/assembly/second_test.go
@@ -44,10 +44,8 @@
 		s, c := equipped(6)
 		for range 2 {
 			head := headOf(s, "large")
-			lost := head.members[2]
-			domain := s.servers[lost].domain
-			s.kill(lost)
-			c.Suspect(head.group, head.epoch, lost)
+			domain := head.domain
+			s.killMember(c, head, 2)
 			settle(s, c, false, 2200*time.Millisecond)
 			qt.Assert(t, s.serving("large"), qt.Equals, 6, qt.Commentf("domain %s", domain))
 		}
@@ -59,9 +57,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, c := equipped(6)
 		head := headOf(s, "small")
-		lost := head.members[1]
-		s.kill(lost)
-		c.Suspect(head.group, head.epoch, lost)
+		s.killMember(c, head, 1)
 		settle(s, c, false, time.Second)
 		qt.Assert(t, s.serving("small"), qt.Equals, 6)
 	})
@@ -73,10 +69,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, c := equipped(6)
 		head := headOf(s, "large")
-		lost := head.members[2]
 		members := head.members
-		s.kill(lost)
-		c.Suspect(head.group, head.epoch, lost)
+		lost := s.killMember(c, head, 2)
 		for _, isThere := s.records[head.group]; isThere; _, isThere = s.records[head.group] {
 			s.run(c, false, promptly)
 		}
--- a/core/assembly/sim_test.go
+++ b/core/assembly/sim_test.go
@@ -311,6 +311,15 @@
 	}
 }
 
+// killMember has a member of a group die, and the controller told that requests stand
+// still there because of it.
+func (s *simFleet) killMember(c *assembly.Controller, head *simServer, member int) (lost string) {
+	lost = head.members[member]
+	s.kill(lost)
+	c.Suspect(head.group, head.epoch, lost)
+	return lost
+}
+
 // serving counts the groups of a model that serve whole.
 func (s *simFleet) serving(model string) int {
 	count := 0
