Divide requests over zones by their room, and give each daemon a subset of the heads

Cause: each daemon spread its requests by its own counts, with a fixed preference for its zone. With 295 daemons it sees a three-hundredth of the load: its counts are nearly all 0, so that the choice is chance and nobody leaves a zone that has lost groups.

Ruled out by a model without a network (fleet_test.go is its smaller sibling): loads told through relays. Told 0.4 s ago they are no better than chance over the zone (0.0049 of the requests find their head full against 0.0045), and it takes about that long; told 0.25 s ago 0.0011. Subsets that each daemon draws by itself: 0.0155 to 0.09.

Change: core/locality draws a request's zone by the room of its open groups against what is asked there; core/subset gives each daemon a few heads of that zone, even over all daemons; core/demand measures what is asked and lets it travel with the feeds between daemons, so that the store carries none of it.

The starting daemons ask seeds and each other before the store: a relay that is reading is waited for, many rows travel packed, and a copy is dated by what its relay proves, so that no daemon needs a call of its own for that.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -1,9 +1,13 @@
 // Package balancer chooses the backend server, or the head of a group, that
 // takes a request.
 //
-// Every daemon chooses on its own. Reports of load lag and are priced, so a
-// daemon goes by what it has sent itself: each spreads its own requests evenly
-// by cost, and the sum of even spreads is even. Ties are broken at random, so
+// Every daemon chooses on its own. Reports of load lag and are priced: by the time a
+// load is known to all, 0.4 s and more after it was so, choosing by it is worse than
+// not knowing it. So a daemon goes by what it has sent itself. First the request's zone
+// is drawn by what the servers of each can carry (core/locality), then the daemon's own
+// few servers there come before the others (core/subset): over these it spreads its
+// requests evenly by cost. Since subsets cover the servers evenly, the sum of even
+// spreads is even, with nine daemons as with thousands. Ties are broken at random, so
 // that daemons do not choose alike.
 //
 // What a daemon sees of a server decides whether it is used at all. A group
@@ -37,15 +41,20 @@
 type Candidate struct {
 	ID       string
 	Capacity int
-	// IsFar tells that it is in another availability zone.
-	IsFar bool
+	// Zone is its availability zone.
+	Zone string
 	// IsTroubled tells that other daemons found it standing still or slow.
 	IsTroubled bool
+	// tier is set by Preference.WithTiers.
+	tier tier
 }
 
 // Tracker knows what this daemon has under way at each server. It is safe for
 // concurrent use; the zero value is empty.
 type Tracker struct {
+	// Chance breaks ties by numbers from 0 to 1; nil: at random. Set before use.
+	Chance func() float64
+
 	mutex    sync.Mutex
 	servers  map[string]*tracked
 	silences map[silenceKey]*estimate
@@ -92,7 +101,7 @@
 		if excluded[candidate.ID] {
 			continue
 		}
-		score := t.of(candidate.ID).score(now, candidate, cost, usual)
+		score := t.of(candidate.ID).score(now, candidate, cost, usual, t.chance())
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
@@ -112,6 +121,14 @@
 	}), true
 }
 
+// chance returns the next number that breaks ties.
+func (t *Tracker) chance() float64 {
+	if t.Chance != nil {
+		return t.Chance()
+	}
+	return rand.Float64()
+}
+
 // usualPace returns the mean pace of the candidates that were measured, or 0. A
 // server that was not measured counts as usual. The mutex is held.
 func (t *Tracker) usualPace(candidates []Candidate) float64 {
@@ -130,13 +147,10 @@
 
 // score returns how unfit a server is for one more request. Resting servers
 // come after all others, those whose rest ends first before the rest.
-func (s *tracked) score(now time.Time, candidate Candidate, cost, usual float64) float64 {
+func (s *tracked) score(now time.Time, candidate Candidate, cost, usual, chance float64) float64 {
 	const (
 		// spread is the part of the cost that chance adds, to break ties.
 		spread = 0.5
-		// farCost is how many requests more a server of the daemon's own zone may have
-		// under way than one of another: bytes between zones cost money and time.
-		farCost = 2.0
 		// restScore puts resting servers after any that is not.
 		restScore = 1e9
 		// troubledScore puts servers in trouble after those that are well, and
@@ -144,15 +158,16 @@
 		troubledScore = 1e8
 		// fullScore puts servers that are full by this daemon's requests alone
 		// after those that are not.
-		fullScore = 1e6
+		fullScore = 1e7
+		// tierScore puts servers of a tier after those of the one before, whatever
+		// they have under way: a request costs some hundreds, and a server has tens.
+		tierScore = 1e6
 	)
-	score := s.cost + cost*(1+spread*rand.Float64())
-	if candidate.IsFar {
-		score += farCost * cost
-	}
+	score := s.cost + cost*(1+spread*chance)
 	if s.pace > 0 && usual > 0 {
 		score *= s.pace / usual
 	}
+	score += tierScore * float64(candidate.tier)
 	if candidate.Capacity > 0 && s.inFlight >= candidate.Capacity {
 		score += fullScore
 	}
--- /dev/null
+++ b/core/balancer/preference.go
@@ -0,0 +1,92 @@
+package balancer
+
+import (
+	"maps"
+	"slices"
+
+	"headcourse/core/locality"
+	"headcourse/core/subset"
+)
+
+// Preference is what a daemon goes by before it looks at its own requests: where it
+// is, and what is asked in each zone. Its values are not changed. The zero value
+// prefers no server.
+type Preference struct {
+	// Zone is the daemon's availability zone, Daemon its place among the daemons there.
+	Zone   string
+	Daemon subset.Daemon
+	// Asked is what is asked in each zone of the kind of request, in any unit.
+	Asked map[string]float64
+}
+
+// tier orders candidates before their loads are looked at.
+type tier int
+
+// The tiers: the daemon's own subset in the zone that was drawn for the request, the
+// other servers there, and those of other zones.
+const (
+	inSubset tier = iota
+	inZone
+	elsewhere
+)
+
+// WithTiers returns the candidates with the tiers that they have for one request. The
+// zone is drawn at a place between 0 and 1. Servers in trouble do not count as room.
+func (p Preference) WithTiers(candidates []Candidate, at float64) []Candidate {
+	zone := locality.Draw(locality.Divide(p.Zone, p.zones(candidates)), at)
+	var ids []string
+	places := 0
+	for _, candidate := range candidates {
+		if candidate.Zone == zone && !candidate.IsTroubled {
+			ids = append(ids, candidate.ID)
+			places += candidate.Capacity
+		}
+	}
+	isChosen := map[string]bool{}
+	for _, id := range p.Daemon.Choose(ids, places) {
+		isChosen[id] = true
+	}
+	placed := make([]Candidate, len(candidates))
+	for i, candidate := range candidates {
+		candidate.tier = tierOf(candidate, zone, isChosen)
+		placed[i] = candidate
+	}
+	return placed
+}
+
+// tierOf returns the tier of one candidate.
+func tierOf(candidate Candidate, zone string, isChosen map[string]bool) tier {
+	switch {
+	case zone != "" && candidate.Zone != zone:
+		return elsewhere
+	case isChosen[candidate.ID] || candidate.IsTroubled:
+		// Trouble alone puts a server after all others.
+		return inSubset
+	default:
+		return inZone
+	}
+}
+
+// zones joins the room of each zone with what is asked there, ordered by name.
+func (p Preference) zones(candidates []Candidate) []locality.Zone {
+	rooms := map[string]float64{
+		p.Zone: 0,
+	}
+	for zone := range p.Asked {
+		rooms[zone] = 0
+	}
+	for _, candidate := range candidates {
+		if !candidate.IsTroubled {
+			rooms[candidate.Zone] += float64(max(1, candidate.Capacity))
+		}
+	}
+	zones := make([]locality.Zone, 0, len(rooms))
+	for _, name := range slices.Sorted(maps.Keys(rooms)) {
+		zones = append(zones, locality.Zone{
+			Name:  name,
+			Room:  rooms[name],
+			Asked: p.Asked[name],
+		})
+	}
+	return zones
+}
--- /dev/null
+++ b/core/demand/demand_test.go
@@ -0,0 +1,160 @@
+package demand_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/demand"
+)
+
+// large is a kind of request.
+var large = demand.Kind{
+	Service: "engines",
+	Model:   "large",
+}
+
+// board returns the board of a daemon that is asked some work in its zone.
+func board(zone string, work float64) *demand.Board {
+	meter := &demand.Meter{}
+	meter.Note(large, work)
+	return &demand.Board{
+		Meter: meter,
+		Zone:  zone,
+	}
+}
+
+// tell passes a word from one daemon to another, and its answer back.
+func tell(t *testing.T, from, to *demand.Board, name, peer string) {
+	t.Helper()
+	below, isTime := from.Tell(peer)
+	qt.Assert(t, isTime, qt.IsTrue)
+	all, err := to.Told(name, below)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, from.Heard(all), qt.IsNil)
+}
+
+// near tells whether two rates are alike. Words that are 0.6 s older have decayed less
+// or more by a seventh.
+func near(a, b float64) bool {
+	return math.Abs(a-b) < 0.15*max(a, b)
+}
+
+// Two relays with two daemons each: all know what is asked in each zone after two words.
+func TestSumsReachAllDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first, second := board("quito-a", 100), board("quito-b", 200)
+		a, b := board("quito-a", 300), board("quito-b", 400)
+		for range 2 {
+			tell(t, a, first, "a", "first")
+			tell(t, b, second, "b", "second")
+			tell(t, second, first, "second", "first")
+			time.Sleep(600 * time.Millisecond)
+		}
+		for _, one := range []*demand.Board{first, second, a, b} {
+			asked := one.ByZone(large)
+			qt.Assert(t, asked, qt.HasLen, 2)
+			qt.Assert(t, near(asked["quito-b"], 1.5*asked["quito-a"]), qt.IsTrue, qt.Commentf("%v", asked))
+		}
+	})
+}
+
+func TestWordsOfDaemonsThatAreGoneExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relay, daemon := board("quito-a", 100), board("quito-b", 100)
+		qt.Assert(t, relay.ByZone(large), qt.IsNil)
+		tell(t, daemon, relay, "daemon", "relay")
+		qt.Assert(t, relay.ByZone(large)["quito-b"] > 0, qt.IsTrue)
+		time.Sleep(3 * time.Second)
+		_, isTime := relay.Tell("another")
+		qt.Assert(t, isTime, qt.IsTrue)
+		qt.Assert(t, relay.ByZone(large)["quito-b"], qt.Equals, 0.0)
+		qt.Assert(t, daemon.ByZone(large), qt.IsNil)
+	})
+}
+
+// While the lists of daemons differ two relays may take each other for the first one.
+// Their sums must not grow by each other's.
+func TestTwoThatTellEachOtherDoNotCountTwice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, other := board("quito-a", 100), board("quito-b", 100)
+		for range 10 {
+			tell(t, one, other, "one", "other")
+			tell(t, other, one, "other", "one")
+			time.Sleep(600 * time.Millisecond)
+		}
+		asked := one.ByZone(large)
+		qt.Assert(t, asked["quito-a"] < 100, qt.IsTrue, qt.Commentf("%v", asked))
+	})
+}
+
+func TestWordsAreBoundedInNumberAndTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one := board("quito-a", 100)
+		_, isTime := one.Tell("relay")
+		qt.Assert(t, isTime, qt.IsTrue)
+		_, isTime = one.Tell("relay")
+		qt.Assert(t, isTime, qt.IsFalse)
+
+		meter := &demand.Meter{}
+		for i := range 1000 {
+			meter.Note(demand.Kind{
+				Service: "engines",
+				Model:   fmt.Sprint(i),
+			}, 1)
+		}
+		qt.Assert(t, len(meter.Asked("quito-a")) <= 256, qt.IsTrue)
+	})
+}
+
+func TestNonsenseIsRefusedByItsPlace(t *testing.T) {
+	var one demand.Board
+	for _, bad := range []struct {
+		told demand.Asked
+		says string
+	}{
+		{
+			told: demand.Asked{
+				Kind: large,
+			},
+			says: "entry 0 has no zone",
+		},
+		{
+			told: demand.Asked{
+				Zone: "quito-a",
+			},
+			says: `entry 0 of zone "quito-a" has no service`,
+		},
+		{
+			told: demand.Asked{
+				Kind: large,
+				Zone: "quito-a",
+				Rate: math.NaN(),
+			},
+			says: `entry 0 of zone "quito-a": rate NaN is none`,
+		},
+		{
+			told: demand.Asked{
+				Kind: large,
+				Zone: "quito-a",
+				Rate: -1,
+			},
+			says: `entry 0 of zone "quito-a": rate -1 is none`,
+		},
+	} {
+		_, err := one.Told("a", []demand.Asked{
+			bad.told,
+		})
+		qt.Assert(t, err, qt.ErrorMatches, "check demand: "+bad.says)
+		qt.Assert(t, one.Heard([]demand.Asked{
+			bad.told,
+		}), qt.IsNotNil)
+	}
+	_, err := one.Told("a", make([]demand.Asked, 2000))
+	qt.Assert(t, err, qt.ErrorMatches, "check demand: 2000 entries, more than 1024")
+	qt.Assert(t, one.ByZone(large), qt.IsNil)
+}
--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -102,6 +102,35 @@
 	return len(l.daemons)
 }
 
+// InZone counts the daemons of a zone, and returns a daemon's place among them, from 0;
+// that of an unlisted one is after all others.
+func (l List) InZone(name, zone string) (place, of int) {
+	place = -1
+	for _, daemon := range l.daemons {
+		if daemon.Zone != zone {
+			continue
+		}
+		if daemon.Name == name {
+			place = of
+		}
+		of++
+	}
+	if place < 0 {
+		place = of
+	}
+	return place, of
+}
+
+// Zones returns the zones that have daemons, each once, in their order.
+func (l List) Zones() []string {
+	var zones []string
+	for _, daemon := range l.daemons {
+		zones = append(zones, daemon.Zone)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
 // Has tells whether a daemon is listed with an address.
 func (l List) Has(self Daemon) bool {
 	return slices.Contains(l.daemons, self)
--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -150,6 +150,7 @@
 // ask makes a call to the relays in turn, and then to the store.
 func (c *Chain) ask(ctx context.Context, table string, relays []Relay, limit time.Duration, call callTo) (Result, error) {
 	for _, relay := range relays {
+		sent := time.Now()
 		limited, cancel := context.WithTimeout(ctx, limit)
 		result, err := call(limited, relay.Reader)
 		cancel()
@@ -157,6 +158,7 @@
 			return result, err
 		}
 		if err == nil {
+			c.date(sent, result)
 			err = c.checkAge(table, result)
 		}
 		c.note(relay.Name, err)
@@ -175,6 +177,14 @@
 	return result, err
 }
 
+// date learns from a relay's answer what the store's clock showed at the latest when
+// the relay was asked.
+func (c *Chain) date(sent time.Time, result Result) {
+	if result.Latest > 0 {
+		c.clock.Prove(sent, result.Latest)
+	}
+}
+
 // mayAsk tells whether the store itself may be asked now, and notes that it is.
 func (c *Chain) mayAsk(table string) bool {
 	c.mutex.Lock()
--- a/core/rowstore/freshness.go
+++ b/core/rowstore/freshness.go
@@ -44,6 +44,15 @@
 	return f.zero.Add(now)
 }
 
+// Latest returns what the store's clock shows now at the latest, and false if nothing
+// was proved yet. Another daemon that is told so in an answer can date answers as well
+// without a call to the store of its own: when it asked, the clock showed no more.
+func (f *Freshness) Latest() (time.Duration, bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return time.Since(f.zero), f.isKnown
+}
+
 // Confirm notes that the view is complete as of a time.
 func (f *Freshness) Confirm(asOf time.Time) {
 	f.mutex.Lock()
--- a/core/rowstore/hub.go
+++ b/core/rowstore/hub.go
@@ -16,6 +16,8 @@
 	// ContactLimit is the time without any answer of the store after which no
 	// copy is given to others: the daemon may be cut off from it. 0: no limit.
 	ContactLimit time.Duration
+	// Clock, if set, dates the store's clock for those who ask.
+	Clock *Freshness
 
 	mutex sync.Mutex
 	// contact is the latest time at which any copy was surely true.
@@ -99,22 +101,48 @@
 	return known.rows != nil && isInContact
 }
 
-// Read returns all rows of a table. It fails with ErrNoCopy before the first
-// Take, and while the store was not heard.
-func (h *Hub) Read(_ context.Context, table string) (Result, error) {
+// firstCopyTime is how long a read waits for the first copy of a table. Daemons that
+// start together ask each other before any of them has read: 295 of them spent 1,400
+// calls of the store on a restart of all. A store that answers does so in some
+// milliseconds, and a table of a thousand rows comes in some tens.
+const firstCopyTime = 200 * time.Millisecond
+
+// Read returns all rows of a table. It fails with ErrNoCopy where the first Take does
+// not come soon, and while the store was not heard.
+func (h *Hub) Read(ctx context.Context, table string) (Result, error) {
+	h.awaitCopy(ctx, table)
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	known := h.table(table)
 	if !h.isGood(known) {
 		return Result{}, ErrNoCopy
 	}
-	result := known.result()
+	result := h.result(known)
 	for _, key := range slices.Sorted(maps.Keys(known.rows)) {
 		result.Rows = append(result.Rows, known.rows[key])
 	}
 	return result, nil
 }
 
+// awaitCopy waits a moment for the first copy of a table.
+func (h *Hub) awaitCopy(ctx context.Context, table string) {
+	h.mutex.Lock()
+	known := h.table(table)
+	isThere := known.rows != nil
+	changed := known.changed
+	h.mutex.Unlock()
+	if isThere {
+		return
+	}
+	timer := time.NewTimer(firstCopyTime)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Feed returns the rows that changed since a version, as soon as there is one,
 // or nothing after wait.
 func (h *Hub) Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error) {
@@ -151,7 +179,7 @@
 	if since < known.floor {
 		return Result{}, known.changed, ErrCompacted
 	}
-	result := known.result()
+	result := h.result(known)
 	for _, row := range known.rows {
 		if row.Version > since {
 			result.Rows = append(result.Rows, row)
@@ -168,11 +196,18 @@
 	return result, known.changed, nil
 }
 
-// result returns a result without rows.
-func (c *copied) result() Result {
-	return Result{
-		Version:   c.version,
-		Now:       c.now,
+// result returns a result of a copy, without rows.
+func (h *Hub) result(known *copied) Result {
+	result := Result{
+		Version:   known.version,
+		Now:       known.now,
 		IsRelayed: true,
 	}
+	if h.Clock == nil {
+		return result
+	}
+	if latest, isProved := h.Clock.Latest(); isProved {
+		result.Latest = latest
+	}
+	return result
 }
--- a/core/rowstore/rowstore.go
+++ b/core/rowstore/rowstore.go
@@ -73,6 +73,9 @@
 	// IsRelayed tells that another daemon answered from its copy, so that Now
 	// may lie before the call.
 	IsRelayed bool
+	// Latest is what the store's clock showed at the latest when a relay answered;
+	// 0: not known.
+	Latest time.Duration
 }
 
 // Reader reads tables and follows their changes: the store itself, or a copy.
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -21,6 +22,9 @@
 	fewestDaemons = 16
 	// listWait is how long one call waits for changes of the list.
 	listWait = 5 * time.Second
+	// listSettle lets changes of the list come together: hundreds of daemons that start
+	// together write a row each, and each would look at the list once for each of them.
+	listSettle = 250 * time.Millisecond
 	// listAgain is the time between two tries to list itself.
 	listAgain = time.Second
 	// listPatience is how long a starting daemon waits for the list before it reads
@@ -68,6 +72,9 @@
 		Store: d.chain,
 		Table: neighbours.Table,
 		Wait:  listWait,
+		Settle: func() time.Duration {
+			return listSettle
+		},
 		Whole: func(rows []rowstore.Row, _ int64, _ time.Time) {
 			d.takeList(rows, true)
 		},
@@ -136,14 +143,18 @@
 	var relays []rowstore.Relay
 	for _, one := range r.list.For(d.settings.Name, d.settings.Zone) {
 		if r.clients[one.Address] == nil {
-			r.clients[one.Address] = relay.NewClient(one.Address)
+			r.clients[one.Address] = d.newRelayClient(one.Name, one.Address)
 		}
 		relays = append(relays, rowstore.Relay{
 			Name:   one.Name,
 			Reader: r.clients[one.Address],
 		})
 	}
-	d.chain.SetRelays(relays)
+	if r.list.Len() > 0 {
+		// Before the first daemon is listed the seeds are asked.
+		d.chain.SetRelays(relays)
+	}
+	d.notePlace(r.list)
 	burst := d.setBudgets(max(1, r.list.Len()))
 	d.log.Info("daemons: listed",
 		zap.Int("daemons", r.list.Len()),
@@ -151,6 +162,40 @@
 		zap.String("retry_burst", strconv.FormatFloat(burst, 'f', 1, 64)))
 }
 
+// newRelayClient returns a client of another daemon.
+func (d *Daemon) newRelayClient(name, address string) *relay.Client {
+	client := relay.NewClient(address)
+	client.Self = d.settings.Name
+	client.Peer = name
+	client.Board = &d.board
+	client.Refused = d.refuseDemand
+	return client
+}
+
+// askSeeds has the chain ask the seeds until the list of the daemons is known. A daemon
+// that is a seed itself reads the store.
+func (d *Daemon) askSeeds() {
+	var seeds []rowstore.Reader
+	for _, address := range d.settings.Seeds {
+		if address == d.relays.Address() {
+			return
+		}
+		seeds = append(seeds, d.newRelayClient(address, address))
+	}
+	if len(seeds) == 0 {
+		return
+	}
+	rand.Shuffle(len(seeds), func(i, k int) {
+		seeds[i], seeds[k] = seeds[k], seeds[i]
+	})
+	d.chain.SetRelays([]rowstore.Relay{
+		{
+			Name:   "seeds",
+			Reader: rowstore.NewSeeds(seeds...),
+		},
+	})
+}
+
 // rank returns this daemon's place in the list.
 func (d *Daemon) rank() int {
 	d.roster.mutex.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"headcourse/core/demand"
 	"headcourse/core/fleet"
 	"headcourse/core/retry"
 	"headcourse/core/rowstore"
@@ -75,8 +76,13 @@
 	chain  *rowstore.Chain
 	hub    rowstore.Hub
 	relays *relay.Server
-	// roster is the list of all daemons, by which relays are chosen.
+	// roster is the list of all daemons, by which relays are chosen; place is where this
+	// one stands in it.
 	roster roster
+	place  atomic.Pointer[place]
+	// meter measures what callers ask of this daemon, board adds up what they ask of all.
+	meter demand.Meter
+	board demand.Board
 	// exposed serves the metrics; nil where they are not served.
 	exposed *exposition.Server
 
@@ -118,6 +124,7 @@
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
+	d.askSeeds()
 	d.run()
 	d.serveMetrics()
 	log.Info("daemon: started", zap.String("name", known.Name), zap.String("zone", known.Zone), zap.String("start", d.start))
@@ -153,6 +160,10 @@
 		return table == platform.ServerTable && d.isLeading.Load()
 	}
 	d.hub.ContactLimit = limits[platform.ConfigTable]
+	d.hub.Clock = &d.clock
+	d.board.Meter = &d.meter
+	d.board.Zone = known.Zone
+	d.place.Store(&place{})
 	d.view.Store(&gateway.View{})
 	d.outage.Store(&fleet.Outage{})
 	d.setBudgets(fewestDaemons)
@@ -166,7 +177,7 @@
 		Address:  d.settings.Clients,
 		Source:   d,
 		Dialect:  platform.Dialect{},
-		Zone:     d.settings.Zone,
+		Meter:    &d.meter,
 		Budgets:  &d.budgets,
 		Registry: d.registry,
 		Log:      d.log,
@@ -178,7 +189,12 @@
 	if err != nil {
 		return errors.Wrap(err, "start daemon")
 	}
-	d.relays, err = relay.Listen(d.settings.Relay, &d.hub)
+	d.relays, err = relay.Listen(relay.Options{
+		Address: d.settings.Relay,
+		Reader:  &d.hub,
+		Board:   &d.board,
+		Refused: d.refuseDemand,
+	})
 	return errors.Wrap(err, "start daemon")
 }
 
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -27,6 +27,7 @@
 
 	"headcourse/core/balancer"
 	"headcourse/core/config"
+	"headcourse/core/demand"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
 	"headcourse/core/retry"
@@ -70,6 +71,8 @@
 	IsCurrent() bool
 	// Daemons is how many daemons there are.
 	Daemons() int
+	// Preference is what a request of a kind goes by when a server is chosen.
+	Preference(kind demand.Kind) balancer.Preference
 	// IsTroubled tells whether other daemons found a server standing still or slow.
 	IsTroubled(server fleet.Server) bool
 	// Stalled is told of a server that stands still with requests under way.
@@ -80,7 +83,7 @@
 type Server struct {
 	source       Source
 	dialect      Dialect
-	zone         string
+	meter        *demand.Meter
 	viewPatience time.Duration
 	log          *zap.Logger
 	registry     metrics.Registry
@@ -128,8 +131,8 @@
 	Address string
 	Source  Source
 	Dialect Dialect
-	// Zone is the daemon's availability zone.
-	Zone     string
+	// Meter measures what is asked.
+	Meter    *demand.Meter
 	Budgets  *retry.Budgets
 	Registry metrics.Registry
 	Log      *zap.Logger
@@ -148,7 +151,7 @@
 	server := &Server{
 		source:       options.Source,
 		dialect:      options.Dialect,
-		zone:         options.Zone,
+		meter:        options.Meter,
 		viewPatience: cmp.Or(options.ViewPatience, viewPatience),
 		log:          options.Log,
 		registry:     options.Registry,
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -16,7 +16,9 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"headcourse/core/balancer"
 	"headcourse/core/config"
+	"headcourse/core/demand"
 	"headcourse/core/fleet"
 	"headcourse/core/retry"
 	"headcourse/io/gateway"
@@ -76,6 +78,9 @@
 // Daemons is always 1.
 func (s *source) Daemons() int { return 1 }
 
+// Preference is none.
+func (s *source) Preference(demand.Kind) balancer.Preference { return balancer.Preference{} }
+
 // IsTroubled is never true.
 func (s *source) IsTroubled(fleet.Server) bool { return false }
 
@@ -89,6 +94,7 @@
 		Address:      "127.0.0.1:0",
 		Source:       from,
 		Dialect:      platform.Dialect{},
+		Meter:        &demand.Meter{},
 		Budgets:      &retry.Budgets{},
 		Registry:     metrics.NewRegistry(),
 		Log:          zap.NewNop(),
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 
 	"headcourse/core/balancer"
 	"headcourse/core/config"
+	"headcourse/core/demand"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
 	"headcourse/core/usage"
@@ -201,15 +203,11 @@
 // pick chooses the server for the next send.
 func (j *job) pick() (fleet.Server, func(), bool) {
 	serving := j.server.source.View().Fleet.Serving(j.service, j.request.Model)
-	candidates := make([]balancer.Candidate, len(serving))
-	for i, server := range serving {
-		candidates[i] = balancer.Candidate{
-			ID:         server.ID,
-			Capacity:   server.Capacity,
-			IsFar:      server.Zone != j.server.zone,
-			IsTroubled: j.server.source.IsTroubled(server),
-		}
+	if len(serving) == 0 {
+		return fleet.Server{}, nil, false
 	}
+	preference := j.server.source.Preference(j.noteAsked())
+	candidates := preference.WithTiers(j.candidates(serving), rand.Float64())
 	chosen, done, ok := j.server.tracker.Pick(candidates, j.excluded, j.request.Cost())
 	if !ok {
 		return fleet.Server{}, nil, false
@@ -222,3 +220,29 @@
 	done()
 	return fleet.Server{}, nil, false
 }
+
+// noteAsked measures a request once, at its first send, and returns its kind.
+func (j *job) noteAsked() demand.Kind {
+	kind := demand.Kind{
+		Service: j.service,
+		Model:   j.request.Model,
+	}
+	if j.sends == 0 {
+		j.server.meter.Note(kind, j.request.Cost())
+	}
+	return kind
+}
+
+// candidates returns the servers that may take the request.
+func (j *job) candidates(serving []fleet.Server) []balancer.Candidate {
+	candidates := make([]balancer.Candidate, len(serving))
+	for i, server := range serving {
+		candidates[i] = balancer.Candidate{
+			ID:         server.ID,
+			Capacity:   server.Capacity,
+			Zone:       server.Zone,
+			IsTroubled: j.server.source.IsTroubled(server),
+		}
+	}
+	return candidates
+}
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"headcourse/core/demand"
 	"headcourse/core/rowstore"
 	"headcourse/io/logline"
 )
@@ -20,6 +21,14 @@
 // Client asks one other daemon. It implements rowstore.Reader and keeps one
 // connection, which it makes when it is needed. Use NewClient.
 type Client struct {
+	// Self is the name of the daemon that asks, Peer that of the one that is asked.
+	// Board is what is told with calls; nil: nothing. Refused, if set, is told of answers
+	// about it that make no sense. Set before use.
+	Self    string
+	Peer    string
+	Board   *demand.Board
+	Refused func(peer string, err error)
+
 	address string
 	mutex   sync.Mutex
 	conn    *jsonrpc2.Conn
@@ -41,11 +50,34 @@
 
 // Feed returns the rows that changed since a version.
 func (c *Client) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
-	return c.call(ctx, callFeed, question{
+	return c.call(ctx, callFeed, c.telling(question{
 		Table:  table,
 		Since:  since,
 		WaitMS: wait.Milliseconds(),
-	})
+	}))
+}
+
+// telling returns the question with what is to be told with it, if it is time to.
+func (c *Client) telling(asked question) question {
+	if c.Board == nil {
+		return asked
+	}
+	below, isTime := c.Board.Tell(c.Peer)
+	if isTime {
+		asked.From = c.Self
+		asked.Asked = encodeAsked(below)
+	}
+	return asked
+}
+
+// hear takes what an answer says is asked of all.
+func (c *Client) hear(asked question, answered answer) {
+	if asked.From == "" || len(answered.Asked) == 0 {
+		return
+	}
+	if err := c.Board.Heard(decodeAsked(answered.Asked)); err != nil && c.Refused != nil {
+		c.Refused(c.Peer, err)
+	}
 }
 
 // call makes one call. A connection on which a call got no answer is not used
@@ -58,6 +90,7 @@
 	var answered answer
 	err = conn.Call(ctx, method, asked, &answered)
 	if err == nil {
+		c.hear(asked, answered)
 		return decode(asked.Table, answered)
 	}
 	var told *jsonrpc2.Error
--- /dev/null
+++ b/io/relay/demand.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"headcourse/core/demand"
+)
+
+// asked is how much of a kind is asked in a zone, as it is sent.
+type asked struct {
+	Service string  `json:"service"`
+	Model   string  `json:"model,omitempty"`
+	Zone    string  `json:"zone"`
+	Rate    float64 `json:"rate"`
+}
+
+// encodeAsked returns what is asked as it is sent.
+func encodeAsked(all []demand.Asked) []asked {
+	var sent []asked
+	for _, one := range all {
+		sent = append(sent, asked{
+			Service: one.Kind.Service,
+			Model:   one.Kind.Model,
+			Zone:    one.Zone,
+			Rate:    one.Rate,
+		})
+	}
+	return sent
+}
+
+// decodeAsked returns what is asked as it was sent.
+func decodeAsked(sent []asked) []demand.Asked {
+	var all []demand.Asked
+	for _, one := range sent {
+		all = append(all, demand.Asked{
+			Kind: demand.Kind{
+				Service: one.Service,
+				Model:   one.Model,
+			},
+			Zone: one.Zone,
+			Rate: one.Rate,
+		})
+	}
+	return all
+}
+
+// told takes what a daemon tells with a call, and returns what is asked of all. One that
+// tells nonsense is answered all the same.
+func (s *Server) told(call question) []asked {
+	if s.board == nil || call.From == "" {
+		return nil
+	}
+	all, err := s.board.Told(call.From, decodeAsked(call.Asked))
+	if err != nil {
+		s.refuse(call.From, err)
+		return nil
+	}
+	return encodeAsked(all)
+}
+
+// refuse tells of a word that makes no sense.
+func (s *Server) refuse(from string, err error) {
+	if s.refused != nil {
+		s.refused(from, err)
+	}
+}
--- a/io/relay/pack.go
+++ b/io/relay/pack.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"sync"
 
@@ -40,6 +41,22 @@
 	if found, ok := p.known[name]; ok && found.version == version {
 		return found.value, nil
 	}
+	content, err := compress(value)
+	if err != nil {
+		return nil, err
+	}
+	if p.known == nil {
+		p.known = map[string]packed{}
+	}
+	p.known[name] = packed{
+		version: version,
+		value:   content,
+	}
+	return content, nil
+}
+
+// compress returns a value compressed.
+func compress(value []byte) ([]byte, error) {
 	var out bytes.Buffer
 	writer, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
 	if err != nil {
@@ -51,14 +68,44 @@
 	if err = writer.Close(); err != nil {
 		return nil, errors.Wrap(err, "pack value")
 	}
-	if p.known == nil {
-		p.known = map[string]packed{}
+	return out.Bytes(), nil
+}
+
+// packRowsFrom is the number of rows from which they are sent packed together: they are
+// much alike, and a thousand servers' entries shrink from 450 KB to a tenth. Dozens of
+// daemons read them from one relay at a restart of all, over a link of 200 Mbit/s.
+const packRowsFrom = 32
+
+// packed returns the answer with its rows packed where they are many.
+func (a answer) packed() (answer, error) {
+	if len(a.Rows) < packRowsFrom {
+		return a, nil
 	}
-	p.known[name] = packed{
-		version: version,
-		value:   out.Bytes(),
+	encoded, err := json.Marshal(a.Rows)
+	if err != nil {
+		return answer{}, errors.Wrap(err, "encode rows")
 	}
-	return out.Bytes(), nil
+	content, err := compress(encoded)
+	if err != nil {
+		return answer{}, err
+	}
+	a.Rows = nil
+	a.PackedRows = content
+	return a, nil
+}
+
+// rows returns the answer's rows, packed or not.
+func (a answer) rows() ([]row, error) {
+	if len(a.PackedRows) == 0 {
+		return a.Rows, nil
+	}
+	encoded, err := unpack(a.PackedRows)
+	if err != nil {
+		return nil, err
+	}
+	var rows []row
+	err = json.Unmarshal(encoded, &rows)
+	return rows, errors.Wrap(err, "decode rows")
 }
 
 // unpack returns a value that was packed.
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -3,7 +3,9 @@
 //
 // There are two calls. "read" returns a table whole; "feed" returns its changes
 // since a version as soon as there is one, or nothing after a wait. Both answer
-// from the daemon's copy and tell, by the store's clock, how old it is.
+// from the daemon's copy and tell, by the store's clock, how old it is. A feed also
+// carries what is asked of the daemon that follows, and brings back what is asked of
+// all (core/demand).
 package relay
 
 import (
@@ -15,6 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"headcourse/core/demand"
 	"headcourse/core/rowstore"
 	"headcourse/io/logline"
 	"headcourse/io/rpc"
@@ -42,14 +45,24 @@
 	Since int64  `json:"since,omitempty"`
 	// WaitMS is a time in milliseconds.
 	WaitMS int64 `json:"wait_ms,omitempty"`
+	// From is the daemon that asks, Asked what is asked of it and of those that follow
+	// through it; empty where it tells nothing now.
+	From  string  `json:"from,omitempty"`
+	Asked []asked `json:"asked,omitempty"`
 }
 
 // answer is what both calls answer.
 type answer struct {
 	Rows    []row `json:"rows,omitempty"`
 	Version int64 `json:"version"`
-	// NowUS is the store's clock in microseconds.
-	NowUS int64 `json:"now_us"`
+	// NowUS is the store's clock, in microseconds, as of which the rows are true;
+	// LatestUS what it shows at the latest, 0: not known.
+	NowUS    int64 `json:"now_us"`
+	LatestUS int64 `json:"latest_us,omitempty"`
+	// PackedRows are all rows, encoded and compressed, in place of Rows.
+	PackedRows []byte `json:"packed_rows,omitempty"`
+	// Asked is what is asked of all daemons, for those that told.
+	Asked []asked `json:"asked,omitempty"`
 }
 
 // row is one row.
@@ -66,15 +79,32 @@
 type Server struct {
 	*rpc.Listener
 	reader rowstore.Reader
-	packer packer
+	board  *demand.Board
+	// refused is told of words of other daemons that make no sense.
+	refused func(from string, err error)
+	packer  packer
 }
 
-// Listen answers from a copy at IP:port, where port 0 picks a free one.
-func Listen(address string, reader rowstore.Reader) (*Server, error) {
+// Options are what a Server needs.
+type Options struct {
+	// Address is the IP:port to listen on, where port 0 picks a free one.
+	Address string
+	// Reader is the copy to answer from.
+	Reader rowstore.Reader
+	// Board takes what is asked of other daemons; nil: it is not added up.
+	Board *demand.Board
+	// Refused, if set, is told of what another daemon told that makes no sense.
+	Refused func(from string, err error)
+}
+
+// Listen answers other daemons.
+func Listen(options Options) (*Server, error) {
 	server := &Server{
-		reader: reader,
+		reader:  options.Reader,
+		board:   options.Board,
+		refused: options.Refused,
 	}
-	listener, err := rpc.Listen(address, server.talk)
+	listener, err := rpc.Listen(options.Address, server.talk)
 	if err != nil {
 		return nil, err
 	}
@@ -104,26 +134,41 @@
 			Message: "params: " + err.Error(),
 		}
 	}
-	var result rowstore.Result
-	var err error
 	switch request.Method {
 	case callRead:
-		result, err = s.reader.Read(ctx, asked.Table)
+		return s.read(ctx, asked)
 	case callFeed:
-		wait := min(time.Duration(asked.WaitMS)*time.Millisecond, longestWait)
-		result, err = s.reader.Feed(ctx, asked.Table, asked.Since, wait)
+		return s.feed(ctx, asked)
 	default:
 		return nil, &jsonrpc2.Error{
 			Code:    jsonrpc2.CodeMethodNotFound,
 			Message: "no call " + request.Method,
 		}
 	}
+}
+
+// read answers with a whole table.
+func (s *Server) read(ctx context.Context, asked question) (any, error) {
+	result, err := s.reader.Read(ctx, asked.Table)
 	if err != nil {
 		return nil, encodeError(err)
 	}
 	return s.encode(asked.Table, result)
 }
 
+// feed answers with changes, and with what is asked of all if it was told something.
+func (s *Server) feed(ctx context.Context, asked question) (any, error) {
+	all := s.told(asked)
+	wait := min(time.Duration(asked.WaitMS)*time.Millisecond, longestWait)
+	result, err := s.reader.Feed(ctx, asked.Table, asked.Since, wait)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	encoded, err := s.encode(asked.Table, result)
+	encoded.Asked = all
+	return encoded, err
+}
+
 // encodeError returns the error as it is sent.
 func encodeError(err error) error {
 	code := int64(codeRefused)
@@ -142,8 +187,9 @@
 // encode returns a result as it is sent.
 func (s *Server) encode(table string, result rowstore.Result) (answer, error) {
 	encoded := answer{
-		Version: result.Version,
-		NowUS:   result.Now.Microseconds(),
+		Version:  result.Version,
+		NowUS:    result.Now.Microseconds(),
+		LatestUS: result.Latest.Microseconds(),
 	}
 	for _, one := range result.Rows {
 		packed, err := s.packer.pack(table, one.Key, one.Version, one.Value)
@@ -162,7 +208,7 @@
 		}
 		encoded.Rows = append(encoded.Rows, sent)
 	}
-	return encoded, nil
+	return encoded.packed()
 }
 
 // decode returns a result as it was sent.
@@ -170,12 +216,16 @@
 	result := rowstore.Result{
 		Version:   encoded.Version,
 		Now:       time.Duration(encoded.NowUS) * time.Microsecond,
+		Latest:    time.Duration(encoded.LatestUS) * time.Microsecond,
 		IsRelayed: true,
 	}
-	for _, one := range encoded.Rows {
+	rows, err := encoded.rows()
+	if err != nil {
+		return rowstore.Result{}, err
+	}
+	for _, one := range rows {
 		value := one.Value
 		if one.Packed != nil {
-			var err error
 			if value, err = unpack(one.Packed); err != nil {
 				return rowstore.Result{}, err
 			}
