Write the rows of daemons together, leave the store to the relays, try for the lease in turn

And while the store is down, each daemon asked it although its relays did: 250 calls a second.

Change: core/rowstore/restraint.go spreads such calls over all daemons that hear that their relays have no copy; relays ask those before them, so that one follows in the place of a first one that is gone; reads wait a little longer for relays, and a second at the first start; daemons are listed by another in batches; those late in the list try for the lease one after the other. A request at a group that is told to have lost a member moves at once, heads of a domain in which one has just gone silent come last, and nobody tells of a group that has ended.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -43,6 +43,8 @@
 	Capacity int
 	// Zone is its availability zone.
 	Zone string
+	// Domain is its fabric domain; empty: none.
+	Domain string
 	// IsTroubled tells that other daemons found it standing still or slow.
 	IsTroubled bool
 	// tier is set by Preference.WithTiers.
@@ -71,8 +73,10 @@
 	failures int
 	restTill time.Time
 	rest     time.Duration
-	// isSilent tells that the rest is for silence, and ends with it.
+	// isSilent tells that the rest is for silence, and ends with it; it began at
+	// silentAt.
 	isSilent bool
+	silentAt time.Time
 }
 
 // of returns what is known of a server. The mutex is held.
@@ -97,11 +101,15 @@
 	now := time.Now()
 	best, bestScore := -1, 0.0
 	usual := t.usualPace(candidates)
+	doubted := t.doubted(now, candidates)
 	for i, candidate := range candidates {
 		if excluded[candidate.ID] {
 			continue
 		}
 		score := t.of(candidate.ID).score(now, candidate, cost, usual, t.chance())
+		if doubted[candidate.Domain] {
+			score += doubtScore
+		}
 		if best < 0 || score < bestScore {
 			best, bestScore = i, score
 		}
@@ -129,6 +137,34 @@
 	return rand.Float64()
 }
 
+// Figures of doubt.
+const (
+	// doubtTime is how long a silence casts doubt on its domain: until then the
+	// members of the group have been asked for a sign of life.
+	doubtTime = 1200 * time.Millisecond
+	// doubtScore puts servers of a domain in doubt after those of other domains, also
+	// in other zones, and before those that are full.
+	doubtScore = 4e6
+)
+
+// doubted returns the domains in which a server has just gone silent. A domain may go
+// dark as a whole, and a request that is moved from one of its heads to the next is lost
+// to its client. The mutex is held.
+func (t *Tracker) doubted(now time.Time, candidates []Candidate) map[string]bool {
+	var doubted map[string]bool
+	for _, candidate := range candidates {
+		one := t.of(candidate.ID)
+		if candidate.Domain == "" || !one.isSilent || now.Sub(one.silentAt) > doubtTime {
+			continue
+		}
+		if doubted == nil {
+			doubted = map[string]bool{}
+		}
+		doubted[candidate.Domain] = true
+	}
+	return doubted
+}
+
 // usualPace returns the mean pace of the candidates that were measured, or 0. A
 // server that was not measured counts as usual. The mutex is held.
 func (t *Tracker) usualPace(candidates []Candidate) float64 {
@@ -205,6 +241,7 @@
 		return
 	}
 	one.isSilent = true
+	one.silentAt = now
 	one.rest = min(max(firstRest, 2*one.rest), longestRest)
 	one.restTill = now.Add(one.rest)
 }
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -211,3 +211,69 @@
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, one.ID, qt.Equals, "far")
 }
+
+// A fabric domain of 37 servers went dark; a request was moved from a head that had died
+// to the next one of the same domain, and its client's time was over.
+func TestHeadsOfADomainThatHasJustGoneSilentComeLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tracker balancer.Tracker
+		heads := []balancer.Candidate{
+			{
+				ID:       "silent",
+				Capacity: 22,
+				Domain:   "d1",
+			},
+			{
+				ID:       "beside",
+				Capacity: 22,
+				Domain:   "d1",
+			},
+			{
+				ID:       "other",
+				Capacity: 22,
+				Domain:   "d2",
+			},
+		}
+		chosen := func() map[string]int {
+			count := map[string]int{}
+			for range 10 {
+				one, done, ok := tracker.Pick(heads, nil, 100)
+				qt.Assert(t, ok, qt.IsTrue)
+				count[one.ID]++
+				defer done()
+			}
+			return count
+		}
+		tracker.Rest("silent")
+		qt.Assert(t, chosen(), qt.DeepEquals, map[string]int{
+			"other": 10,
+		})
+		// Where no other is left, the one beside it is still better than the silent one.
+		one, _, _ := tracker.Pick(heads, map[string]bool{
+			"other": true,
+		}, 100)
+		qt.Assert(t, one.ID, qt.Equals, "beside")
+
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, chosen()["beside"] > 0, qt.IsTrue)
+	})
+}
+
+// A group lost a member; the first daemon told so after 0.45 s. Requests that came in
+// between waited at other daemons for a whole second, which is what silences are taken
+// for that nobody knows yet, and were late everywhere.
+func TestRequestIsMovedAtOnceWhereTheGroupIsToldToStandStill(t *testing.T) {
+	var tracker balancer.Tracker
+	limits := tracker.Limits("engines/large", balancer.First)
+	const silent = 500 * time.Millisecond
+
+	step, _ := limits.Step(silent-time.Millisecond, true)
+	qt.Assert(t, step, qt.Equals, balancer.Wait)
+	step, again := limits.Step(silent, false)
+	qt.Assert(t, step, qt.Equals, balancer.Rest)
+	qt.Assert(t, again <= 50*time.Millisecond, qt.IsTrue)
+	step, _ = limits.Step(silent, true)
+	qt.Assert(t, step, qt.Equals, balancer.Move)
+	step, _ = limits.Step(limits.Move, false)
+	qt.Assert(t, step, qt.Equals, balancer.Move)
+}
--- a/core/balancer/silence.go
+++ b/core/balancer/silence.go
@@ -55,6 +55,36 @@
 	Move time.Duration
 }
 
+// Step is what a silence calls for.
+type Step int
+
+// The steps: to wait on, to rest the server, and to move the request as well.
+const (
+	Wait Step = iota
+	Rest
+	Move
+)
+
+// askAgain is how often a silent server's group is looked up among those that are told
+// to stand still.
+const askAgain = 50 * time.Millisecond
+
+// Step returns what a silence calls for, and when to look again. isStill tells that
+// another daemon has found that the server's group has lost a member: then nothing is
+// waited for any longer, so that a request which came after the loss may still be in
+// time elsewhere. A daemon among hundreds knows the usual silences of rare requests
+// late, and would wait for usualMove.
+func (l Limits) Step(silent time.Duration, isStill bool) (step Step, again time.Duration) {
+	switch {
+	case silent < l.Rest:
+		return Wait, l.Rest - silent
+	case silent < l.Move && !isStill:
+		return Rest, min(l.Move-silent, askAgain)
+	default:
+		return Move, l.Move
+	}
+}
+
 // Silence notes how long a server that is well was silent.
 func (t *Tracker) Silence(kind string, phase Phase, took time.Duration) {
 	t.mutex.Lock()
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -41,9 +41,12 @@
 	// lookEvery is the time between two looks at what is known of the row.
 	lookEvery = 50 * time.Millisecond
 	// stagger is how much later each daemon of the list tries than the one
-	// before it, up to longestStagger, so that they do not all try at once.
-	stagger        = 60 * time.Millisecond
-	longestStagger = 900 * time.Millisecond
+	// before it, so that they do not all try at once; laterStagger is the same for those
+	// after the first staggered ones, of whom mostly one lives. Where all of hundreds
+	// beyond these tried at the same moment, a start of all cost 90 calls.
+	stagger      = 60 * time.Millisecond
+	laterStagger = 15 * time.Millisecond
+	staggered    = 15
 	// callTime bounds one call.
 	callTime = 900 * time.Millisecond
 	// safety is kept away from the end of the term: the time from a decision to
@@ -126,13 +129,19 @@
 	if e.isAway() {
 		return 0, false
 	}
-	wait := min(time.Duration(e.Rank())*stagger, longestStagger)
+	wait := turnOf(e.Rank())
 	if e.seen != 0 && e.holder != "" {
 		wait += Term
 	}
 	return e.seen, time.Since(e.seenSince) >= wait
 }
 
+// turnOf returns how much later than the first one a daemon of a rank tries.
+func turnOf(rank int) time.Duration {
+	early := min(rank, staggered)
+	return time.Duration(early)*stagger + time.Duration(rank-early)*laterStagger
+}
+
 // isAway tells whether the store is away. At its return the lease counts as not
 // rewritten for a term, but no longer: daemons try one after the other. The mutex is
 // held.
--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -91,6 +91,15 @@
 	})
 }
 
+// Sharing returns how many daemons would ask the store where their relays have no copy:
+// the relays among themselves, and all others.
+func (l List) Sharing(name string) int {
+	if l.IsRelay(name) {
+		return len(l.relays())
+	}
+	return len(l.daemons)
+}
+
 // Rank returns a daemon's place in the order of the list; that of an unlisted one
 // is after all others.
 func (l List) Rank(name string) int {
@@ -157,10 +166,14 @@
 	return append(relays, others[:min(missing, len(others))]...)
 }
 
+// relaysAsked is how many of the relays before it a relay asks: where the first one is
+// gone for good or cut off, the next follows the store in its place, not all of them.
+const relaysAsked = 3
+
 // For returns the relays in the order in which a daemon of a zone should ask them,
-// those of its zone first. A relay asks the first one only, which follows the store
-// itself: with three that did so, two of three calls to the store were for the same
-// news.
+// those of its zone first. A relay asks those before it, the first of which follows the
+// store itself: with three that did so, two of three calls to the store were for the
+// same news.
 func (l List) For(name, zone string) []Daemon {
 	order := slices.Clone(l.relays())
 	place := slices.IndexFunc(order, func(d Daemon) bool {
@@ -170,7 +183,7 @@
 	case place == 0:
 		return nil
 	case place > 0:
-		return order[:1]
+		return order[:min(place, relaysAsked)]
 	}
 	slices.SortFunc(order, func(a, b Daemon) int {
 		return cmp.Or(
--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -15,19 +15,12 @@
 	// longestRelayed is the longest wait asked of a relay: one that has died
 	// without a word is noticed soon after.
 	longestRelayed = time.Second
-	// failedFor is how long a failed call to the store makes the next ones rare:
-	// each is priced, also one that is refused, and a daemon follows many tables.
-	failedFor = 3 * time.Second
-	// gapLimited and gapOther are the times between two calls then: for tables
-	// whose age is bounded, and for the others.
-	gapLimited = 400 * time.Millisecond
-	gapOther   = 1500 * time.Millisecond
-	// behind is how many times longer daemons wait that have relays: these ask for
-	// them, and pass the store's return on at once. All daemons together would ask
-	// a store that is down a hundred times a second.
-	behind = 6
-	// relayReadTime bounds reading a table from a relay.
-	relayReadTime = 250 * time.Millisecond
+	// readPatience bounds reading a table from relays: a daemon that has just started
+	// serves nobody until it has read. Others may start at the same moment, on VMs with a
+	// fifth of a core.
+	readPatience = 400 * time.Millisecond
+	// readRelays is how many relays are asked meanwhile, again and again.
+	readRelays = 2
 )
 
 // errStale reports that a relay's copy is too old.
@@ -41,6 +34,12 @@
 	// IsDirect, if set, tells of tables whose changes are wanted as soon as the store
 	// tells them, past the relays; set before use.
 	IsDirect func(table string) bool
+	// Sharing, if set, returns how many daemons would ask the store like this one where
+	// their relays have no copy; set before use.
+	Sharing func() int
+	// Patience is how long a read waits for relays at least; set before use. When the
+	// whole system starts there is nobody to serve yet.
+	Patience time.Duration
 
 	store Reader
 	clock *Freshness
@@ -51,10 +50,8 @@
 	mutex  sync.Mutex
 	relays []Relay
 	avoid  avoidance
-	// failedAt is when the store last failed a call, and directAt when it was last
-	// asked.
-	failedAt time.Time
-	directAt time.Time
+	// restraint decides when the store itself may be asked.
+	restraint restraint
 	// direct and relayed count answers by where they came from.
 	direct  int64
 	relayed int64
@@ -110,21 +107,42 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.avoid.note(relay, err)
-	if err == nil {
+	switch {
+	case errors.Is(err, ErrNoCopy):
+		c.restraint.hear(time.Now())
+	case err == nil:
 		c.relayed++
+		c.restraint.relayed()
 	}
 }
 
-// Read reads a table. Only one relay is asked before the store: a daemon that has
-// just started serves nobody until it has read.
+// Read reads a table. Relays are asked before the store for a short time only, or for
+// Patience where that is longer.
 func (c *Chain) Read(ctx context.Context, table string) (Result, error) {
 	relays := c.usable()
-	relays = relays[:min(1, len(relays))]
-	return c.ask(ctx, table, relays, relayReadTime, func(ctx context.Context, from Reader) (Result, error) {
+	var first []Relay
+	if len(relays) > 0 {
+		first = []Relay{
+			inTurn(relays[:min(readRelays, len(relays))]),
+		}
+	}
+	return c.ask(ctx, table, first, max(readPatience, c.Patience), func(ctx context.Context, from Reader) (Result, error) {
 		return from.Read(ctx, table)
 	})
 }
 
+// inTurn joins relays to one that asks them in turn until one answers.
+func inTurn(relays []Relay) Relay {
+	readers := make([]Reader, len(relays))
+	for i, relay := range relays {
+		readers[i] = relay.Reader
+	}
+	return Relay{
+		Name:   relays[0].Name,
+		Reader: NewSeeds(readers...),
+	}
+}
+
 // Feed follows a table. A relay whose copy must be young is asked for half of
 // the limit at most, so that one that is cut off is noticed in time.
 func (c *Chain) Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error) {
@@ -187,29 +205,29 @@
 
 // mayAsk tells whether the store itself may be asked now, and notes that it is.
 func (c *Chain) mayAsk(table string) bool {
+	sharing := 1
+	if c.Sharing != nil {
+		sharing = c.Sharing()
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	gap := gapOther
-	if _, ok := c.limits[table]; ok {
-		gap = gapLimited
-	}
-	if len(c.relays) > 0 {
-		gap *= behind
-	}
-	now := time.Now()
-	if time.Since(c.failedAt) < failedFor && now.Sub(c.directAt) < gap {
-		return false
+	_, isLimited := c.limits[table]
+	mayAsk := c.restraint.mayAsk(time.Now(), surroundings{
+		isLimited: isLimited,
+		relays:    len(c.relays),
+		sharing:   sharing,
+	})
+	if mayAsk {
+		c.direct++
 	}
-	c.directAt = now
-	c.direct++
-	return true
+	return mayAsk
 }
 
 // hasFailed tells whether the store failed lately, so that it is asked rarely.
 func (c *Chain) hasFailed() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return time.Since(c.failedAt) < failedFor
+	return c.restraint.hasFailed(time.Now())
 }
 
 // noteDirect notes how a call to the store ended.
@@ -217,10 +235,10 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if err == nil || errors.Is(err, ErrCompacted) {
-		c.failedAt = time.Time{}
+		c.restraint.answered()
 		return
 	}
-	c.failedAt = time.Now()
+	c.restraint.failed(time.Now())
 }
 
 // checkAge returns errStale for a copy that is too old, or cannot be dated.
--- a/core/rowstore/chain_test.go
+++ b/core/rowstore/chain_test.go
@@ -207,3 +207,49 @@
 		qt.Assert(t, leading.rows["a"], qt.Equals, "2")
 	})
 }
+
+// While the store was down, each daemon asked it from time to time although its relays
+// did: 295 daemons made 250 calls a second. Together they make a few now, and are back
+// with their relays.
+func TestDaemonsThatHearOfTheirRelaysLeaveTheStoreToThem(t *testing.T) {
+	for _, daemons := range []int{5, 60, 295} {
+		run(t, func(ctx context.Context, t *testing.T) {
+			store := newFakeStore()
+			store.put("a", "1")
+			relay := followEvery(ctx, store, &rowstore.Freshness{}, 400*time.Millisecond)
+			pause(time.Second)
+			asked := 0
+			var behind []*watched
+			for range daemons {
+				chain, clock := chainedTo(countingReader{
+					Reader: store,
+					calls:  &asked,
+				}, store, rowstore.Relay{
+					Name:   "relay",
+					Reader: &relay.hub,
+				})
+				chain.Sharing = func() int {
+					return daemons
+				}
+				behind = append(behind, follow(ctx, chain, clock))
+			}
+			pause(time.Second)
+			qt.Assert(t, asked, qt.Equals, 0)
+			store.set(func(f *fakeStore) {
+				f.isDown = true
+			})
+			const outage = 9 * time.Second
+			pause(outage)
+			// One try each when the relay's word is heard first, five a second from then on.
+			qt.Assert(t, asked <= daemons+5*9, qt.IsTrue, qt.Commentf("%d daemons: %d calls", daemons, asked))
+			store.set(func(f *fakeStore) {
+				f.isDown = false
+			})
+			store.put("a", "back")
+			pause(2 * time.Second)
+			for _, one := range behind {
+				qt.Assert(t, one.rows["a"], qt.Equals, "back")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/rowstore/restraint.go
@@ -0,0 +1,152 @@
+package rowstore
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Figures of restraint.
+const (
+	// failedFor is how long a failed call to the store makes the next ones rare:
+	// each is priced, also one that is refused, and a daemon follows many tables.
+	failedFor = 3 * time.Second
+	// gapLimited and gapOther are the times between two calls then: for tables
+	// whose age is bounded, and for the others.
+	gapLimited = 400 * time.Millisecond
+	gapOther   = 1500 * time.Millisecond
+	// behind is how many times longer daemons wait that have relays, none of which
+	// answers.
+	behind = 6
+	// sharedGap is the time between two calls of all daemons together that hear of
+	// their relays that these have no copy: the relays try, and whoever else tries
+	// learns for itself alone. 295 daemons made 250 calls a second of a store that was
+	// down, 0.01 of a day's worth for each five seconds.
+	sharedGap = 200 * time.Millisecond
+	// heardFor is how long a relay's word that it has no copy counts.
+	heardFor = 2 * time.Second
+	// fewSharing daemons try once at once when they hear it, since relays may be cut
+	// off alone; more of them try within firstTry, which keeps well within the time in
+	// which a configuration must be in force.
+	fewSharing = 16
+	firstTry   = time.Second
+	// manyRelays are never cut off all at once while the store serves others: then the
+	// first try is as rare as the next ones. Of eight, each turned away with a chance
+	// of a third, all are so once in 6,500 outages.
+	manyRelays = 8
+)
+
+// restraint decides when a daemon may ask the store itself. Its owner guards it; the
+// zero value lets it ask.
+type restraint struct {
+	// failedAt is when the store last failed a call, directAt when it was last asked.
+	failedAt time.Time
+	directAt time.Time
+	// heardAt is when a relay last said that it has no copy; nextTry is when the store
+	// may be asked meanwhile, zero: not drawn yet; isServed tells that it answered since.
+	heardAt  time.Time
+	nextTry  time.Time
+	isServed bool
+}
+
+// surroundings is what restraint goes by.
+type surroundings struct {
+	// isLimited tells that the age of the table is bounded.
+	isLimited bool
+	// relays is how many relays the daemon has, sharing how many daemons would ask the
+	// store like this one where these have no copy.
+	relays  int
+	sharing int
+}
+
+// gap returns the time between two calls of a daemon while the store fails.
+func (s surroundings) gap() time.Duration {
+	gap := gapOther
+	if s.isLimited {
+		gap = gapLimited
+	}
+	if s.relays > 0 {
+		gap *= behind
+	}
+	return gap
+}
+
+// mayAsk tells whether the store may be asked now, and notes that it is.
+func (r *restraint) mayAsk(now time.Time, around surroundings) bool {
+	if !r.isTime(now, around) {
+		return false
+	}
+	r.directAt = now
+	return true
+}
+
+// isTime tells whether it is time to ask the store.
+func (r *restraint) isTime(now time.Time, around surroundings) bool {
+	if r.hears(now) {
+		return r.isTurn(now, around)
+	}
+	return now.Sub(r.failedAt) >= failedFor || now.Sub(r.directAt) >= around.gap()
+}
+
+// isTurn tells whether it is this daemon's turn while relays have no copy.
+func (r *restraint) isTurn(now time.Time, around surroundings) bool {
+	if r.isServed {
+		return true
+	}
+	shared := max(around.gap(), time.Duration(around.sharing)*sharedGap)
+	if r.nextTry.IsZero() {
+		r.nextTry = now.Add(around.firstWait(shared))
+	}
+	if now.Before(r.nextTry) {
+		return false
+	}
+	r.nextTry = now.Add(shared)
+	return true
+}
+
+// firstWait draws how long the first try is put off.
+func (s surroundings) firstWait(shared time.Duration) time.Duration {
+	switch {
+	case s.sharing <= fewSharing:
+		return 0
+	case s.relays >= manyRelays:
+		return rand.N(shared)
+	default:
+		return rand.N(firstTry)
+	}
+}
+
+// hears tells whether a relay said lately that it has no copy.
+func (r *restraint) hears(now time.Time) bool {
+	return now.Sub(r.heardAt) < heardFor
+}
+
+// hear notes that a relay has no copy.
+func (r *restraint) hear(now time.Time) {
+	if !r.hears(now) {
+		r.nextTry = time.Time{}
+		r.isServed = false
+	}
+	r.heardAt = now
+}
+
+// relayed notes that a relay answered with a copy.
+func (r *restraint) relayed() {
+	r.heardAt = time.Time{}
+}
+
+// answered notes that the store answered, failed that it did not.
+func (r *restraint) answered() {
+	r.failedAt = time.Time{}
+	r.isServed = true
+}
+
+// failed notes that the store failed a call.
+func (r *restraint) failed(now time.Time) {
+	r.failedAt = now
+	r.isServed = false
+}
+
+// hasFailed tells whether the store failed lately.
+func (r *restraint) hasFailed(now time.Time) bool {
+	return now.Sub(r.failedAt) < failedFor
+}
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -25,11 +25,13 @@
 	// listSettle lets changes of the list come together: hundreds of daemons that start
 	// together write a row each, and each would look at the list once for each of them.
 	listSettle = 250 * time.Millisecond
-	// listAgain is the time between two tries to list itself.
+	// listAgain is the time between two tries to list itself, listLater that after one
+	// which the store has taken: the list comes back through relays.
 	listAgain = time.Second
+	listLater = 5 * time.Second
 	// listPatience is how long a starting daemon waits for the list before it reads
-	// the other tables: the store answers in some milliseconds.
-	listPatience = 150 * time.Millisecond
+	// the other tables: a little longer than reading it from a seed may take.
+	listPatience = 450 * time.Millisecond
 	// burstPart is the part of the burst that is divided: when all daemons restart
 	// within a window, each begins with a whole part again.
 	burstPart = 0.45
@@ -62,6 +64,8 @@
 	known   map[string]neighbours.Daemon
 	list    neighbours.List
 	clients map[string]*relay.Client
+	// seeds are asked before the first daemon is listed.
+	seeds []*relay.Client
 }
 
 // listFollower follows the list of the daemons. Rows of VMs that are gone stay,
@@ -123,7 +127,7 @@
 		select {
 		case <-d.listRead.isSet:
 		case <-ctx.Done():
-		case <-time.After(listPatience):
+		case <-time.After(max(listPatience, d.chain.Patience)):
 		}
 		task(ctx)
 	}
@@ -175,32 +179,51 @@
 // askSeeds has the chain ask the seeds until the list of the daemons is known. A daemon
 // that is a seed itself reads the store.
 func (d *Daemon) askSeeds() {
-	var seeds []rowstore.Reader
 	for _, address := range d.settings.Seeds {
 		if address == d.relays.Address() {
+			d.roster.seeds = nil
 			return
 		}
-		seeds = append(seeds, d.newRelayClient(address, address))
+		d.roster.seeds = append(d.roster.seeds, d.newRelayClient(address, address))
 	}
-	if len(seeds) == 0 {
+	if len(d.roster.seeds) == 0 {
 		return
 	}
-	rand.Shuffle(len(seeds), func(i, k int) {
-		seeds[i], seeds[k] = seeds[k], seeds[i]
+	rand.Shuffle(len(d.roster.seeds), func(i, k int) {
+		d.roster.seeds[i], d.roster.seeds[k] = d.roster.seeds[k], d.roster.seeds[i]
 	})
+	readers := make([]rowstore.Reader, len(d.roster.seeds))
+	for i, seed := range d.roster.seeds {
+		readers[i] = seed
+	}
 	d.chain.SetRelays([]rowstore.Relay{
 		{
 			Name:   "seeds",
-			Reader: rowstore.NewSeeds(seeds...),
+			Reader: rowstore.NewSeeds(readers...),
 		},
 	})
 }
 
+// unlistedRank is the least rank of a daemon that is not listed yet: those that are go
+// first.
+const unlistedRank = 20
+
 // rank returns this daemon's place in the list.
 func (d *Daemon) rank() int {
 	d.roster.mutex.Lock()
 	defer d.roster.mutex.Unlock()
-	return d.roster.list.Rank(d.settings.Name)
+	list := d.roster.list
+	if !list.Has(d.self()) {
+		return max(unlistedRank, list.Len())
+	}
+	return list.Rank(d.settings.Name)
+}
+
+// sharing returns how many daemons would ask the store like this one.
+func (d *Daemon) sharing() int {
+	d.roster.mutex.Lock()
+	defer d.roster.mutex.Unlock()
+	return d.roster.list.Sharing(d.settings.Name)
 }
 
 // isRelay tells whether this daemon follows the store for others.
@@ -227,33 +250,62 @@
 // listSelf writes this daemon into the list, until it is there.
 func (d *Daemon) listSelf(ctx context.Context) {
 	for ctx.Err() == nil && !d.isListed() {
-		d.writeSelf(ctx)
+		pause := listAgain
+		if d.writeSelf(ctx) {
+			pause = listLater
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(listAgain):
+		case <-time.After(pause):
 		}
 	}
 }
 
-// writeSelf writes this daemon's row.
-func (d *Daemon) writeSelf(ctx context.Context) {
+// writeSelf has this daemon listed, and tells whether the store has taken it.
+func (d *Daemon) writeSelf(ctx context.Context) bool {
 	encoded, err := d.self().Encode()
 	if err != nil {
 		d.log.Error("daemons: self not listed", logline.Err(err))
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
 	defer cancel()
-	_, err = d.store.Commit(ctx, rowstore.Transaction{
-		Writes: []rowstore.Row{
-			{
-				Table: neighbours.Table,
-				Key:   d.settings.Name,
-				Value: encoded,
-			},
-		},
-	})
-	if err != nil {
+	for _, lister := range d.listers() {
+		if lister.Enlist(ctx, encoded) == nil {
+			return true
+		}
+	}
+	if err = d.enlist(ctx, d.settings.Name, encoded); err != nil {
 		d.noteTrouble(neighbours.Table)(err)
 	}
+	return err == nil
+}
+
+// listersAsked is how many daemons are asked to list this one before it asks the store.
+const listersAsked = 2
+
+// listers returns the daemons that list this one together with others.
+func (d *Daemon) listers() []*relay.Client {
+	d.roster.mutex.Lock()
+	defer d.roster.mutex.Unlock()
+	if d.roster.list.Len() == 0 {
+		return d.roster.seeds
+	}
+	var listers []*relay.Client
+	for _, one := range d.roster.list.For(d.settings.Name, d.settings.Zone) {
+		listers = append(listers, d.roster.clients[one.Address])
+	}
+	return listers[:min(listersAsked, len(listers))]
+}
+
+// enlist writes the row of a daemon, together with others.
+func (d *Daemon) enlist(ctx context.Context, name string, entry []byte) error {
+	if _, err := neighbours.Decode(name, entry); err != nil {
+		return err
+	}
+	return d.rows.Write(ctx, rowstore.Row{
+		Table: neighbours.Table,
+		Key:   name,
+		Value: entry,
+	})
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,6 +48,11 @@
 	// silent is found out 0.7 s after it: before a server that says it leaves must get
 	// nothing new.
 	serverWait = 1500 * time.Millisecond
+	// startPatience is how long a daemon waits for the others to have read a table when
+	// the whole system starts for the first time, seconds before the first client: 295
+	// daemons made 1,400 calls of the store in the first second without it.
+	// It stays below what a follower allows for reading a table.
+	startPatience = time.Second
 	// serverSettle lets changes of servers come together: groups form by many
 	// small steps. Relays wait longer, since their calls are priced, but for one
 	// that leads: each step of a group's forming waits for it.
@@ -61,9 +66,11 @@
 	log      *zap.Logger
 	registry metrics.Registry
 	// start is the id of this start of the daemon, began when it was.
-	start   string
-	began   time.Time
-	store   rowstore.Store
+	start string
+	began time.Time
+	store rowstore.Store
+	// rows writes rows of daemons together.
+	rows    *rowstore.Batcher
 	workers *platform.Workers
 	gateway *gateway.Server
 	ready   *readiness
@@ -152,6 +159,7 @@
 		d.observe("store_call_ms."+call, took)
 	}
 	d.store = store
+	d.rows = rowstore.NewBatcher(store, commitRows)
 	limits := map[string]time.Duration{
 		platform.ConfigTable: part(known.ApplyWithin, copyPart),
 	}
@@ -159,6 +167,10 @@
 	d.chain.IsDirect = func(table string) bool {
 		return table == platform.ServerTable && d.isLeading.Load()
 	}
+	d.chain.Sharing = d.sharing
+	if known.IsFirstStart {
+		d.chain.Patience = startPatience
+	}
 	d.hub.ContactLimit = limits[platform.ConfigTable]
 	d.hub.Clock = &d.clock
 	d.board.Meter = &d.meter
@@ -194,6 +206,7 @@
 		Reader:  &d.hub,
 		Board:   &d.board,
 		Refused: d.refuseDemand,
+		Enlist:  d.enlist,
 	})
 	return errors.Wrap(err, "start daemon")
 }
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -92,12 +92,26 @@
 	return t.stalls[m.Group].Epoch == m.Epoch
 }
 
+// isStill tells whether a member of the group was told not to answer.
+func (t *toldStalls) isStill(m fleet.Membership) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	told, ok := t.stalls[m.Group]
+	return ok && told.Epoch == m.Epoch && told.Silent != ""
+}
+
 // IsTroubled tells whether requests are known, by any daemon's word, to stand still
 // or to be slow at a server's group.
 func (d *Daemon) IsTroubled(server fleet.Server) bool {
 	return server.Membership.State != fleet.NoGroup && d.told.has(server.Membership)
 }
 
+// IsStill tells whether requests are known, by any daemon's word, to stand still at a
+// server's group, since a member of it does not answer.
+func (d *Daemon) IsStill(server fleet.Server) bool {
+	return server.Membership.State != fleet.NoGroup && d.told.isStill(server.Membership)
+}
+
 // stallFollower follows the stalls that the store tells of.
 func (d *Daemon) stallFollower() *rowstore.Follower {
 	return &rowstore.Follower{
--- a/entry/symptoms.go
+++ b/entry/symptoms.go
@@ -78,13 +78,19 @@
 	}
 	// Daemons notice together; the first one's word saves the others theirs.
 	time.Sleep(rand.N(tellSpread))
-	if d.told.has(head.Membership) || d.outage.Load().IsUnderWay() {
+	if d.told.has(head.Membership) || d.hasEnded(head) || d.outage.Load().IsUnderWay() {
 		// While the store is away nobody can be told: the look after its return is.
 		return
 	}
 	d.tellStall(ctx, head, worst)
 }
 
+// hasEnded tells whether the group of a head has ended while its members were asked.
+func (d *Daemon) hasEnded(head fleet.Server) bool {
+	known, ok := d.view.Load().Fleet.Known(head.ID)
+	return !ok || !known.Membership.In(head.Membership.Group, head.Membership.Epoch)
+}
+
 // symptom is what is wrong with a member of a group; the zero value: nothing.
 type symptom struct {
 	server string
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -75,6 +75,8 @@
 	Preference(kind demand.Kind) balancer.Preference
 	// IsTroubled tells whether other daemons found a server standing still or slow.
 	IsTroubled(server fleet.Server) bool
+	// IsStill tells whether other daemons found that a member of its group is silent.
+	IsStill(server fleet.Server) bool
 	// Stalled is told of a server that stands still with requests under way.
 	Stalled(server fleet.Server)
 }
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -84,6 +84,9 @@
 // IsTroubled is never true.
 func (s *source) IsTroubled(fleet.Server) bool { return false }
 
+// IsStill is never true.
+func (s *source) IsStill(fleet.Server) bool { return false }
+
 // Stalled notes nothing.
 func (s *source) Stalled(fleet.Server) {}
 
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -241,6 +241,7 @@
 			ID:         server.ID,
 			Capacity:   server.Capacity,
 			Zone:       server.Zone,
+			Domain:     server.Domain,
 			IsTroubled: j.server.source.IsTroubled(server),
 		}
 	}
--- a/io/gateway/watchdog.go
+++ b/io/gateway/watchdog.go
@@ -94,26 +94,21 @@
 	tracker := &w.job.server.tracker
 	limits := tracker.Limits(w.kind, w.phase)
 	silent := min(time.Since(w.fed), tracker.SilentFor(w.server.ID))
-	switch {
-	case silent < limits.Rest:
-		w.timer.Reset(limits.Rest - silent)
-		return
-	case !w.isRested:
+	step, again := limits.Step(silent, w.job.server.source.IsStill(w.server))
+	if step != balancer.Wait && !w.isRested {
 		w.isRested = true
 		tracker.Rest(w.server.ID)
 		w.job.server.source.Stalled(w.server)
 	}
-	if silent < limits.Move {
-		w.timer.Reset(limits.Move - silent)
-		return
-	}
-	w.job.server.source.Stalled(w.server)
-	if w.mayMove && w.hasOther() {
-		w.fired.Store(true)
-		w.exchange.Abort()
-		return
+	if step == balancer.Move {
+		w.job.server.source.Stalled(w.server)
+		if w.mayMove && w.hasOther() {
+			w.fired.Store(true)
+			w.exchange.Abort()
+			return
+		}
 	}
-	w.timer.Reset(limits.Move)
+	w.timer.Reset(again)
 }
 
 // hasFired tells whether the exchange was aborted for its silence.
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -57,6 +57,15 @@
 	}))
 }
 
+// Enlist has the daemon list the one that asks, by its entry, together with others.
+func (c *Client) Enlist(ctx context.Context, entry []byte) error {
+	_, err := c.call(ctx, callEnlist, question{
+		From:  c.Self,
+		Entry: entry,
+	})
+	return err
+}
+
 // telling returns the question with what is to be told with it, if it is time to.
 func (c *Client) telling(asked question) question {
 	if c.Board == nil {
@@ -72,7 +81,7 @@
 
 // hear takes what an answer says is asked of all.
 func (c *Client) hear(asked question, answered answer) {
-	if asked.From == "" || len(answered.Asked) == 0 {
+	if c.Board == nil || len(answered.Asked) == 0 {
 		return
 	}
 	if err := c.Board.Heard(decodeAsked(answered.Asked)); err != nil && c.Refused != nil {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -253,3 +253,26 @@
 	qt.Assert(t, <-refused, qt.Equals, `front-a: check demand: entry 0 of zone "quito-a" has no service`)
 	qt.Assert(t, told.ByZone(demand.Kind{}), qt.IsNil)
 }
+
+func TestDaemonIsListedByAnother(t *testing.T) {
+	listed := make(chan string, 1)
+	server, err := relay.Listen(relay.Options{
+		Address: "127.0.0.1:0",
+		Reader:  &rowstore.Hub{},
+		Enlist: func(_ context.Context, name string, entry []byte) error {
+			if len(entry) == 0 {
+				return rowstore.ErrRefused
+			}
+			listed <- name + " " + string(entry)
+			return nil
+		},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(server.Close)
+	client := relay.NewClient(server.Address())
+	client.Self = "front-a"
+	t.Cleanup(client.Close)
+	qt.Assert(t, client.Enlist(context.Background(), []byte("{}")), qt.IsNil)
+	qt.Assert(t, <-listed, qt.Equals, "front-a {}")
+	qt.Assert(t, client.Enlist(context.Background(), nil), qt.ErrorIs, rowstore.ErrRefused)
+}
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -1,11 +1,11 @@
 // Package relay lets daemons follow the store's tables through one another, by
 // JSON-RPC over TCP: a few daemons follow the store, the others follow them.
 //
-// There are two calls. "read" returns a table whole; "feed" returns its changes
+// There are three calls. "read" returns a table whole; "feed" returns its changes
 // since a version as soon as there is one, or nothing after a wait. Both answer
 // from the daemon's copy and tell, by the store's clock, how old it is. A feed also
 // carries what is asked of the daemon that follows, and brings back what is asked of
-// all (core/demand).
+// all (core/demand). "enlist" lists a daemon in the store together with others.
 package relay
 
 import (
@@ -25,8 +25,9 @@
 
 // Names of the calls.
 const (
-	callRead = "read"
-	callFeed = "feed"
+	callRead   = "read"
+	callFeed   = "feed"
+	callEnlist = "enlist"
 )
 
 // Codes of errors.
@@ -49,6 +50,8 @@
 	// through it; empty where it tells nothing now.
 	From  string  `json:"from,omitempty"`
 	Asked []asked `json:"asked,omitempty"`
+	// Entry is what the daemon that asks is to be listed as.
+	Entry []byte `json:"entry,omitempty"`
 }
 
 // answer is what both calls answer.
@@ -82,6 +85,7 @@
 	board  *demand.Board
 	// refused is told of words of other daemons that make no sense.
 	refused func(from string, err error)
+	enlist  func(ctx context.Context, name string, entry []byte) error
 	packer  packer
 }
 
@@ -95,6 +99,8 @@
 	Board *demand.Board
 	// Refused, if set, is told of what another daemon told that makes no sense.
 	Refused func(from string, err error)
+	// Enlist lists another daemon in the store; nil: no daemon is.
+	Enlist func(ctx context.Context, name string, entry []byte) error
 }
 
 // Listen answers other daemons.
@@ -103,6 +109,7 @@
 		reader:  options.Reader,
 		board:   options.Board,
 		refused: options.Refused,
+		enlist:  options.Enlist,
 	}
 	listener, err := rpc.Listen(options.Address, server.talk)
 	if err != nil {
@@ -139,6 +146,8 @@
 		return s.read(ctx, asked)
 	case callFeed:
 		return s.feed(ctx, asked)
+	case callEnlist:
+		return s.list(ctx, asked)
 	default:
 		return nil, &jsonrpc2.Error{
 			Code:    jsonrpc2.CodeMethodNotFound,
@@ -169,6 +178,20 @@
 	return encoded, err
 }
 
+// list lists a daemon.
+func (s *Server) list(ctx context.Context, asked question) (any, error) {
+	if s.enlist == nil || asked.From == "" {
+		return nil, &jsonrpc2.Error{
+			Code:    jsonrpc2.CodeInvalidParams,
+			Message: "no daemon is listed here, or it has no name",
+		}
+	}
+	if err := s.enlist(ctx, asked.From, asked.Entry); err != nil {
+		return nil, encodeError(err)
+	}
+	return answer{}, nil
+}
+
 // encodeError returns the error as it is sent.
 func encodeError(err error) error {
 	code := int64(codeRefused)
