One schedule for all tables while relays have no copy; bound the lines of an outage

Ruled out: a feed that waits long at the store (it does hold up the others where more than 16 daemons share relays, and is mended and tested too).

During an outage 295 daemons wrote 4,700 lines a second: a daemon writes one for a table each five seconds and says how many it left out. The list of the daemons is a line only where a daemon's own relays change.

--- a/core/rowstore/chain_test.go
+++ b/core/rowstore/chain_test.go
@@ -253,3 +253,82 @@
 		})
 	}
 }
+
+// All relays are cut off from the store, which serves the others: a feed that waits there
+// for changes must not keep the other followers from asking.
+func TestFeedThatWaitsHoldsUpNoOtherTable(t *testing.T) {
+	for _, daemons := range []int{3, 9, 40} {
+		run(t, func(ctx context.Context, t *testing.T) {
+			store := newFakeStore()
+			store.put("a", "1")
+			cut := newFakeStore()
+			cut.started = store.started
+			cut.put("a", "1")
+			relay := followEvery(ctx, cut, &rowstore.Freshness{}, 400*time.Millisecond)
+			pause(time.Second)
+			chain, clock := chained(store, rowstore.Relay{
+				Name:   "relay",
+				Reader: &relay.hub,
+			})
+			chain.Sharing = func() int {
+				return daemons
+			}
+			// Two followers of one table: one waits long at the store.
+			followEvery(ctx, chain, clock, 2500*time.Millisecond)
+			limited := follow(ctx, chain, clock)
+			pause(time.Second)
+			cut.set(func(f *fakeStore) {
+				f.isDown = true
+			})
+			pause(1500 * time.Millisecond)
+			store.put("a", "2")
+			pause(time.Second)
+			qt.Assert(t, limited.rows["a"], qt.Equals, "2", qt.Commentf("%d daemons", daemons))
+		})
+	}
+}
+
+// Found by scores of three small sites (CONFIG, caudal-presion scale-2): the relays were
+// cut off, the store failed some calls once when it forgot its history, and nobody asked
+// it again for nine seconds, which is the pause of tables whose age does not matter.
+func TestShortFailureOfTheStoreHoldsUpNoLimitedTable(t *testing.T) {
+	for _, daemons := range []int{3, 9} {
+		run(t, func(ctx context.Context, t *testing.T) {
+			store := newFakeStore()
+			store.put("a", "1")
+			cut := newFakeStore()
+			cut.started = store.started
+			cut.put("a", "1")
+			relay := followEvery(ctx, cut, &rowstore.Freshness{}, 400*time.Millisecond)
+			pause(time.Second)
+			chain, clock := chained(store, rowstore.Relay{
+				Name:   "relay",
+				Reader: &relay.hub,
+			})
+			chain.Sharing = func() int {
+				return daemons
+			}
+			limited := follow(ctx, chain, clock)
+			for _, table := range []string{"b", "c", "d"} {
+				followTable(ctx, chain, clock, table, 100*time.Millisecond)
+			}
+			pause(time.Second)
+			cut.set(func(f *fakeStore) {
+				f.isDown = true
+			})
+			pause(2 * time.Second)
+			store.set(func(f *fakeStore) {
+				f.isDown = true
+			})
+			pause(150 * time.Millisecond)
+			store.set(func(f *fakeStore) {
+				f.isDown = false
+			})
+			// The feed that waited through the failure is over by then.
+			pause(1100 * time.Millisecond)
+			store.put("a", "2")
+			pause(1700 * time.Millisecond)
+			qt.Assert(t, limited.rows["a"], qt.Equals, "2", qt.Commentf("%d daemons", daemons))
+		})
+	}
+}
--- a/core/rowstore/restraint.go
+++ b/core/rowstore/restraint.go
@@ -25,10 +25,11 @@
 	// heardFor is how long a relay's word that it has no copy counts.
 	heardFor = 2 * time.Second
 	// fewSharing daemons try once at once when they hear it, since relays may be cut
-	// off alone; more of them try within firstTry, which keeps well within the time in
-	// which a configuration must be in force.
+	// off alone; more of them try within firstTry, so that they do not all come at the
+	// same moment. It is short: the copy was 0.6 of the time old in which a configuration
+	// must be in force.
 	fewSharing = 16
-	firstTry   = time.Second
+	firstTry   = 200 * time.Millisecond
 	// manyRelays are never cut off all at once while the store serves others: then the
 	// first try is as rare as the next ones. Of eight, each turned away with a chance
 	// of a third, all are so once in 6,500 outages.
@@ -41,11 +42,14 @@
 	// failedAt is when the store last failed a call, directAt when it was last asked.
 	failedAt time.Time
 	directAt time.Time
-	// heardAt is when a relay last said that it has no copy; nextTry is when the store
-	// may be asked meanwhile, zero: not drawn yet; isServed tells that it answered since.
+	// heardAt is when a relay last said that it has no copy. Meanwhile the store may be
+	// asked from nextTry on, zero: not drawn yet, until a call fails: isOpen tells that
+	// none has. A feed that waits for changes has not failed, so the other tables need
+	// not wait for its end. tryAgain is the time from a failed call to the next one.
 	heardAt  time.Time
 	nextTry  time.Time
-	isServed bool
+	tryAgain time.Duration
+	isOpen   bool
 }
 
 // surroundings is what restraint goes by.
@@ -89,18 +93,13 @@
 
 // isTurn tells whether it is this daemon's turn while relays have no copy.
 func (r *restraint) isTurn(now time.Time, around surroundings) bool {
-	if r.isServed {
-		return true
-	}
-	shared := max(around.gap(), time.Duration(around.sharing)*sharedGap)
+	// One schedule for all tables: that of those whose age is bounded.
+	r.tryAgain = max(behind*gapLimited, time.Duration(around.sharing)*sharedGap)
 	if r.nextTry.IsZero() {
-		r.nextTry = now.Add(around.firstWait(shared))
-	}
-	if now.Before(r.nextTry) {
-		return false
+		r.nextTry = now.Add(around.firstWait(r.tryAgain))
 	}
-	r.nextTry = now.Add(shared)
-	return true
+	r.isOpen = r.isOpen || !now.Before(r.nextTry)
+	return r.isOpen
 }
 
 // firstWait draws how long the first try is put off.
@@ -124,7 +123,7 @@
 func (r *restraint) hear(now time.Time) {
 	if !r.hears(now) {
 		r.nextTry = time.Time{}
-		r.isServed = false
+		r.isOpen = false
 	}
 	r.heardAt = now
 }
@@ -134,16 +133,16 @@
 	r.heardAt = time.Time{}
 }
 
-// answered notes that the store answered, failed that it did not.
+// answered notes that the store answered.
 func (r *restraint) answered() {
 	r.failedAt = time.Time{}
-	r.isServed = true
 }
 
 // failed notes that the store failed a call.
 func (r *restraint) failed(now time.Time) {
 	r.failedAt = now
-	r.isServed = false
+	r.isOpen = false
+	r.nextTry = now.Add(r.tryAgain)
 }
 
 // hasFailed tells whether the store failed lately.
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -64,6 +65,8 @@
 	known   map[string]neighbours.Daemon
 	list    neighbours.List
 	clients map[string]*relay.Client
+	// relays are the names of those that this daemon asks, in order, for the log.
+	relays []string
 	// seeds are asked before the first daemon is listed.
 	seeds []*relay.Client
 }
@@ -160,9 +163,25 @@
 	}
 	d.notePlace(r.list)
 	burst := d.setBudgets(max(1, r.list.Len()))
-	d.log.Info("daemons: listed",
+	d.noteRelays(relays, burst)
+}
+
+// noteRelays writes a line where this daemon's relays are others than before. Daemons
+// that come and go far from it change nothing for it.
+func (d *Daemon) noteRelays(relays []rowstore.Relay, burst float64) {
+	r := &d.roster
+	names := make([]string, len(relays))
+	for i, one := range relays {
+		names[i] = one.Name
+	}
+	if r.relays != nil && slices.Equal(names, r.relays) {
+		return
+	}
+	r.relays = names
+	d.log.Info("daemons: relays chosen",
 		zap.Int("daemons", r.list.Len()),
 		zap.Bool("is_relay", r.list.IsRelay(d.settings.Name)),
+		zap.Strings("relays", names[:min(listersAsked, len(names))]),
 		zap.String("retry_burst", strconv.FormatFloat(burst, 'f', 1, 64)))
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,6 +30,7 @@
 	"headcourse/core/settings"
 	"headcourse/io/exposition"
 	"headcourse/io/gateway"
+	"headcourse/io/logline"
 	"headcourse/io/relay"
 	"headcourse/platform"
 )
@@ -83,6 +84,8 @@
 	chain  *rowstore.Chain
 	hub    rowstore.Hub
 	relays *relay.Server
+	// troubles bounds the lines about failed calls.
+	troubles logline.Rarely
 	// roster is the list of all daemons, by which relays are chosen; place is where this
 	// one stands in it.
 	roster roster
@@ -153,6 +156,7 @@
 		known:      newMark(),
 		unreadable: newMark(),
 	}
+	d.troubles.Every = troubleEvery
 	store := platform.NewStore(known.Store)
 	store.Called = func(call string, took time.Duration) {
 		metrics.GetOrRegisterCounter("store_calls."+call, d.registry).Inc(1)
--- a/entry/outages.go
+++ b/entry/outages.go
@@ -10,18 +10,28 @@
 	"headcourse/io/logline"
 )
 
-// noteTrouble notes a failed call of the store.
+// troubleEvery is the time between two lines about failed calls for one table: while the
+// store is away five followers of a daemon fail three times a second each, which were
+// 4,700 lines a second of 295 daemons. The counters have them all.
+const troubleEvery = 5 * time.Second
+
+// noteTrouble notes a failed call of the store, or of the relays that stand for it.
 func (d *Daemon) noteTrouble(table string) func(error) {
 	return func(err error) {
 		metrics.GetOrRegisterCounter("store_failed."+table, d.registry).Inc(1)
-		d.log.Warn("store: call failed", zap.String("table", table), logline.Err(err))
+		mayWrite, leftOut := d.troubles.Pass(table)
+		if !mayWrite {
+			return
+		}
+		d.log.Warn("store: call failed", zap.String("table", table), logline.Err(err), zap.Int("lines_left_out", leftOut))
 	}
 }
 
 // noteRestored notes that the store answers again.
 func (d *Daemon) noteRestored(table string) func(time.Duration) {
 	return func(away time.Duration) {
-		d.log.Info("store: answers again", zap.String("table", table), zap.Int64("away_ms", away.Milliseconds()))
+		leftOut := d.troubles.End(table)
+		d.log.Info("store: answers again", zap.String("table", table), zap.Int64("away_ms", away.Milliseconds()), zap.Int("lines_left_out", leftOut))
 	}
 }
 
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -80,7 +80,7 @@
 }
 
 // hear takes what an answer says is asked of all.
-func (c *Client) hear(asked question, answered answer) {
+func (c *Client) hear(answered answer) {
 	if c.Board == nil || len(answered.Asked) == 0 {
 		return
 	}
@@ -99,7 +99,7 @@
 	var answered answer
 	err = conn.Call(ctx, method, asked, &answered)
 	if err == nil {
-		c.hear(asked, answered)
+		c.hear(answered)
 		return decode(asked.Table, answered)
 	}
 	var told *jsonrpc2.Error
