Pack what many daemons ask for once; ask for the own lease and the records rarely

They are packed once now for all who ask for the same.

BenchmarkStep measures the leader's step at 51, 174, 931 and 7,400 servers.

--- /dev/null
+++ b/core/assembly/step_bench_test.go
@@ -0,0 +1,111 @@
+package assembly_test
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"headcourse/core/assembly"
+	"headcourse/core/config"
+	"headcourse/core/fleet"
+)
+
+// benchDomain is the number of servers of a fabric domain: two groups of sixteen and
+// five free ones.
+const (
+	benchDomain = 37
+	benchGroup  = 16
+)
+
+// benchConfig is a service of one model of sixteen servers.
+func benchConfig() *config.Config {
+	return config.New(config.Config{
+		Version: 1,
+		Services: []config.Service{
+			{
+				Name: "engines",
+				Engine: &config.Engine{
+					Capacity:       22,
+					LoadsPerSecond: 77,
+					LoadsAtOnce:    115,
+					StagedModels:   1,
+					Models: []config.Model{
+						{
+							Name:  "large",
+							Size:  benchGroup,
+							Share: 1,
+							Load:  simLoad,
+							Warm:  simWarm,
+						},
+					},
+				},
+			},
+		},
+	})
+}
+
+// benchFleet returns a fleet whose groups are all open, and their records.
+func benchFleet(servers int) (fleet.View, []assembly.Record) {
+	var all []fleet.Server
+	var records []assembly.Record
+	for i := range servers {
+		one := fleet.Server{
+			ID:       fmt.Sprintf("i-%05d", i),
+			Service:  "engines",
+			Capacity: 22,
+			Models:   []string{"large"},
+			Staged:   []string{"large"},
+			Recent:   "large",
+			Domain:   strconv.Itoa(i / benchDomain),
+			IsEngine: true,
+		}
+		place := i % benchDomain
+		if place < 2*benchGroup {
+			name := fmt.Sprintf("g%d-%d", i/benchDomain, place/benchGroup)
+			one.Membership = fleet.Membership{
+				Group: name,
+				Epoch: 7,
+				Rank:  place % benchGroup,
+				State: fleet.Ready,
+			}
+			if place%benchGroup == 0 {
+				one.Membership.State = fleet.Open
+				records = append(records, assembly.Record{
+					Name:    name,
+					Epoch:   7,
+					Service: "engines",
+					Model:   "large",
+				})
+			}
+			last := &records[len(records)-1]
+			last.Members = append(last.Members, one.ID)
+		}
+		all = append(all, one)
+	}
+	return fleet.View{}.WithAll(1, all, time.Now()), records
+}
+
+// BenchmarkStep measures one step of the leader, which it makes ten times a second and
+// at each news, over a fleet at rest. Measured beside other work: 0.026 ms with 51 servers,
+// 0.074 ms with 174, 0.49 ms with 931 and 5.0 ms with 7,400.
+func BenchmarkStep(b *testing.B) {
+	for _, servers := range []int{51, 174, 931, 7400} {
+		b.Run(strconv.Itoa(servers), func(b *testing.B) {
+			view, records := benchFleet(servers)
+			var controller assembly.Controller
+			controller.Load(records)
+			world := assembly.World{
+				Config:     benchConfig(),
+				Fleet:      view,
+				IsSteady:   true,
+				StallTime:  simStall,
+				LoadWindow: 5 * time.Second,
+				LoadExcess: 1.1,
+			}
+			for b.Loop() {
+				controller.Step(world)
+			}
+		})
+	}
+}
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -47,6 +47,9 @@
 	stagger      = 60 * time.Millisecond
 	laterStagger = 15 * time.Millisecond
 	staggered    = 15
+	// ownAgain is the time between two tries for a lease that is this daemon's own: the
+	// store may turn it away alone for seconds, which cost 17 calls a second.
+	ownAgain = 500 * time.Millisecond
 	// callTime bounds one call.
 	callTime = 900 * time.Millisecond
 	// safety is kept away from the end of the term: the time from a decision to
@@ -86,6 +89,8 @@
 	seenSince time.Time
 	holder    string
 	isKnown   bool
+	// failedAt is when a try last failed.
+	failedAt time.Time
 	// wasAway tells that the store was away when it was last time to try.
 	wasAway bool
 }
@@ -124,7 +129,7 @@
 		return 0, false
 	}
 	if e.seen != 0 && e.holder == e.Name {
-		return e.seen, true
+		return e.seen, time.Since(e.failedAt) >= ownAgain
 	}
 	if e.isAway() {
 		return 0, false
@@ -164,6 +169,7 @@
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	e.seenSince = time.Now()
+	e.failedAt = e.seenSince
 }
 
 // Run calls lead whenever this daemon holds the lease, with a context that ends
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -517,3 +517,33 @@
 		synctest.Wait()
 	})
 }
+
+// Found on trouble-1 of the site of hundreds of VMs: the store turned the leader alone
+// away for seven seconds, and it asked for its own lease 17 times a second.
+func TestLeaderThatIsTurnedAwayAsksForItsOwnLeaseRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := newCluster("a")
+		var tries atomic.Int64
+		c.electors[0].Store = countingStore{
+			Store: c.store,
+			tries: &tries,
+		}
+		c.run(ctx, 0)
+		time.Sleep(time.Second)
+		c.store.set(func(f *fakeStore) {
+			f.isDown = true
+		})
+		const away = 7 * time.Second
+		before := tries.Load()
+		time.Sleep(away)
+		qt.Assert(t, tries.Load()-before < 35, qt.IsTrue, qt.Commentf("%d tries", tries.Load()-before))
+		c.store.set(func(f *fakeStore) {
+			f.isDown = false
+		})
+		time.Sleep(time.Second)
+		qt.Assert(t, c.leader(), qt.Equals, "a")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/entry/control.go
+++ b/entry/control.go
@@ -81,6 +81,8 @@
 	turns chan struct{}
 	// mustLoad tells that the records in the store may be others than known.
 	mustLoad bool
+	// triedToLoad is when they were last asked for.
+	triedToLoad time.Time
 	// pending are changes of records that wait for the one being committed.
 	pending      assembly.Plan
 	isCommitting bool
--- a/entry/records.go
+++ b/entry/records.go
@@ -15,8 +15,13 @@
 	"headcourse/platform"
 )
 
-// readTime bounds reading the records of all groups.
-const readTime = time.Second
+// Times of reading the records of all groups.
+const (
+	// readTime bounds one try.
+	readTime = time.Second
+	// readAgain is the time between two tries: the store may turn the leader away alone.
+	readAgain = 400 * time.Millisecond
+)
 
 // commitRows is how many rows one change may write or remove beside the lease,
 // which takes two entries: its condition and its rewrite.
@@ -57,6 +62,10 @@
 
 // load reads the records of all groups.
 func (t *term) load(ctx context.Context) bool {
+	if time.Since(t.triedToLoad) < readAgain {
+		return false
+	}
+	t.triedToLoad = time.Now()
 	ctx, cancel := context.WithTimeout(ctx, readTime)
 	defer cancel()
 	result, err := t.daemon.store.Read(ctx, assembly.Table)
--- a/io/relay/pack.go
+++ b/io/relay/pack.go
@@ -76,24 +76,64 @@
 // daemons read them from one relay at a restart of all, over a link of 200 Mbit/s.
 const packRowsFrom = 32
 
-// packed returns the answer with its rows packed where they are many.
-func (a answer) packed() (answer, error) {
+// bundles keeps rows that were packed together, each once for all who ask. When all
+// daemons start, dozens ask a relay for the same table at the same moment: packing a
+// thousand rows for each of them took 0.3 s of its VM. The zero value works.
+type bundles struct {
+	mutex sync.Mutex
+	known map[string]tableBundles
+}
+
+// tableBundles are the bundles of a table at a version, by the version since which the
+// rows changed.
+type tableBundles struct {
+	version int64
+	since   map[int64][]byte
+}
+
+// whole stands for a table read whole, in place of a version since which it changed.
+const whole = -1
+
+// pack returns the answer with its rows packed where they are many.
+func (b *bundles) pack(table string, since int64, a answer) (answer, error) {
 	if len(a.Rows) < packRowsFrom {
 		return a, nil
 	}
-	encoded, err := json.Marshal(a.Rows)
-	if err != nil {
-		return answer{}, errors.Wrap(err, "encode rows")
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	known := b.known[table]
+	if known.version != a.Version || known.since == nil {
+		known = tableBundles{
+			version: a.Version,
+			since:   map[int64][]byte{},
+		}
 	}
-	content, err := compress(encoded)
-	if err != nil {
-		return answer{}, err
+	content, isKnown := known.since[since]
+	if !isKnown {
+		var err error
+		if content, err = packRows(a.Rows); err != nil {
+			return answer{}, err
+		}
+		known.since[since] = content
 	}
+	if b.known == nil {
+		b.known = map[string]tableBundles{}
+	}
+	b.known[table] = known
 	a.Rows = nil
 	a.PackedRows = content
 	return a, nil
 }
 
+// packRows returns rows encoded and compressed.
+func packRows(rows []row) ([]byte, error) {
+	encoded, err := json.Marshal(rows)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode rows")
+	}
+	return compress(encoded)
+}
+
 // rows returns the answer's rows, packed or not.
 func (a answer) rows() ([]row, error) {
 	if len(a.PackedRows) == 0 {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -194,6 +194,38 @@
 	qt.Assert(t, count.Load() < int64(size/3), qt.IsTrue, qt.Commentf("%d bytes for %d", count.Load(), size))
 }
 
+// Rows that are packed once for all must not be old ones for those who ask later.
+func TestPackedRowsFollowTheTable(t *testing.T) {
+	const servers = 100
+	rows := make([]rowstore.Row, 0, servers)
+	for i := range servers {
+		rows = append(rows, row(fmt.Sprintf("i-%03d", i), "{}", 9))
+	}
+	hub, server, first := serve(t, rows...)
+	second := relay.NewClient(server.Address())
+	t.Cleanup(second.Close)
+	for _, client := range []*relay.Client{first, second} {
+		result, err := client.Read(context.Background(), "t")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, result.Rows, qt.DeepEquals, rows)
+	}
+	changed := row("i-007", `{"State":"draining"}`, 12)
+	hub.Take("t", rowstore.Result{
+		Rows:    []rowstore.Row{changed},
+		Version: 12,
+	}, false, time.Now())
+	rows[7] = changed
+	result, err := first.Read(context.Background(), "t")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, result.Rows, qt.DeepEquals, rows)
+	fed, err := second.Feed(context.Background(), "t", 10, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, fed.Rows, qt.DeepEquals, []rowstore.Row{changed})
+	fed, err = second.Feed(context.Background(), "t", 8, 0)
+	qt.Assert(t, err, qt.ErrorIs, rowstore.ErrCompacted)
+	qt.Assert(t, fed.Rows, qt.HasLen, 0)
+}
+
 // serveBoard serves an empty copy with a board, and returns a client that tells it what
 // its own board holds. refused gets what either side refuses.
 func serveBoard(t *testing.T, self string, meter *demand.Meter) (client *relay.Client, told *demand.Board, refused chan string) {
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -87,6 +87,7 @@
 	refused func(from string, err error)
 	enlist  func(ctx context.Context, name string, entry []byte) error
 	packer  packer
+	bundles bundles
 }
 
 // Options are what a Server needs.
@@ -162,7 +163,7 @@
 	if err != nil {
 		return nil, encodeError(err)
 	}
-	return s.encode(asked.Table, result)
+	return s.encode(asked.Table, whole, result)
 }
 
 // feed answers with changes, and with what is asked of all if it was told something.
@@ -173,7 +174,7 @@
 	if err != nil {
 		return nil, encodeError(err)
 	}
-	encoded, err := s.encode(asked.Table, result)
+	encoded, err := s.encode(asked.Table, asked.Since, result)
 	encoded.Asked = all
 	return encoded, err
 }
@@ -207,8 +208,9 @@
 	}
 }
 
-// encode returns a result as it is sent.
-func (s *Server) encode(table string, result rowstore.Result) (answer, error) {
+// encode returns a result as it is sent to those who ask for what changed since a
+// version, or for the whole.
+func (s *Server) encode(table string, since int64, result rowstore.Result) (answer, error) {
 	encoded := answer{
 		Version:  result.Version,
 		NowUS:    result.Now.Microseconds(),
@@ -231,7 +233,7 @@
 		}
 		encoded.Rows = append(encoded.Rows, sent)
 	}
-	return encoded.packed()
+	return s.bundles.pack(table, since, encoded)
 }
 
 // decode returns a result as it was sent.
