--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -232,4 +232,3 @@
 	defer d.roster.mutex.Unlock()
 	return d.roster.list.Has(d.self())
 }
-
