Let a few daemons leave their zone by their own requests; a success opens the way to the store

Hypothesis: seven daemons see a good part of every head's load, and zones as strict as for hundreds take the pooling over zones away. Change: where a daemon uses all heads of a zone, other zones are two requests away, as before the division. With subsets (hundreds of daemons) zones stay strict.

Relays were cut off or gone, one call for the list of the daemons ended without an answer, and closed the way to the store for all tables for 2.4 s. Change: a success opens it again; a call that was not waited for 0.3 s is no failure.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -47,8 +47,9 @@
 	Domain string
 	// IsTroubled tells that other daemons found it standing still or slow.
 	IsTroubled bool
-	// tier is set by Preference.WithTiers.
-	tier tier
+	// tier and isFar are set by Preference.WithTiers.
+	tier  tier
+	isFar bool
 }
 
 // Tracker knows what this daemon has under way at each server. It is safe for
@@ -195,11 +196,17 @@
 		// fullScore puts servers that are full by this daemon's requests alone
 		// after those that are not.
 		fullScore = 1e7
+		// farCost is how many requests fewer a server of another zone than the one that
+		// was drawn must have under way to be chosen by a daemon that can compare zones.
+		farCost = 2.0
 		// tierScore puts servers of a tier after those of the one before, whatever
 		// they have under way: a request costs some hundreds, and a server has tens.
 		tierScore = 1e6
 	)
 	score := s.cost + cost*(1+spread*chance)
+	if candidate.isFar {
+		score += farCost * cost
+	}
 	if s.pace > 0 && usual > 0 {
 		score *= s.pace / usual
 	}
--- a/core/balancer/preference.go
+++ b/core/balancer/preference.go
@@ -42,13 +42,21 @@
 			places += candidate.Capacity
 		}
 	}
+	subset := p.Daemon.Choose(ids, places)
 	isChosen := map[string]bool{}
-	for _, id := range p.Daemon.Choose(ids, places) {
+	for _, id := range subset {
 		isChosen[id] = true
 	}
 	placed := make([]Candidate, len(candidates))
 	for i, candidate := range candidates {
 		candidate.tier = tierOf(candidate, zone, isChosen)
+		if candidate.tier == elsewhere && len(subset) == len(ids) {
+			// A daemon that uses all servers of a zone sees a good part of their load, and
+			// leaves the zone by its own requests sooner than by what is asked everywhere:
+			// 0.016 of a day's worth with seven daemons (standard error 0.006).
+			candidate.tier = inSubset
+			candidate.isFar = true
+		}
 		placed[i] = candidate
 	}
 	return placed
--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -12,6 +12,9 @@
 const (
 	// relayTime is how much longer than the wait a relay's answer may take.
 	relayTime = 400 * time.Millisecond
+	// hurriedTime is how long the store must have been waited for to count as failing:
+	// relays that say nothing may have used up the time of the call.
+	hurriedTime = 300 * time.Millisecond
 	// longestRelayed is the longest wait asked of a relay: one that has died
 	// without a word is noticed soon after.
 	longestRelayed = time.Second
@@ -190,7 +193,11 @@
 	if !c.mayAsk(table) {
 		return Result{}, errors.Wrap(ErrRefused, "no relay answers and the store failed lately")
 	}
+	began := time.Now()
 	result, err := call(ctx, c.store)
+	if errors.Is(err, ErrUnknown) && time.Since(began) < hurriedTime {
+		return result, err
+	}
 	c.noteDirect(err)
 	return result, err
 }
--- a/core/rowstore/chain_test.go
+++ b/core/rowstore/chain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -332,3 +333,67 @@
 		})
 	}
 }
+
+// failingTable is a reader that does not answer about one table while it is told to.
+type failingTable struct {
+	rowstore.Reader
+	table   string
+	isSilly *atomic.Bool
+	// after is how long it says nothing before the call ends.
+	after time.Duration
+}
+
+// Feed fails for the table.
+func (f failingTable) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
+	if table == f.table && f.isSilly.Load() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.after):
+		}
+		return rowstore.Result{}, rowstore.ErrUnknown
+	}
+	return f.Reader.Feed(ctx, table, since, wait)
+}
+
+// Found on trouble-3 of lainela-headcourse, seed 12 (DRAIN): relays were cut off or gone,
+// one call for the list of the daemons got no answer, and a daemon did not follow the
+// servers for 2.1 s, although the store answered about all other tables.
+func TestOneFailedCallHoldsUpNoOtherTableWhileTheStoreAnswers(t *testing.T) {
+	for _, after := range []time.Duration{50 * time.Millisecond, 700 * time.Millisecond} {
+		run(t, func(ctx context.Context, t *testing.T) {
+			store := newFakeStore()
+			store.put("a", "1")
+			cut := newFakeStore()
+			cut.started = store.started
+			cut.put("a", "1")
+			relay := followEvery(ctx, cut, &rowstore.Freshness{}, 400*time.Millisecond)
+			pause(time.Second)
+			var isSilly atomic.Bool
+			chain, clock := chainedTo(failingTable{
+				Reader:  store,
+				table:   "b",
+				isSilly: &isSilly,
+				after:   after,
+			}, store, rowstore.Relay{
+				Name:   "relay",
+				Reader: &relay.hub,
+			})
+			chain.Sharing = func() int {
+				return 3
+			}
+			followed := follow(ctx, chain, clock)
+			followTable(ctx, chain, clock, "b", 100*time.Millisecond)
+			followTable(ctx, chain, clock, "c", 500*time.Millisecond)
+			pause(time.Second)
+			cut.set(func(f *fakeStore) {
+				f.isDown = true
+			})
+			pause(3 * time.Second)
+			isSilly.Store(true)
+			pause(3 * time.Second)
+			store.put("a", "2")
+			pause(1300 * time.Millisecond)
+			qt.Assert(t, followed.rows["a"], qt.Equals, "2", qt.Commentf("after %s", after))
+		})
+	}
+}
--- a/core/rowstore/restraint.go
+++ b/core/rowstore/restraint.go
@@ -133,9 +133,11 @@
 	r.heardAt = time.Time{}
 }
 
-// answered notes that the store answered.
+// answered notes that the store answered: calls for other tables that failed meanwhile
+// were not the store's fault.
 func (r *restraint) answered() {
 	r.failedAt = time.Time{}
+	r.isOpen = true
 }
 
 // failed notes that the store failed a call.
