--- a/core/rowstore/chain_test.go
+++ b/core/rowstore/chain_test.go
@@ -255,6 +255,28 @@
 	}
 }
 
+// behindOne returns a chain behind one relay, one of so many daemons that share it, and
+// what cuts the relay off from the store; the daemon reaches it by way.
+func behindOne(ctx context.Context, way rowstore.Reader, store *fakeStore, daemons int) (chain *rowstore.Chain, clock *rowstore.Freshness, cutOff func()) {
+	seen := newFakeStore()
+	seen.started = store.started
+	seen.put("a", "1")
+	relay := followEvery(ctx, seen, &rowstore.Freshness{}, 400*time.Millisecond)
+	pause(time.Second)
+	chain, clock = chainedTo(way, store, rowstore.Relay{
+		Name:   "relay",
+		Reader: &relay.hub,
+	})
+	chain.Sharing = func() int {
+		return daemons
+	}
+	return chain, clock, func() {
+		seen.set(func(f *fakeStore) {
+			f.isDown = true
+		})
+	}
+}
+
 // All relays are cut off from the store, which serves the others: a feed that waits there
 // for changes must not keep the other followers from asking.
 func TestFeedThatWaitsHoldsUpNoOtherTable(t *testing.T) {
@@ -262,25 +284,12 @@
 		run(t, func(ctx context.Context, t *testing.T) {
 			store := newFakeStore()
 			store.put("a", "1")
-			cut := newFakeStore()
-			cut.started = store.started
-			cut.put("a", "1")
-			relay := followEvery(ctx, cut, &rowstore.Freshness{}, 400*time.Millisecond)
-			pause(time.Second)
-			chain, clock := chained(store, rowstore.Relay{
-				Name:   "relay",
-				Reader: &relay.hub,
-			})
-			chain.Sharing = func() int {
-				return daemons
-			}
+			chain, clock, cutOff := behindOne(ctx, store, store, daemons)
 			// Two followers of one table: one waits long at the store.
 			followEvery(ctx, chain, clock, 2500*time.Millisecond)
 			limited := follow(ctx, chain, clock)
 			pause(time.Second)
-			cut.set(func(f *fakeStore) {
-				f.isDown = true
-			})
+			cutOff()
 			pause(1500 * time.Millisecond)
 			store.put("a", "2")
 			pause(time.Second)
@@ -297,26 +306,13 @@
 		run(t, func(ctx context.Context, t *testing.T) {
 			store := newFakeStore()
 			store.put("a", "1")
-			cut := newFakeStore()
-			cut.started = store.started
-			cut.put("a", "1")
-			relay := followEvery(ctx, cut, &rowstore.Freshness{}, 400*time.Millisecond)
-			pause(time.Second)
-			chain, clock := chained(store, rowstore.Relay{
-				Name:   "relay",
-				Reader: &relay.hub,
-			})
-			chain.Sharing = func() int {
-				return daemons
-			}
+			chain, clock, cutOff := behindOne(ctx, store, store, daemons)
 			limited := follow(ctx, chain, clock)
 			for _, table := range []string{"b", "c", "d"} {
 				followTable(ctx, chain, clock, table, 100*time.Millisecond)
 			}
 			pause(time.Second)
-			cut.set(func(f *fakeStore) {
-				f.isDown = true
-			})
+			cutOff()
 			pause(2 * time.Second)
 			store.set(func(f *fakeStore) {
 				f.isDown = true
@@ -337,15 +333,15 @@
 // failingTable is a reader that does not answer about one table while it is told to.
 type failingTable struct {
 	rowstore.Reader
-	table   string
-	isSilly *atomic.Bool
+	table    string
+	isSilent *atomic.Bool
 	// after is how long it says nothing before the call ends.
 	after time.Duration
 }
 
 // Feed fails for the table.
 func (f failingTable) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
-	if table == f.table && f.isSilly.Load() {
+	if table == f.table && f.isSilent.Load() {
 		select {
 		case <-ctx.Done():
 		case <-time.After(f.after):
@@ -363,33 +359,20 @@
 		run(t, func(ctx context.Context, t *testing.T) {
 			store := newFakeStore()
 			store.put("a", "1")
-			cut := newFakeStore()
-			cut.started = store.started
-			cut.put("a", "1")
-			relay := followEvery(ctx, cut, &rowstore.Freshness{}, 400*time.Millisecond)
-			pause(time.Second)
-			var isSilly atomic.Bool
-			chain, clock := chainedTo(failingTable{
-				Reader:  store,
-				table:   "b",
-				isSilly: &isSilly,
-				after:   after,
-			}, store, rowstore.Relay{
-				Name:   "relay",
-				Reader: &relay.hub,
-			})
-			chain.Sharing = func() int {
-				return 3
-			}
+			var isSilent atomic.Bool
+			chain, clock, cutOff := behindOne(ctx, failingTable{
+				Reader:   store,
+				table:    "b",
+				isSilent: &isSilent,
+				after:    after,
+			}, store, 3)
 			followed := follow(ctx, chain, clock)
 			followTable(ctx, chain, clock, "b", 100*time.Millisecond)
 			followTable(ctx, chain, clock, "c", 500*time.Millisecond)
 			pause(time.Second)
-			cut.set(func(f *fakeStore) {
-				f.isDown = true
-			})
+			cutOff()
 			pause(3 * time.Second)
-			isSilly.Store(true)
+			isSilent.Store(true)
 			pause(3 * time.Second)
 			store.put("a", "2")
 			pause(1300 * time.Millisecond)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -245,6 +245,17 @@
 	return d.ready.address
 }
 
+// RelayAddress returns the IP:port where other daemons reach this one.
+func (d *Daemon) RelayAddress() string {
+	return d.relays.Address()
+}
+
+// StoreAnswers returns how many answers about tables came from the store itself, and how
+// many from other daemons.
+func (d *Daemon) StoreAnswers() (direct, relayed int64) {
+	return d.chain.Counts()
+}
+
 // Reload takes new settings that can change while the daemon runs.
 func (d *Daemon) Reload(known settings.Settings) {
 	d.log.Info("daemon: settings read again", zap.String("name", known.Name))
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -59,7 +59,7 @@
 	set("servers_version", view.Fleet.Version)
 	set("servers_known", int64(len(view.Fleet.Servers())))
 	set("requests_open", d.gateway.Open())
-	direct, relayed := d.chain.Counts()
+	direct, relayed := d.StoreAnswers()
 	set("store_answers.direct", direct)
 	set("store_answers.relayed", relayed)
 	opened, reused := d.gateway.Connections()
