--- a/command/entry.go
+++ b/command/entry.go
@@ -84,7 +84,7 @@
 			log.Error("daemon: settings not taken, the last good ones stay in force", logline.Err(err))
 			continue
 		}
-		if !next.Equal(known) {
+		if next != known {
 			known = next
 			daemon.Reload(next)
 		}
--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -141,8 +141,10 @@
 		readers[i] = relay.Reader
 	}
 	return Relay{
-		Name:   relays[0].Name,
-		Reader: NewSeeds(readers...),
+		Name: relays[0].Name,
+		Reader: turns{
+			readers: readers,
+		},
 	}
 }
 
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -4,7 +4,6 @@
 
 import (
 	"net"
-	"reflect"
 	"strconv"
 	"time"
 
@@ -24,9 +23,6 @@
 	Store     string
 	// Relay is where other daemons may follow the store's tables.
 	Relay string
-	// Seeds are the Relay addresses of a few daemons, which a starting one asks before
-	// it knows the others; some may be gone. There may be none.
-	Seeds []string
 	// Strength is how much the VM can carry, compared to others.
 	Strength float64
 	// Metrics is where metrics are served; empty: nowhere.
@@ -69,23 +65,15 @@
 	return s
 }
 
-// Equal tells whether two settings are the same.
-func (s Settings) Equal(other Settings) bool {
-	return reflect.DeepEqual(s, other)
-}
-
-// namedAddress is an address and what it is for.
-type namedAddress struct {
-	name  string
-	value string
-}
-
 // Check returns the first setting that cannot be used, by its name.
 func (s Settings) Check() error {
 	if s.Name == "" {
 		return errors.New("check settings: the VM's name is missing")
 	}
-	addresses := []namedAddress{
+	addresses := []struct {
+		name  string
+		value string
+	}{
 		{
 			name:  "address for clients",
 			value: s.Clients,
@@ -103,12 +91,6 @@
 			value: s.Store,
 		},
 	}
-	for _, seed := range s.Seeds {
-		addresses = append(addresses, namedAddress{
-			name:  "address of a seed",
-			value: seed,
-		})
-	}
 	for _, address := range addresses {
 		host, _, err := net.SplitHostPort(address.value)
 		if err != nil || net.ParseIP(host) == nil {
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -26,8 +26,8 @@
 	// together write a row each, and each would look at the list once for each of them.
 	listSettle = 250 * time.Millisecond
 	// listPatience is how long a starting daemon waits for the list before it reads
-	// the other tables: a little longer than reading it from a seed may take.
-	listPatience = 450 * time.Millisecond
+	// the other tables: the store answers in some milliseconds.
+	listPatience = 150 * time.Millisecond
 	// burstPart is the part of the burst that is divided: when all daemons restart
 	// within a window, each begins with a whole part again.
 	burstPart = 0.45
@@ -62,8 +62,6 @@
 	clients map[string]*relay.Client
 	// relays are the names of those that this daemon asks, in order, for the log.
 	relays []string
-	// seeds are asked before the first daemon is listed.
-	seeds []*relay.Client
 }
 
 // listFollower follows the list of the daemons. Rows of VMs that are gone stay,
@@ -125,12 +123,20 @@
 		select {
 		case <-d.listRead.isSet:
 		case <-ctx.Done():
-		case <-time.After(max(listPatience, d.chain.Patience)):
+		case <-time.After(max(listPatience, d.startWait())):
 		}
 		task(ctx)
 	}
 }
 
+// startWait is how long a daemon may wait for the list at a first start.
+func (d *Daemon) startWait() time.Duration {
+	if !d.settings.IsFirstStart {
+		return 0
+	}
+	return startSpread + startPatience
+}
+
 // chooseRelays applies the list that is known. The roster's mutex is held.
 func (d *Daemon) chooseRelays() {
 	r := &d.roster
@@ -152,10 +158,7 @@
 			Reader: r.clients[one.Address],
 		})
 	}
-	if r.list.Len() > 0 {
-		// Before the first daemon is listed the seeds are asked.
-		d.chain.SetRelays(relays)
-	}
+	d.chain.SetRelays(relays)
 	d.notePlace(r.list)
 	burst := d.setBudgets(max(1, r.list.Len()))
 	d.noteRelays(relays, burst)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -134,7 +134,6 @@
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	d.askSeeds()
 	d.run()
 	d.serveMetrics()
 	log.Info("daemon: started", zap.String("name", known.Name), zap.String("zone", known.Zone), zap.String("start", d.start))
@@ -221,7 +220,7 @@
 	d.stop = stop
 	elector := d.newElector()
 	for _, task := range []func(context.Context){
-		d.listFollower().Run,
+		d.inTurn(d.listFollower().Run),
 		d.afterList(d.listSelf),
 		d.afterList(d.configFollower().Run),
 		d.afterList(d.serverFollower().Run),
@@ -245,11 +244,6 @@
 	return d.ready.address
 }
 
-// RelayAddress returns the IP:port where other daemons reach this one.
-func (d *Daemon) RelayAddress() string {
-	return d.relays.Address()
-}
-
 // StoreAnswers returns how many answers about tables came from the store itself, and how
 // many from other daemons.
 func (d *Daemon) StoreAnswers() (direct, relayed int64) {
--- a/entry/listing.go
+++ b/entry/listing.go
@@ -19,32 +19,23 @@
 	listLater = 5 * time.Second
 )
 
-// askSeeds has the chain ask the seeds until the list of the daemons is known. A daemon
-// that is a seed itself reads the store.
-func (d *Daemon) askSeeds() {
-	for _, address := range d.settings.Seeds {
-		if address == d.relays.Address() {
-			d.roster.seeds = nil
-			return
-		}
-		d.roster.seeds = append(d.roster.seeds, d.newRelayClient(address, address))
-	}
-	if len(d.roster.seeds) == 0 {
-		return
+// startSpread is the time over which daemons come to the list when the whole system
+// starts for the first time. Those that come later find others listed, follow the tables
+// through these and are listed by them; nobody is to be served for seconds yet.
+const startSpread = 800 * time.Millisecond
+
+// inTurn runs a task, at the first start of the whole system after a while.
+func (d *Daemon) inTurn(task func(context.Context)) func(context.Context) {
+	if !d.settings.IsFirstStart {
+		return task
 	}
-	rand.Shuffle(len(d.roster.seeds), func(i, k int) {
-		d.roster.seeds[i], d.roster.seeds[k] = d.roster.seeds[k], d.roster.seeds[i]
-	})
-	readers := make([]rowstore.Reader, len(d.roster.seeds))
-	for i, seed := range d.roster.seeds {
-		readers[i] = seed
+	return func(ctx context.Context) {
+		select {
+		case <-time.After(rand.N(startSpread)):
+			task(ctx)
+		case <-ctx.Done():
+		}
 	}
-	d.chain.SetRelays([]rowstore.Relay{
-		{
-			Name:   "seeds",
-			Reader: rowstore.NewSeeds(readers...),
-		},
-	})
 }
 
 // listSelf writes this daemon into the list, until it is there.
@@ -88,9 +79,6 @@
 func (d *Daemon) listers() []*relay.Client {
 	d.roster.mutex.Lock()
 	defer d.roster.mutex.Unlock()
-	if d.roster.list.Len() == 0 {
-		return d.roster.seeds
-	}
 	var listers []*relay.Client
 	for _, one := range d.roster.list.For(d.settings.Name, d.settings.Zone) {
 		listers = append(listers, d.roster.clients[one.Address])
