Let no first request stand for all of its model; list daemons sooner at a start

Cause (one of them): the leader reckons by the sizes of its own requests, of which it sees one in two seconds of the larger model, and took the first one's size for all. The mean now counts the first fifty alike, and the operator's figure holds until five were seen. TestManyModelsAreBounded notes its last model as often as is needed to believe it now.

--- a/core/rowstore/batcher.go
+++ b/core/rowstore/batcher.go
@@ -28,9 +28,9 @@
 
 // Figures of a batcher.
 const (
-	// batchTime is how long the first row waits for others: daemons that start together
-	// do so within some tenths of a second.
-	batchTime = 100 * time.Millisecond
+	// batchTime is how long the first row waits for others. Daemons that start together
+	// do so within some tenths of a second, but until the first is listed they ask the store.
+	batchTime = 40 * time.Millisecond
 	// batchCall bounds one transaction.
 	batchCall = time.Second
 )
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -10,9 +10,12 @@
 
 // Figures of the estimates.
 const (
-	// weight is the part of a new request in the mean: sizes spread widely, and some
-	// hundred requests of a model come in a second or two.
+	// weight is the part of a new request in the mean, once that is of many: sizes spread
+	// widely. Before, each of the first requests counts alike: a daemon among hundreds is
+	// asked for a model once in two seconds, and would go by its first request all day.
 	weight = 0.02
+	// leastSeen requests must have been seen for the mean to say more than the operator.
+	leastSeen = 5
 	// mostModels bounds the models that are remembered; clients name them freely.
 	mostModels = 256
 )
@@ -27,7 +30,13 @@
 // for concurrent use.
 type Sizes struct {
 	mutex  sync.Mutex
-	models map[string]Size
+	models map[string]seen
+}
+
+// seen is the mean size of the requests of a model, and how many they were.
+type seen struct {
+	mean  Size
+	count float64
 }
 
 // Note notes the size of a request that was answered whole.
@@ -35,23 +44,22 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	known, ok := s.models[model]
-	if !ok {
-		if s.models == nil || len(s.models) >= mostModels {
-			s.models = map[string]Size{}
-		}
-		known = size
+	if !ok && (s.models == nil || len(s.models) >= mostModels) {
+		s.models = map[string]seen{}
 	}
-	known.Prompt += weight * (size.Prompt - known.Prompt)
-	known.Answer += weight * (size.Answer - known.Answer)
+	known.count++
+	part := max(weight, 1/known.count)
+	known.mean.Prompt += part * (size.Prompt - known.mean.Prompt)
+	known.mean.Answer += part * (size.Answer - known.mean.Answer)
 	s.models[model] = known
 }
 
-// Of returns the mean size of a model's requests, or usual where none was seen.
+// Of returns the mean size of a model's requests, or usual where too few were seen.
 func (s *Sizes) Of(model string, usual Size) Size {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if known, ok := s.models[model]; ok {
-		return known
+	if known := s.models[model]; known.count >= leastSeen {
+		return known.mean
 	}
 	return usual
 }
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -40,7 +40,36 @@
 			Prompt: 1,
 		})
 	}
+	for range 4 {
+		sizes.Note("9999", usage.Size{
+			Prompt: 1,
+		})
+	}
 	// The last one is known, the first was forgotten.
 	qt.Assert(t, sizes.Of("9999", usage.Size{}).Prompt, qt.Equals, 1.0)
 	qt.Assert(t, sizes.Of("0", usage.Size{}).Prompt, qt.Equals, 0.0)
 }
+
+// A daemon among 295 is asked for the larger model once in two seconds: the first request
+// that it saw end, mostly a short one, stood for all of them through the day, and the
+// model seemed to need half of its groups.
+func TestFirstRequestDoesNotStandForAll(t *testing.T) {
+	var sizes usage.Sizes
+	usual := usage.Size{
+		Prompt: 1000,
+		Answer: 100,
+	}
+	sizes.Note("large", usage.Size{
+		Prompt: 40,
+		Answer: 8,
+	})
+	qt.Assert(t, sizes.Of("large", usual), qt.Equals, usual)
+	for range 9 {
+		sizes.Note("large", usage.Size{
+			Prompt: 1540,
+			Answer: 158,
+		})
+	}
+	mean := sizes.Of("large", usual)
+	qt.Assert(t, mean.Answer > 130 && mean.Answer < 150, qt.IsTrue, qt.Commentf("%v", mean))
+}
