Convert groups at any size: by what one group is to its model, and several at once

A conversion had to gain 0.04 of the groups that a model needs; one group of 27 is 0.037, so none ever did. And there was one at a time in the whole service.

Change: a conversion has to gain half of what one group is to its model, at most 0.04; one may be under way for each eight domains. Sites of up to 15 domains and twelve groups of a model are as before.

--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -31,8 +31,8 @@
 	demands map[modelKey]demand
 	// wanted is how many groups each model was last wanted to have, for the log.
 	wanted map[modelKey]int
-	// conversion is the one under way.
-	conversion conversion
+	// conversions are those under way, by domain.
+	conversions map[string]conversion
 }
 
 // membershipKey names a group of one epoch.
--- a/core/assembly/convert.go
+++ b/core/assembly/convert.go
@@ -1,6 +1,8 @@
 package assembly
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"headcourse/core/config"
@@ -13,6 +15,9 @@
 	// its groups, for a group of another model to be ended for it. The way back would
 	// have to gain as much, so models do not take from each other in turn.
 	convertGain = 0.04
+	// convertStep is the same as a part of what one group more is to the model: with 27
+	// groups one is 0.037 of them, and nothing would ever gain enough.
+	convertStep = 0.5
 	// convertBelow is the part of the groups that it needs below which a model is short
 	// enough: a conversion takes a group of the other model away for a second or two,
 	// and its servers' second models with it.
@@ -20,6 +25,10 @@
 	// convertTime bounds a conversion: its groups end within closeTime, and their
 	// servers join at the next step.
 	convertTime = 6 * time.Second
+	// domainsPerConversion is how many domains there are for each conversion under way at
+	// once. One at a time is enough for six domains; with 25 a model that lacked seven of
+	// 28 groups waited a quarter of a minute for them.
+	domainsPerConversion = 8
 )
 
 // conversion is the end of groups whose servers are needed for another model, in one
@@ -39,19 +48,31 @@
 	return time.Now().Before(v.until)
 }
 
+// mayConvert tells whether one more conversion may begin.
+func (c *Controller) mayConvert(at *layout) bool {
+	underWay := 0
+	for _, one := range c.conversions {
+		if one.isUnderWay() {
+			underWay++
+		}
+	}
+	return underWay < max(1, len(at.domains)/domainsPerConversion)
+}
+
 // isReservedFor tells whether the free servers of a domain are kept for another model
 // than the one given.
 func (c *Controller) isReservedFor(at *layout, domain string, model config.Model) bool {
-	v := c.conversion
-	return v.isUnderWay() && v.service == at.service.Name && v.domain == domain && v.model != model.Name
+	v := c.conversions[domain]
+	return v.isUnderWay() && v.service == at.service.Name && v.model != model.Name
 }
 
 // convert ends groups of models that have many for a model that lacks some and has no
-// servers to form them of, one conversion at a time.
+// servers to form them of: at each step one conversion more at most, in a domain that has
+// none.
 func (c *Controller) convert(at *layout, world World, plan *Plan) {
-	c.endConversion(at)
+	c.endConversions(at)
 	model, ok := at.neediest(true)
-	if !ok || world.IsStart || !world.IsSteady || c.conversion.isUnderWay() {
+	if !ok || world.IsStart || !world.IsSteady || !c.mayConvert(at) {
 		return
 	}
 	for _, one := range at.service.Engine.Models {
@@ -62,6 +83,9 @@
 	}
 	best := conversion{}
 	for _, domain := range at.domains {
+		if c.conversions[domain].isUnderWay() {
+			continue
+		}
 		found := c.conversionIn(at, domain, model, world)
 		if len(found.groups) > 0 && (len(best.groups) == 0 || len(found.groups) < len(best.groups)) {
 			best = found
@@ -71,26 +95,29 @@
 		return
 	}
 	best.until = time.Now().Add(convertTime)
-	c.conversion = best
+	if c.conversions == nil {
+		c.conversions = map[string]conversion{}
+	}
+	c.conversions[best.domain] = best
 	for _, g := range best.groups {
 		g.end("its servers are needed for "+model.Name, true)
 		g.note("group ends", g.ending, plan)
 	}
 }
 
-// endConversion forgets a conversion whose model got its group.
-func (c *Controller) endConversion(at *layout) {
-	v := c.conversion
-	if !v.isUnderWay() || v.service != at.service.Name {
-		return
-	}
-	for _, g := range v.groups {
-		if c.groups[g.record.Name] == g {
-			return
-		}
-	}
-	// Their servers are free: the step that saw it formed the group, or never will.
-	c.conversion = conversion{}
+// endConversions forgets the conversions of a service whose groups have ended.
+func (c *Controller) endConversions(at *layout) {
+	maps.DeleteFunc(c.conversions, func(_ string, v conversion) bool {
+		return !v.isUnderWay() || (v.service == at.service.Name && !c.isEnding(v))
+	})
+}
+
+// isEnding tells whether a group of a conversion still ends. Afterwards its servers are
+// free: the step that saw it formed the new group, or never will.
+func (c *Controller) isEnding(v conversion) bool {
+	return slices.ContainsFunc(v.groups, func(g *group) bool {
+		return c.groups[g.record.Name] == g
+	})
 }
 
 // conversionIn returns the groups of a domain to end so that a group of a model can be
@@ -140,7 +167,7 @@
 	own, others := at.coming[model.Name], at.coming[from]-taken[from]
 	before := min(at.part(model, own), at.part(other, others))
 	after := min(at.part(model, own+1), at.part(other, others-1))
-	return after > before+convertGain
+	return after > before+min(convertGain, convertStep/at.need(model))
 }
 
 // wellMembers returns the members of a group that could be members of another.
--- a/core/assembly/convert_test.go
+++ b/core/assembly/convert_test.go
@@ -1,6 +1,7 @@
 package assembly_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -164,3 +165,31 @@
 		qt.Assert(t, s.violated, qt.HasLen, 0)
 	})
 }
+
+// Found on scale-1 of a site of 925 servers: seven of 25 groups of the larger model were
+// lost, and from then on 21 of 28 served while the smaller one had all that it needed. One
+// group of so many is 0.037 of what a model needs, less than what a conversion had to gain;
+// and they went one at a time.
+func TestManyGroupsAreConvertedSoonWhereThereAreManyDomains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const domains = 32
+		s, c := equipped(domains)
+		var all []string
+		for i := range domains {
+			all = append(all, fmt.Sprintf("d%d", i))
+		}
+		s.lose(all...)
+		// Where no spare is left a lost member of the larger model takes its group away.
+		settleBusy(s, c, 3*time.Second)
+		before := s.serving("large")
+		for _, domain := range all[:8] {
+			s.loseMember(c, domain, "large")
+		}
+		settleBusy(s, c, 6*time.Second)
+		qt.Assert(t, s.violated, qt.HasLen, 0)
+		qt.Assert(t, s.serving("large") >= before-5, qt.IsTrue, qt.Commentf("%d of %d", s.serving("large"), before))
+		closed := s.orders["close"]
+		settleBusy(s, c, 20*time.Second)
+		qt.Assert(t, s.orders["close"]-closed <= 4, qt.IsTrue, qt.Commentf("%d", s.orders["close"]-closed))
+	})
+}
