Write what all daemons see where it is read only; say when the retry budget was spent

Now the first relay and the leader write them, which follow the store themselves, and a request's line has the version of the servers' table that its daemon went by.

--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -208,6 +208,14 @@
 	return list.Rank(d.settings.Name)
 }
 
+// isFirstRelay tells whether this daemon follows the store for all relays.
+func (d *Daemon) isFirstRelay() bool {
+	d.roster.mutex.Lock()
+	defer d.roster.mutex.Unlock()
+	list := d.roster.list
+	return list.IsRelay(d.settings.Name) && len(list.For(d.settings.Name, d.settings.Zone)) == 0
+}
+
 // sharing returns how many daemons would ask the store like this one.
 func (d *Daemon) sharing() int {
 	d.roster.mutex.Lock()
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -149,7 +149,9 @@
 	d.change(func(view *gateway.View) {
 		view.Fleet = view.Fleet.WithChanges(version, changes, d.outage.Load().LostUntil(d.grace()))
 	})
-	d.logChanges(former, changes)
+	if d.isFirstHand() {
+		d.logChanges(former, changes)
+	}
 }
 
 // grace returns how long servers whose entry goes may be sent requests.
@@ -171,6 +173,14 @@
 	return server, true
 }
 
+// isFirstHand tells whether this daemon follows the store itself: the leader, and the
+// first relay. What all daemons see is written there only; 295 of them wrote a million
+// lines in the first 22 s, 3,300 each. A request's line has the version of the servers'
+// table that its daemon went by.
+func (d *Daemon) isFirstHand() bool {
+	return d.isLeading.Load() || d.isFirstRelay()
+}
+
 // logChanges writes a line for each server that came, went, or changed in a way
 // that decides about requests.
 func (d *Daemon) logChanges(former fleet.View, changes []fleet.Change) {
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -57,6 +57,8 @@
 	// sent is not sent again.
 	arrivals int
 	trail    []string
+	// isBudgetSpent tells that the request was not sent again for want of budget.
+	isBudgetSpent bool
 	// last is the id of the last event that the client has.
 	last int64
 
@@ -184,6 +186,7 @@
 	}
 	if j.arrivals > 0 && !j.server.budgets.Of(j.service).Spend() {
 		j.server.count(countRefused, request.ReasonNoBudget)
+		j.isBudgetSpent = true
 		return false
 	}
 	j.server.count(countSentAgain, result.reason)
--- a/io/gateway/line.go
+++ b/io/gateway/line.go
@@ -65,12 +65,16 @@
 		zap.Int("runs", j.runs),
 		zap.Int64("view_age_ms", j.server.source.Age().Milliseconds()),
 	}
+	fields = append(fields, zap.Int64("servers_version", j.server.source.View().Fleet.Version))
 	if j.config != nil {
 		fields = append(fields, zap.Int64("config_version", j.config.Version))
 	}
 	if j.route != nil {
 		fields = append(fields, zap.String("route", j.route.Name), zap.String("organisation", j.organisation))
 	}
+	if j.isBudgetSpent {
+		fields = append(fields, zap.Bool("retry_budget_spent", true))
+	}
 	if j.yields {
 		fields = append(fields, zap.Bool("yields", true))
 	}
--- /dev/null
+++ b/io/gateway/line_test.go
@@ -0,0 +1,53 @@
+package gateway_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"headcourse/core/config"
+	"headcourse/core/demand"
+	"headcourse/core/retry"
+	"headcourse/io/gateway"
+	"headcourse/platform"
+	"headcourse/platform/wire"
+)
+
+// A request was refused after one send although other servers were free, and its line did
+// not say that the retry budget was the cause: of 734 such on one day only the counter told.
+func TestLineSaysThatTheRetryBudgetWasSpent(t *testing.T) {
+	full := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderID, r.Header.Get(wire.HeaderID))
+		w.Header().Set(wire.HeaderNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(full.Close)
+	address := full.Listener.Addr().String()
+	budgets := &retry.Budgets{}
+	const share, burst = 0.01, 0.1
+	budgets.SetFigures(share, burst, time.Minute)
+	core, logs := observer.New(zap.InfoLevel)
+	server, err := gateway.Listen(gateway.Options{
+		Address:  "127.0.0.1:0",
+		Source:   newSource(someServers(config.Safe, address, address)),
+		Dialect:  platform.Dialect{},
+		Meter:    &demand.Meter{},
+		Budgets:  budgets,
+		Registry: metrics.NewRegistry(),
+		Log:      zap.New(core),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(server.Kill)
+
+	status, _ := ask(t, server.Address(), "r1", time.Minute)
+	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+	lines := logs.FilterMessage("clients: request ended").All()
+	qt.Assert(t, lines, qt.HasLen, 1)
+	qt.Assert(t, lines[0].ContextMap()["retry_budget_spent"], qt.Equals, true)
+}
