Give no silent server up without a retry left

A request was broken off at a server that was silent for long, and only then it was seen that the retry budget did not pay for another send; with 295 daemons each has one or two retries in ten seconds. Where the server was only slow the request was lost for nothing.

Change: the retry is paid for before the server is given up; without one the request waits on. Test: a server that is silent for 1.6 s answers in the end; 502 before, whole now.

--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -57,6 +57,8 @@
 	// sent is not sent again.
 	arrivals int
 	trail    []string
+	// isPaid tells that the next send has been paid for out of the retry budget.
+	isPaid atomic.Bool
 	// isBudgetSpent tells that the request was not sent again for want of budget.
 	isBudgetSpent bool
 	// last is the id of the last event that the client has.
@@ -168,6 +170,17 @@
 	}
 }
 
+// payAhead pays for the next send out of the retry budget, and tells whether it could. A
+// server is not given up without: its silence may end, and a request that is broken off
+// and not sent again is lost. On a day with slow servers 413 of 39,000 requests were.
+func (j *job) payAhead() bool {
+	if j.isPaid.Load() || !j.server.budgets.Of(j.service).Spend() {
+		return j.isPaid.Load()
+	}
+	j.isPaid.Store(true)
+	return true
+}
+
 // maySendAgain tells whether a failed request may go to another server, and
 // counts it if so.
 func (j *job) maySendAgain(result tried) bool {
@@ -184,7 +197,7 @@
 	if !j.hasOtherServer() {
 		return false
 	}
-	if j.arrivals > 0 && !j.server.budgets.Of(j.service).Spend() {
+	if j.arrivals > 0 && !j.isPaid.Swap(false) && !j.server.budgets.Of(j.service).Spend() {
 		j.server.count(countRefused, request.ReasonNoBudget)
 		j.isBudgetSpent = true
 		return false
--- a/io/gateway/watchdog.go
+++ b/io/gateway/watchdog.go
@@ -102,7 +102,7 @@
 	}
 	if step == balancer.Move {
 		w.job.server.source.Stalled(w.server)
-		if w.mayMove && w.hasOther() {
+		if w.mayMove && w.hasOther() && w.job.payAhead() {
 			w.fired.Store(true)
 			w.exchange.Abort()
 			return
