Cover the servers exactly once a round of subsets

Cause: a subset that crosses two rounds passed over the servers that it had from the first, and nobody made up for them; with subsets of nearly half of the servers that adds up. Change: these servers come right after the first few of the next round.

--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -8,8 +8,8 @@
 //
 // The subsets must cover the servers evenly. Daemons are numbered within their zone,
 // and take the servers in turn from a shuffled ring: each round of daemons covers each
-// server once, and each round shuffles anew, so that what one daemon leaves behind is
-// spread over all. This is the deterministic subsetting of Beyer et al., "Site
+// server exactly once, and each round shuffles anew, so that what one daemon leaves behind
+// is spread over all. This is the deterministic subsetting of Beyer et al., "Site
 // Reliability Engineering" (2016), chapter 20, without its remainder. With 59 daemons
 // and 13 servers in a zone one request in 2,000 found its server full, against one in
 // 220 by chance over all of them, and one in 27 over subsets that each daemon draws by
@@ -59,20 +59,36 @@
 		return ids
 	}
 	first := d.Rank * size
-	round, from := first/len(ids), first%len(ids)
-	chosen := shuffled(ids, round)[from:]
-	if len(chosen) >= size {
-		return chosen[:size]
+	number, from := first/len(ids), first%len(ids)
+	rest := round(ids, number, size)[from:]
+	if len(rest) >= size {
+		return rest[:size]
 	}
-	for _, id := range shuffled(ids, round+1) {
-		if len(chosen) == size {
-			break
-		}
-		if !slices.Contains(chosen, id) {
-			chosen = append(chosen, id)
+	return append(rest, round(ids, number+1, size)[:size-len(rest)]...)
+}
+
+// round returns the servers in the order of a round, each once. The daemon that took the
+// last few of the round before goes on in this one, so these few are not among the first
+// that it takes here: they come right after them. A subset is at most half of the servers,
+// so that this does not reach the last few of this round.
+func round(ids []string, number, size int) []string {
+	order := shuffled(ids, number)
+	left := number * len(ids) % size
+	if left == 0 {
+		return order
+	}
+	before := shuffled(ids, number-1)
+	taken := before[len(before)-left:]
+	first := make([]string, 0, len(order))
+	var others []string
+	for _, id := range order {
+		if len(first) < size-left && !slices.Contains(taken, id) {
+			first = append(first, id)
+		} else {
+			others = append(others, id)
 		}
 	}
-	return chosen
+	return append(first, others...)
 }
 
 // turn is a server's place in a round.
--- a/core/subset/subset_test.go
+++ b/core/subset/subset_test.go
@@ -20,8 +20,8 @@
 	return all
 }
 
-// Servers are used alike. A subset that crosses two rounds passes over servers that it
-// has already, so that some are used once more or less in a round.
+// Any number of daemons uses each server the same number of times, but for one. Subsets
+// that passed over servers when they crossed two rounds used some 19 times, others 27.
 func TestSubsetsCoverServersEvenly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		servers := ids(rapid.IntRange(1, 110).Draw(t, "servers"))
@@ -45,10 +45,7 @@
 		for _, id := range servers {
 			least, most = min(least, uses[id]), max(most, uses[id])
 		}
-		rounds := daemons * len(subset.Daemon{
-			Of: daemons,
-		}.Choose(servers, places*len(servers))) / len(servers)
-		if most-least > 2+rounds/4 {
+		if most-least > 1 {
 			t.Fatalf("%d daemons, %d servers: used %d to %d times", daemons, len(servers), least, most)
 		}
 	})
