--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -13,8 +12,6 @@
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
 
-	"headcourse/core/fleet"
-	"headcourse/core/rowstore"
 	"headcourse/core/settings"
 	"headcourse/entry"
 	"headcourse/lab/standin"
@@ -458,44 +455,3 @@
 		qt.Assert(t, lines[0], qt.Contains, cause)
 	}
 }
-
-// A daemon that was away while the store forgot its history reads the stalls anew;
-// those that ended meanwhile stayed, so that it used their groups last for ever.
-func TestStallsThatEndedWhileTheStoreWasAwayAreForgotten(t *testing.T) {
-	const table, group = "stalls", "g-gone"
-	s := newSite(t, 1)
-	troubled := fleet.Server{
-		Membership: fleet.Membership{
-			Group: group,
-			Epoch: 7,
-			State: fleet.Open,
-		},
-	}
-	store := platform.NewStore(s.platform.Store.Address())
-	_, err := store.Commit(context.Background(), rowstore.Transaction{
-		Writes: []rowstore.Row{
-			{
-				Table: table,
-				Key:   group,
-				Value: []byte(`{"epoch":7}`),
-			},
-		},
-	})
-	qt.Assert(t, err, qt.IsNil)
-	s.awaitTrue(func() bool {
-		return s.daemons[0].IsTroubled(troubled)
-	})
-
-	s.platform.Store.SetFault(standin.Refusing)
-	s.awaitTrue(func() bool {
-		return slices.ContainsFunc(s.lines("store: call failed"), func(line string) bool {
-			return strings.Contains(line, `"table":"stalls"`)
-		})
-	})
-	s.platform.Store.Remove(table, group)
-	s.platform.Store.Forget()
-	s.platform.Store.SetFault(standin.Well)
-	s.awaitTrue(func() bool {
-		return !s.daemons[0].IsTroubled(troubled)
-	})
-}
