Count nobody twice; plan by exchange; leave half of the loads to new servers

While relays had no copy each daemon told a relay, which counted it though it could not answer, and a standby: half as much more seemed to be asked, and two of six large groups were ended for the small model. A plan filled servers with small groups where a large one did not fit into what was left: four and fourteen, where five and twelve leave fewer callers late. Second models took 17 of 20 loads, and new servers stood empty for ten seconds.

A word is forgotten when its call is not answered for want of a copy. A plan is improved by giving up groups of one model for one of another while that helps. Loads for a purpose begin up to a part of those that run at full speed: second models up to half, as three of six were before.

--- a/core/assembly/convert.go
+++ b/core/assembly/convert.go
@@ -79,23 +79,13 @@
 	if !ok || world.IsStart || !world.IsSteady || !c.hasGrounds(at) {
 		return
 	}
-	mayTakeWell := c.mayConvert(at)
 	for _, one := range at.service.Engine.Models {
 		at.coming[one.Name] = c.comingGroups(at, one, world)
 	}
 	if at.ease(model, at.live[model.Name]+at.coming[model.Name]) >= convertBelow {
 		return
 	}
-	best := conversion{}
-	for _, domain := range at.domains {
-		if c.conversions[domain].isUnderWay() {
-			continue
-		}
-		found := c.conversionIn(at, domain, model, world)
-		if (mayTakeWell || found.isOfSlow) && len(found.groups) > 0 && (len(best.groups) == 0 || len(found.groups) < len(best.groups)) {
-			best = found
-		}
-	}
+	best := c.bestConversion(at, model, world)
 	if len(best.groups) == 0 {
 		return
 	}
@@ -110,6 +100,24 @@
 	}
 }
 
+// bestConversion returns the conversion for a model that ends the fewest groups, of those
+// that may begin now.
+func (c *Controller) bestConversion(at *layout, model config.Model, world World) conversion {
+	mayTakeWell := c.mayConvert(at)
+	best := conversion{}
+	for _, domain := range at.domains {
+		if c.conversions[domain].isUnderWay() {
+			continue
+		}
+		found := c.conversionIn(at, domain, model, world)
+		isPossible := len(found.groups) > 0 && (mayTakeWell || found.isOfSlow)
+		if isPossible && (len(best.groups) == 0 || len(found.groups) < len(best.groups)) {
+			best = found
+		}
+	}
+	return best
+}
+
 // hasGrounds tells whether it is known what callers ask for, or will not be: a new leader
 // hears of it with its first feeds. Until then it would go by what the operator expects,
 // and one ended a group that was needed 20 ms after it had begun.
--- a/core/assembly/need.go
+++ b/core/assembly/need.go
@@ -78,11 +78,62 @@
 			}
 		}
 		if bestGain < 0 {
-			return plans
+			break
 		}
 		plans[best.Name]++
 		left -= float64(best.Size)
 	}
+	l.exchange(plans, left)
+	return plans
+}
+
+// exchange improves a plan by giving up groups of one model for one group of another, as
+// long as that helps: large groups may not have fitted into what was left.
+func (l *layout) exchange(plans map[string]int, left float64) {
+	const most = 16
+	for range most {
+		better := l.bestExchange(plans, left)
+		if better.gain <= 0 {
+			return
+		}
+		plans[better.from.Name] -= better.number
+		plans[better.to.Name]++
+		left += float64(better.number*better.from.Size - better.to.Size)
+	}
+}
+
+// exchanged is a number of groups of one model that are given up for one of another, and
+// how many callers more are served in time.
+type exchanged struct {
+	from   config.Model
+	to     config.Model
+	number int
+	gain   float64
+}
+
+// bestExchange returns the exchange that helps most.
+func (l *layout) bestExchange(plans map[string]int, left float64) exchanged {
+	var best exchanged
+	for _, from := range l.service.Engine.Models {
+		for _, to := range l.service.Engine.Models {
+			missing := nearly*float64(to.Size) - left
+			number := max(1, int(math.Ceil(missing/float64(from.Size))))
+			if from.Name == to.Name || plans[from.Name] <= number {
+				continue
+			}
+			lost := l.missed(from, plans[from.Name]-number) - l.missed(from, plans[from.Name])
+			gained := l.missed(to, plans[to.Name]) - l.missed(to, plans[to.Name]+1)
+			if gained-lost > best.gain {
+				best = exchanged{
+					from:   from,
+					to:     to,
+					number: number,
+					gain:   gained - lost,
+				}
+			}
+		}
+	}
+	return best
 }
 
 // used returns how many servers groups would be made of if all were of one model.
--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -139,31 +139,34 @@
 type purpose struct {
 	// reason is for the log.
 	reason string
-	// spared is how many of the loads that the weight store serves at full speed are
-	// left to more urgent ones. A load takes 12 s to 16 s and is not stopped, and one
+	// share is the part of the loads that the weight store serves at full speed up to which
+	// one for this purpose may begin. A load takes 12 s to 16 s and is not stopped, and one
 	// more than the store serves makes all of them take longer: so those that can wait
-	// leave room for those that cannot.
-	spared int
+	// leave room for those that cannot. When second models took 17 of 20, new servers
+	// stood empty for ten seconds.
+	share float64
 }
 
 // The purposes of loads, the most urgent first.
 var (
 	forGroup = purpose{
 		reason: "a group lacks its weights",
+		share:  1,
 	}
 	forSpare = purpose{
 		reason: "the domain has no spare with them",
-		spared: 1,
+		share:  0.85,
 	}
 	forSecond = purpose{
 		reason: "a second model for its host",
-		spared: 3,
+		share:  0.5,
 	}
 )
 
 // mayStage tells whether one more load for a purpose may begin.
 func (c *Controller) mayStage(engine *config.Engine, why purpose, world World) bool {
-	isCrowded := !world.IsStart && len(c.staged) >= max(1, engine.LoadsAtOnce-why.spared)
+	most := max(1, int(why.share*float64(engine.LoadsAtOnce)))
+	isCrowded := !world.IsStart && len(c.staged) >= most
 	return !isCrowded && c.mayLoad(1, engine, world)
 }
 
--- a/core/demand/board.go
+++ b/core/demand/board.go
@@ -122,6 +122,14 @@
 	return b.all(), nil
 }
 
+// Retract forgets the word of a daemon that was not answered: it turns to another one, and
+// tells that one.
+func (b *Board) Retract(from string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	delete(b.told, from)
+}
+
 // Heard takes a daemon's answer to what it was told, by its name.
 func (b *Board) Heard(from string, asked []Asked) error {
 	if err := Check(asked); err != nil {
--- a/io/relay/demand.go
+++ b/io/relay/demand.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"github.com/pkg/errors"
+
 	"headcourse/core/demand"
+	"headcourse/core/rowstore"
 	"headcourse/core/usage"
 )
 
@@ -79,6 +82,15 @@
 	return encodeAsked(all)
 }
 
+// retract forgets what a daemon told with a call that this one has no copy for: with the
+// store away from all relays, each daemon's requests counted at its relay and at a standby,
+// and the leader thought that half as much more was asked.
+func (s *Server) retract(call question, err error) {
+	if s.board != nil && call.From != "" && errors.Is(err, rowstore.ErrNoCopy) {
+		s.board.Retract(call.From)
+	}
+}
+
 // refuse tells of a word that makes no sense.
 func (s *Server) refuse(from string, err error) {
 	if s.refused != nil {
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -174,6 +174,7 @@
 	wait := min(time.Duration(asked.WaitMS)*time.Millisecond, longestWait)
 	result, err := s.reader.Feed(ctx, asked.Table, asked.Since, wait)
 	if err != nil {
+		s.retract(asked, err)
 		return nil, encodeError(err)
 	}
 	encoded, err := s.encode(asked.Table, asked.Since, result)
