--- a/core/locality/main_test.go
+++ b/core/locality/main_test.go
@@ -1,7 +1,6 @@
 package locality_test
 
 import (
-	"os"
 	"testing"
 
 	"headcourse/lab/fuzz"
@@ -9,5 +8,5 @@
 
 // TestMain fixes the seeds of what is drawn.
 func TestMain(m *testing.M) {
-	os.Exit(fuzz.Main(m))
+	fuzz.Exit(m)
 }
