Give a table that was not read in time longer at the next try

Cause, by a test: a read of a whole table is given 1.5 s, so that one which takes 2 s is never answered, however often it is tried.

Each read that is not answered in time is given twice as long, up to 12 s.

Measured: the test, which fails without it.

--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -13,8 +13,11 @@
 	// store's own 4 ms, links, and a slow store's twentyfold.
 	feedMargin = 700 * time.Millisecond
 	// readTime bounds reading a whole table, of thousands of rows on a slow store; it
-	// is not the time that a feed waits, which may be much longer.
-	readTime = 1500 * time.Millisecond
+	// is not the time that a feed waits, which may be much longer. Each read that is not
+	// answered in time is given twice as long at the next try, up to longestRead: a table
+	// that takes longer once would never be read else.
+	readTime    = 1500 * time.Millisecond
+	longestRead = 12 * time.Second
 	// retryWait is the pause after a failed call, so that a store that refuses
 	// costs each VM three calls a second.
 	retryWait = 300 * time.Millisecond
@@ -45,6 +48,8 @@
 	version   int64
 	isRead    bool
 	failingAt time.Time
+	// unanswered counts the reads in a row that were not answered in time.
+	unanswered int
 }
 
 // Run follows the table until ctx ends.
@@ -103,9 +108,7 @@
 // call reads the table, or waits for its changes.
 func (f *Follower) call(ctx context.Context) (Result, error) {
 	if !f.isRead {
-		ctx, cancel := context.WithTimeout(ctx, readTime)
-		defer cancel()
-		return f.Store.Read(ctx, f.Table)
+		return f.read(ctx)
 	}
 	wait := f.Wait
 	if !f.failingAt.IsZero() {
@@ -117,6 +120,20 @@
 	return f.Store.Feed(ctx, f.Table, f.version, wait)
 }
 
+// read reads the table.
+func (f *Follower) read(ctx context.Context) (Result, error) {
+	const mostDoublings = 3
+	limited, cancel := context.WithTimeout(ctx, min(longestRead, readTime<<min(f.unanswered, mostDoublings)))
+	defer cancel()
+	result, err := f.Store.Read(limited, f.Table)
+	if err != nil && limited.Err() != nil {
+		f.unanswered++
+	} else {
+		f.unanswered = 0
+	}
+	return result, err
+}
+
 // noteFailure tells a failed call.
 func (f *Follower) noteFailure(err error, at time.Time) {
 	if f.failingAt.IsZero() {
--- a/core/rowstore/rowstore_test.go
+++ b/core/rowstore/rowstore_test.go
@@ -387,3 +387,20 @@
 		qt.Assert(t, w.rows["a"], qt.Equals, "1")
 	})
 }
+
+// All of 300 daemons read a table of 3,000 rows at once after a restart: a read that takes
+// longer than it is given must be given more, or nobody ever reads the table.
+func TestTableThatTakesLongIsReadAllTheSame(t *testing.T) {
+	for _, takes := range []time.Duration{2 * time.Second, 5 * time.Second} {
+		run(t, func(ctx context.Context, t *testing.T) {
+			store := newFakeStore()
+			store.put("a", "1")
+			store.set(func(f *fakeStore) {
+				f.delay = takes
+			})
+			w := follow(ctx, store, &rowstore.Freshness{})
+			pause(20 * time.Second)
+			qt.Assert(t, w.rows["a"], qt.Equals, "1")
+		})
+	}
+}
