--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -17,6 +17,13 @@
 // members are probed. It ends if one of them is dead, and also if one is slow and a
 // spare can take its place.
 //
+// A step decides in this order, each in files of its own: which groups serve on, form or
+// must end (check, suspect, late); how those that end do so safely (finish); what callers
+// ask for (demand) and how many groups that takes, for whom (need); what is there (layout);
+// which groups form (form), or end for others (convert); and which weights servers load
+// meanwhile (warm, stage, second). signs is what probes found, recent what the store keeps
+// of loads, plan what a step returns.
+//
 // How many groups a model has follows what callers ask for, as all daemons measure it.
 // Free servers stand ready for more than one model: each has been in a group of one,
 // which it joins again within 0.2 s, and its host keeps another. Where a model lacks
--- a/core/rowstore/rowstore.go
+++ b/core/rowstore/rowstore.go
@@ -5,6 +5,13 @@
 // done. ErrUnknown says that the write may have been done, or may be done yet
 // if its conditions still hold; whoever sees it reads the rows again before it
 // acts on them.
+//
+// A daemon reads and follows tables by a Follower, through a Chain: first its relays, then
+// the daemons that stand by for these, then the store, then those that ask it in their turn.
+// Three mechanisms keep calls few. avoidance leaves a relay alone that failed lately;
+// restraint says when the store itself may be asked, by how it answered lately and by what
+// relays say of their copies; Follower pauses after each failed call. A Hub is the copy that
+// others are given, and Freshness says how old it is.
 package rowstore
 
 import (
