--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -19,7 +19,7 @@
 //
 // A step decides in this order, each in files of its own: which groups serve on, form or
 // must end (check, suspect, late); how those that end do so safely (finish); what callers
-// ask for (demand) and how many groups that takes, for whom (need); what is there (layout);
+// ask for (demand) and how many groups that takes, for whom (need, planned); what is there (layout);
 // which groups form (form), or end for others (convert); and which weights servers load
 // meanwhile (warm, stage, second). signs is what probes found, recent what the store keeps
 // of loads, plan what a step returns.
--- a/core/assembly/fuzz_test.go
+++ b/core/assembly/fuzz_test.go
@@ -21,7 +21,7 @@
 }
 
 // TestFuzzOfLargeGroups does the same with groups of twelve and six in domains of 27, while
-// callers ask for both models, half of the time more than all groups can serve.
+// callers ask for both models, from nothing to more than all groups can serve.
 func TestFuzzOfLargeGroups(t *testing.T) {
 	fuzz.Check(t, func(rt *rapid.T) {
 		s, c := largeGroups(2)
