--- a/core/assembly/need.go
+++ b/core/assembly/need.go
@@ -126,8 +126,8 @@
 // serving them in time, which is 2. It is not the part of the groups that the model needs:
 // one with a tenth less than it needs may be a little later, or not keep up at all. Four
 // fifths of the callers of 89 daemons asked for a model whose groups could
-// keep up with 8.8 and needed 10.4; it was given 8 for the other's sake, and 2,800 of its
-// 15,500 requests were late.
+// keep up with 8.8 and needed 10.4, by the reckoning of config.Engine; compared by the
+// part of its need it was left with 6 to 10, and 2,800 of its 15,500 requests were late.
 func (l *layout) ease(model config.Model, number int) float64 {
 	groups := float64(number)
 	least := l.least(model)
--- a/core/config/room.go
+++ b/core/config/room.go
@@ -31,8 +31,8 @@
 	// deviations more still find one.
 	fullPlaces = 0.7
 	// mostPlaces and mostReading are the parts from which on chance alone makes requests
-	// wait for each other: with 8 groups that were asked 0.96 of their places on the mean,
-	// half of the requests waited for over a second.
+	// wait for each other. With 8 groups of six serving, which were asked 0.96 of their
+	// places by this reckoning, half of all requests began after more than a second.
 	mostPlaces  = 0.88
 	mostReading = 0.95
 	// fullReading is the part of the time in which a group reads while it has room.
--- a/core/demand/meter.go
+++ b/core/demand/meter.go
@@ -82,8 +82,8 @@
 }
 
 // window returns the seconds over which the decaying sums count. A daemon that has just
-// started has noted little yet, which does not mean that it is asked little: when daemons
-// were restarted one after the other, a quarter of what was asked was missed.
+// started has noted little yet, which does not mean that it is asked little. Where all are
+// restarted in turn, as for an upgrade, the sum would be too low all the time.
 func (m *Meter) window(now time.Time) float64 {
 	age := max(leastTime, now.Sub(m.began))
 	return meterTime.Seconds() * (1 - math.Exp(-age.Seconds()/meterTime.Seconds()))
