Sight: lines tell which requests ask the same, and when servers broke off

A request's line, where a server broke it off, has content (a one-way digest of path, organisation and body, shared by its repeats) and broke_after_ms.

--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"headcourse/core/balancer"
 	"headcourse/core/config"
@@ -385,3 +386,34 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, string(body), qt.Equals, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n")
 }
+
+// Servers ended under one request that came again and again under new ids, and no line told
+// that it was one: 26 ends looked like 26 accidents.
+func TestLinesOfRepeatsTellThatTheirContentIsTheSame(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(backend.Close)
+	core, logs := observer.New(zap.InfoLevel)
+	server, err := gateway.Listen(gateway.Options{
+		Address:  "127.0.0.1:0",
+		Source:   newSource(oneServer(backend, config.Safe)),
+		Dialect:  platform.Dialect{},
+		Meter:    &demand.Meter{},
+		Budgets:  &retry.Budgets{},
+		Registry: metrics.NewRegistry(),
+		Log:      zap.New(core),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(server.Kill)
+
+	for _, id := range []string{"first", "again"} {
+		status, _ := ask(t, server.Address(), id, time.Minute)
+		qt.Assert(t, status, qt.Equals, http.StatusBadGateway)
+	}
+	lines := logs.FilterMessage("clients: request ended").All()
+	qt.Assert(t, lines, qt.HasLen, 2)
+	qt.Assert(t, lines[0].ContextMap()["content"], qt.Not(qt.IsNil))
+	qt.Assert(t, lines[0].ContextMap()["content"], qt.Equals, lines[1].ContextMap()["content"])
+	qt.Assert(t, lines[0].ContextMap()["broke_after_ms"], qt.HasLen, 1)
+}
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -12,6 +12,7 @@
 	"headcourse/core/config"
 	"headcourse/core/demand"
 	"headcourse/core/fleet"
+	"headcourse/core/quarantine"
 	"headcourse/core/request"
 	"headcourse/core/usage"
 	"headcourse/io/backend"
@@ -57,6 +58,11 @@
 	// sent is not sent again.
 	arrivals int
 	trail    []string
+	// content names what the request asks; digest works it out once.
+	content    quarantine.Digest
+	isDigested bool
+	// brokeAfter tells of each send that the server broke off how long it had lasted.
+	brokeAfter []time.Duration
 	// isPaid tells that the next send has been paid for out of the retry budget.
 	isPaid atomic.Bool
 	// isBudgetSpent tells that the request was not sent again for want of budget.
@@ -94,6 +100,15 @@
 	}
 }
 
+// digest returns what names the request's content, which its repeats share.
+func (j *job) digest() quarantine.Digest {
+	if !j.isDigested {
+		j.content = quarantine.DigestOf(j.request.Target, j.organisation, j.request.Body)
+		j.isDigested = true
+	}
+	return j.content
+}
+
 // hold notes the exchange under way, so that it ends if the client goes.
 func (j *job) hold(exchange *backend.Exchange) {
 	j.mutex.Lock()
--- a/io/gateway/line.go
+++ b/io/gateway/line.go
@@ -21,6 +21,18 @@
 		step += ":" + string(reason)
 	}
 	j.trail = append(j.trail, step)
+	if reason == request.ReasonBroken {
+		j.brokeAfter = append(j.brokeAfter, time.Since(j.sentAt))
+	}
+}
+
+// milliseconds returns times in whole milliseconds.
+func milliseconds(times []time.Duration) []int64 {
+	var whole []int64
+	for _, one := range times {
+		whole = append(whole, one.Milliseconds())
+	}
+	return whole
 }
 
 // end writes the request's log line and forgets the request.
@@ -84,6 +96,9 @@
 			zap.Int64("first_event_ms", j.firstEvent.Milliseconds()),
 			zap.Int64("longest_pause_ms", j.longestPause.Milliseconds()))
 	}
+	if len(j.brokeAfter) > 0 {
+		fields = append(fields, zap.Stringer("content", j.digest()), zap.Int64s("broke_after_ms", milliseconds(j.brokeAfter)))
+	}
 	if leftOut > 0 {
 		fields = append(fields, zap.Int("successes_not_logged", leftOut))
 	}
