--- a/lab/standin/client.go
+++ b/lab/standin/client.go
@@ -30,6 +30,8 @@
 	Status int
 	Body   string
 	Seal   string
+	// Reason is why the daemon refused the request, in its own words; empty where a server
+	// answered.
 	Reason string
 	// Retry is the Retry-After header.
 	Retry string
@@ -71,6 +73,9 @@
 	answer.Retry = response.Header.Get("Retry-After")
 	content, err := io.ReadAll(response.Body)
 	answer.Body = string(content)
+	if answer.Seal == "" {
+		answer.Reason = strings.TrimSpace(answer.Body)
+	}
 	answer.Err = errors.Wrap(err, "read answer")
 	c.check(answer, response.Header.Get(wire.HeaderID), path)
 	return answer
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -54,6 +54,8 @@
 	config  wire.Config
 	ready   map[string]bool
 	runs    map[string]int
+	// crashes counts the servers that crashed, by the path of the request.
+	crashes map[string]int
 	broken  []string
 	dir     string
 	lead    func(address string) (string, error)
@@ -80,6 +82,7 @@
 		servers: map[string]*Server{},
 		ready:   map[string]bool{},
 		runs:    map[string]int{},
+		crashes: map[string]int{},
 		dir:     dir,
 		lead:    size.Lead,
 		config:  firstConfig(),
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -329,6 +329,10 @@
 		return
 	}
 	s.platform.noteRun(s, r, id)
+	if isCrashing(r) {
+		s.platform.crash(s, r)
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(wire.HeaderID, id)
 	w.Header().Set(wire.HeaderSeal, "seal."+s.id+"."+id)
 	switch {
