--- /dev/null
+++ b/io/gateway/quarantine_test.go
@@ -0,0 +1,226 @@
+package gateway_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	"headcourse/core/config"
+	"headcourse/core/demand"
+	"headcourse/core/quarantine"
+	"headcourse/core/retry"
+	"headcourse/io/gateway"
+	"headcourse/platform"
+	"headcourse/platform/wire"
+)
+
+// ledgerSource is a source that hears which ends others are to be told of.
+type ledgerSource struct {
+	*source
+	mutex   sync.Mutex
+	ended   []quarantine.End
+	cleared []quarantine.End
+}
+
+// Ended notes an end.
+func (s *ledgerSource) Ended(end quarantine.End) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ended = append(s.ended, end)
+}
+
+// Cleared notes ends that are no ground.
+func (s *ledgerSource) Cleared(ends []quarantine.End) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.cleared = append(s.cleared, ends...)
+}
+
+// heard returns what others are to be told.
+func (s *ledgerSource) heard() (ended, cleared []quarantine.End) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.ended, s.cleared
+}
+
+// listenWith starts a gateway that shares a ledger with the test.
+func listenWith(t *testing.T, from gateway.Source, ledger *quarantine.Ledger) *gateway.Server {
+	t.Helper()
+	server, err := gateway.Listen(gateway.Options{
+		Address:  "127.0.0.1:0",
+		Source:   from,
+		Dialect:  platform.Dialect{},
+		Meter:    &demand.Meter{},
+		Budgets:  &retry.Budgets{},
+		Ledger:   ledger,
+		Registry: metrics.NewRegistry(),
+		Log:      zap.NewNop(),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(server.Kill)
+	return server
+}
+
+// contentOfAsk is the content of what ask sends.
+func contentOfAsk() quarantine.Digest {
+	return quarantine.DigestOf(path, "", nil)
+}
+
+// backends starts some servers with one handler and returns their addresses.
+func backends(t *testing.T, count int, handler http.HandlerFunc) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		backend := httptest.NewServer(handler)
+		t.Cleanup(func() {
+			backend.CloseClientConnections()
+			backend.Close()
+		})
+		addresses = append(addresses, backend.Listener.Addr().String())
+	}
+	return addresses
+}
+
+// answerWhole answers a request whole.
+func answerWhole(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(wire.HeaderID, r.Header.Get(wire.HeaderID))
+	w.Header().Set(wire.HeaderSeal, "seal")
+}
+
+func TestHeldRequestIsRefusedBeforeItIsSent(t *testing.T) {
+	for _, kind := range []config.Kind{config.Safe, config.Unsafe, config.Stream} {
+		var arrived atomic.Int64
+		addresses := backends(t, 4, func(http.ResponseWriter, *http.Request) {
+			arrived.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		from := &ledgerSource{
+			source: newSource(someServers(kind, addresses...)),
+		}
+		var ledger quarantine.Ledger
+		server := listenWith(t, from, &ledger)
+		for turn := 0; !ledger.IsHeld(contentOfAsk()); turn++ {
+			status, _ := ask(t, server.Address(), "r"+strconv.Itoa(turn), time.Minute)
+			// A server may have run it.
+			qt.Assert(t, status, qt.Equals, http.StatusBadGateway)
+		}
+		ended, _ := from.heard()
+		qt.Assert(t, ended, qt.HasLen, 3)
+
+		before := arrived.Load()
+		status, header := ask(t, server.Address(), "again", time.Minute)
+		qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+		qt.Assert(t, comesBack(t, header), qt.Equals, quarantine.HeldFor)
+		qt.Assert(t, arrived.Load(), qt.Equals, before)
+	}
+}
+
+// A request that waits for its turn at a busy server would crash it later, with all that
+// run there.
+func TestHeldRequestIsBrokenOffWhereItWaits(t *testing.T) {
+	arrived, left := make(chan struct{}, 1), make(chan struct{})
+	addresses := backends(t, 2, func(_ http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-r.Context().Done()
+		close(left)
+	})
+	var ledger quarantine.Ledger
+	server := listenWith(t, newSource(someServers(config.Safe, addresses...)), &ledger)
+	answered := make(chan int)
+	go func() {
+		status, _ := ask(t, server.Address(), "r1", time.Hour)
+		answered <- status
+	}()
+	<-arrived
+	for _, start := range []string{"a", "b", "c"} {
+		ledger.Told(quarantine.End{
+			Digest: contentOfAsk(),
+			Start:  start,
+		})
+	}
+	<-left
+	// Its server may have run it, and no other is asked.
+	qt.Assert(t, <-answered, qt.Equals, http.StatusBadGateway)
+}
+
+// A stream that broke off goes on elsewhere, but not once it is held.
+func TestHeldStreamDoesNotGoOnElsewhere(t *testing.T) {
+	var arrived atomic.Int64
+	addresses := backends(t, 3, func(w http.ResponseWriter, r *http.Request) {
+		arrived.Add(1)
+		w.Header().Set("Content-Type", "text/event-stream")
+		answerWhole(w, r)
+		_, err := io.WriteString(w, "id: 1\ndata: first\n\n")
+		qt.Check(t, err, qt.IsNil)
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	var ledger quarantine.Ledger
+	for _, start := range []string{"a", "b"} {
+		ledger.Told(quarantine.End{
+			Digest: contentOfAsk(),
+			Start:  start,
+		})
+	}
+	server := listenWith(t, newSource(someServers(config.Stream, addresses...)), &ledger)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address()+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.Host = host
+	request.Header.Set(wire.HeaderID, "r1")
+	answer, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.ReadAll(answer.Body)
+	qt.Assert(t, err, qt.IsNotNil, qt.Commentf("a stream that broke off must not look whole"))
+	qt.Assert(t, answer.Body.Close(), qt.IsNil)
+	qt.Assert(t, arrived.Load(), qt.Equals, int64(1))
+}
+
+// What merely ran beside a request that crashes servers is answered in the end, which
+// tells that it is none.
+func TestAnswerClearsARequestForAllDaemons(t *testing.T) {
+	addresses := backends(t, 1, answerWhole)
+	from := &ledgerSource{
+		source: newSource(someServers(config.Safe, addresses...)),
+	}
+	var ledger quarantine.Ledger
+	told := quarantine.End{
+		Digest: contentOfAsk(),
+		Start:  "a",
+	}
+	ledger.Told(told)
+	server := listenWith(t, from, &ledger)
+	status, _ := ask(t, server.Address(), "r1", time.Minute)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	_, cleared := from.heard()
+	qt.Assert(t, cleared, qt.DeepEquals, []quarantine.End{told})
+	qt.Assert(t, ledger.Ends(contentOfAsk()), qt.HasLen, 0)
+}
+
+// A link that falls silent is no server that ended: a request that is lost with three such
+// would be refused for a day.
+func TestSilenceIsNoEndOfAServer(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() {
+		_ = listener.Close()
+	})
+	from := &ledgerSource{
+		source: newSource(someServers(config.Unsafe, listener.Addr().String())),
+	}
+	var ledger quarantine.Ledger
+	server := listenWith(t, from, &ledger)
+	status, _ := ask(t, server.Address(), "r1", 200*time.Millisecond)
+	qt.Assert(t, status, qt.Equals, http.StatusGatewayTimeout)
+	ended, _ := from.heard()
+	qt.Assert(t, ended, qt.HasLen, 0)
+}
