Tell starts of a server under one ID apart by their birth

A server may start again under the ID that it had: it holds and knows nothing of before. What is known by ID is void then: signs, stages, late joins, paces, failures, the model loaded last; groups which the former start was asked to join end, and members of a head that started again leave before they join others, since an order to the former start fits the new one. A probe of a former start counts as refused. Ends under requests count starts.

--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -37,6 +37,8 @@
 	began time.Time
 	// late is until when servers are left alone that did not join in time.
 	late map[string]time.Time
+	// starts has, by server, when the start that was seen last was born.
+	starts map[string]int64
 }
 
 // membershipKey names a group of one epoch.
@@ -138,6 +140,7 @@
 	if world.Config == nil {
 		return plan
 	}
+	c.noteStarts(world, &plan)
 	for _, name := range sortedNames(c.groups) {
 		g := c.groups[name]
 		if g.ending == "" {
--- a/core/assembly/finish.go
+++ b/core/assembly/finish.go
@@ -42,7 +42,9 @@
 	head, ok := world.Fleet.Server(id)
 	isOut := ok && !head.Membership.In(g.record.Name, g.record.Epoch)
 	if isOut || g.hasHeadLeft {
-		g.isHeadOut = true
+		// A head that started again may come back by an order to its former start: the
+		// members leave before they join others.
+		g.isHeadOut = !g.hasNewHead
 		return true
 	}
 	isDead, _ := c.isDead(id)
--- a/core/assembly/fuzz_test.go
+++ b/core/assembly/fuzz_test.go
@@ -129,5 +129,8 @@
 		one.pace = 4
 	case 8:
 		one.pace = 1
+	case 10, 11:
+		// It starts again under its id, before its entry has lapsed.
+		s.rebirth(one)
 	}
 }
--- a/core/assembly/group.go
+++ b/core/assembly/group.go
@@ -1,6 +1,7 @@
 package assembly
 
 import (
+	"slices"
 	"time"
 
 	"headcourse/core/fleet"
@@ -28,6 +29,8 @@
 	isRemoving bool
 	// isHeadOut tells that the group ended because its head is known to be out.
 	isHeadOut bool
+	// hasNewHead tells that the head has started again under its ID.
+	hasNewHead bool
 	// hasHeadLeft tells that the head itself took the order to leave;
 	// withoutMember since when it is surely without one of its members.
 	hasHeadLeft   bool
@@ -50,6 +53,11 @@
 	}
 }
 
+// has tells whether a server is a member.
+func (g *group) has(id string) bool {
+	return slices.Contains(g.record.Members, id)
+}
+
 // end makes a group end.
 func (g *group) end(reason string, isGentle bool) {
 	g.ending = reason
--- a/core/assembly/recent.go
+++ b/core/assembly/recent.go
@@ -15,7 +15,8 @@
 // Recent is what the servers of a domain loaded last.
 type Recent struct {
 	Domain string `json:"domain"`
-	// Models are models by server ID.
+	// Models are models by the start of the server: one that started again under its ID
+	// has loaded none.
 	Models map[string]string `json:"models"`
 }
 
@@ -45,7 +46,7 @@
 	}
 	for _, server := range world.Fleet.Servers() {
 		if server.Domain == domain && server.Recent != "" {
-			recent.Models[server.ID] = server.Recent
+			recent.Models[server.Start()] = server.Recent
 		}
 	}
 	plan.Recent = append(plan.Recent, recent)
--- a/core/assembly/sim_test.go
+++ b/core/assembly/sim_test.go
@@ -191,6 +191,7 @@
 func (s *simFleet) entry(one *simServer) fleet.Server {
 	entry := fleet.Server{
 		ID:       one.id,
+		Born:     one.born,
 		Service:  "engines",
 		Address:  "10.0.0.1:1",
 		Domain:   one.domain,
@@ -215,14 +216,14 @@
 }
 
 // probe returns what a probe of a server finds.
-func (s *simFleet) probe(id string) assembly.Found {
-	one := s.servers[id]
+func (s *simFleet) probe(server fleet.Server) assembly.Found {
+	one := s.servers[server.ID]
 	if one == nil || one.isDead {
 		return assembly.Found{
 			Sign: assembly.Silent,
 		}
 	}
-	if one.isDeaf {
+	if one.isDeaf || one.born != server.Born {
 		return assembly.Found{
 			Sign: assembly.Refused,
 		}
@@ -268,7 +269,7 @@
 	})
 	s.probes += len(plan.Probes)
 	for _, server := range plan.Probes {
-		c.Probed(server.ID, s.probe(server.ID))
+		c.Probed(server.ID, s.probe(server))
 	}
 	for _, group := range plan.Cleared {
 		s.cleared[group]++
--- a/core/assembly/simserver_test.go
+++ b/core/assembly/simserver_test.go
@@ -11,6 +11,7 @@
 // simServer is one start of a simulated model engine.
 type simServer struct {
 	id     string
+	born   int64
 	domain string
 	isDead bool
 	pace   float64
@@ -40,6 +41,27 @@
 	wasReady map[string]bool
 }
 
+// rebirth has a server crash and start again under its id, before anybody looked: it holds
+// and knows nothing of before, but its host keeps what is staged. That it was ready in a
+// group stays true: the platform excuses a member that was ready and is then lost, and a
+// head may be ordered to open by an entry from before.
+func (s *simFleet) rebirth(one *simServer) {
+	if one.isDead || one.isDeaf {
+		return
+	}
+	s.next++
+	s.servers[one.id] = &simServer{
+		id:       one.id,
+		born:     one.born + int64(s.next),
+		domain:   one.domain,
+		staged:   one.staged,
+		isCut:    one.isCut,
+		cutAt:    one.cutAt,
+		pace:     one.pace,
+		wasReady: one.wasReady,
+	}
+}
+
 // head returns the head of a server's group, or nil.
 func (s *simFleet) head(of *simServer) *simServer {
 	if of.state == fleet.NoGroup || len(of.members) == 0 {
--- a/core/assembly/suspect_test.go
+++ b/core/assembly/suspect_test.go
@@ -88,7 +88,7 @@
 		s.servers[slow].pace = 4
 		// The spares are found slow as well when they are looked at.
 		for _, one := range s.servers {
-			c.Probed(one.id, s.probe(one.id))
+			c.Probed(one.id, s.probe(s.entry(one)))
 		}
 		c.Suspect(head.group, head.epoch, "")
 		settle(s, c, false, 3*time.Second)
--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -304,6 +304,13 @@
 	return time.Now().Before(t.of(id).restTill)
 }
 
+// Forget forgets what is known of a server, which has started again under its ID.
+func (t *Tracker) Forget(id string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.servers, id)
+}
+
 // Sweep forgets servers that have nothing under way and are not known any more.
 func (t *Tracker) Sweep(isKnown func(id string) bool) {
 	t.mutex.Lock()
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -8,6 +8,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -43,9 +44,12 @@
 	return m.Group == group && m.Epoch == epoch && m.State != NoGroup
 }
 
-// Server is one start of a backend server; each start has a new ID.
+// Server is one start of a backend server. A start mostly has a new ID, but may have that
+// of the one before: then Born differs, and all that was known of the former is void.
 type Server struct {
-	ID       string
+	ID string
+	// Born is when the server started, in milliseconds, by its own clock; 0: not told.
+	Born     int64
 	Service  string
 	Address  string
 	Zone     string
@@ -66,6 +70,14 @@
 	IsEngine bool
 }
 
+// Start names the start: the ID, and when it was born, where that is told.
+func (s Server) Start() string {
+	if s.Born == 0 {
+		return s.ID
+	}
+	return s.ID + "@" + strconv.FormatInt(s.Born, 10)
+}
+
 // HasStaged tells whether the host keeps a model's weights.
 func (s Server) HasStaged(model string) bool {
 	return slices.Contains(s.Staged, model)
@@ -88,7 +100,9 @@
 		s.Recent = s.Models[0]
 		return s
 	}
-	s.Recent = former.Recent
+	if s.Born == former.Born {
+		s.Recent = former.Recent
+	}
 	return s
 }
 
@@ -149,15 +163,14 @@
 	return next
 }
 
-// WithRecent returns the view with the models that servers loaded last, for those of
-// which this daemon saw none.
+// WithRecent returns the view with the models that servers loaded last, by their starts,
+// for those of which this daemon saw none.
 func (v View) WithRecent(models map[string]string) View {
 	next := v
 	next.servers = maps.Clone(v.servers)
 	next.index = &index{}
-	for id, model := range models {
-		server, ok := next.servers[id]
-		if ok && server.Recent == "" {
+	for id, server := range next.servers {
+		if model, ok := models[server.Start()]; ok && server.Recent == "" {
 			server.Recent = model
 			next.servers[id] = server
 		}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -239,6 +239,23 @@
 	qt.Assert(t, len(s.platform.Heads(standin.ModelLarge)), qt.Equals, len(heads))
 }
 
+// A head and a member that start again under the IDs that they had, before their entries
+// lapse, are in no group, though their entries had told one.
+func TestGroupsComeBackWhenServersStartAgainUnderTheirIDs(t *testing.T) {
+	s := newSite(t, 2)
+	heads := s.platform.Heads(standin.ModelLarge)
+	former := s.platform.Members(heads[0])
+	qt.Assert(t, former[0].Restart(), qt.IsNil)
+	qt.Assert(t, former[2].Restart(), qt.IsNil)
+	s.awaitTrue(func() bool {
+		return len(s.lines("has started again")) > 0
+	})
+	s.awaitTrue(func() bool {
+		return len(s.platform.Heads(standin.ModelLarge)) == len(heads)
+	})
+	s.awaitGroups()
+}
+
 func TestLeavingServerGetsNothingNew(t *testing.T) {
 	s := newSite(t, 1)
 	leaving := s.platform.Servers(standin.ServicePlain)[0]
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -116,9 +116,13 @@
 			servers = append(servers, server)
 		}
 	}
+	former := d.view.Load().Fleet
 	d.change(func(view *gateway.View) {
 		view.Fleet = view.Fleet.WithAll(version, servers, d.outage.Load().LostUntil(d.grace()))
 	})
+	for _, server := range servers {
+		d.noteStart(former, server)
+	}
 	d.serversRead.Store(true)
 	d.noteKnown()
 	d.log.Info("servers: read", zap.Int("servers", len(servers)), zap.Int64("table_version", version))
@@ -149,11 +153,31 @@
 	d.change(func(view *gateway.View) {
 		view.Fleet = view.Fleet.WithChanges(version, changes, d.outage.Load().LostUntil(d.grace()))
 	})
+	for _, change := range changes {
+		d.noteStart(former, change.Server)
+	}
 	if d.isFirstHand() {
 		d.logChanges(former, changes)
 	}
 }
 
+// noteStart notes a server that started again under its ID: its paces, failures and
+// silences were those of its former start.
+func (d *Daemon) noteStart(former fleet.View, server fleet.Server) {
+	before, wasKnown := former.Known(server.ID)
+	if !wasKnown || before.Born == server.Born {
+		return
+	}
+	d.gateway.Restarted(server.ID)
+	if d.isFirstHand() {
+		d.log.Info("servers: started again",
+			zap.String("server", server.ID),
+			zap.Int64("born", server.Born),
+			zap.Int64("former_born", before.Born),
+			zap.String("former_group", before.Membership.Group))
+	}
+}
+
 // grace returns how long servers whose entry goes may be sent requests.
 func (d *Daemon) grace() fleet.Grace {
 	return fleet.Grace{
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -221,6 +221,11 @@
 	return s.backends.Counts()
 }
 
+// Restarted tells that a backend server has started again under its ID.
+func (s *Server) Restarted(id string) {
+	s.tracker.Forget(id)
+}
+
 // Leave makes every further answer ask its client to use another connection.
 func (s *Server) Leave() {
 	s.leaving.Store(true)
--- a/io/gateway/quarantine.go
+++ b/io/gateway/quarantine.go
@@ -58,7 +58,7 @@
 func (j *job) noteEnd(server fleet.Server) {
 	end := quarantine.End{
 		Digest: j.digest(),
-		Start:  server.ID,
+		Start:  server.Start(),
 		Trial:  j.trial,
 	}
 	if j.server.ledger.Note(end) {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -82,6 +82,10 @@
 		name:  "member of a group dies",
 		begin: killMember,
 	},
+	{
+		name:  "member of a group starts again under its ID",
+		begin: restartMember,
+	},
 	{
 		name:  "plain server leaves",
 		begin: replacePlain,
@@ -266,13 +270,32 @@
 // killMember kills a member of an open group, and starts an empty server in its
 // domain.
 func killMember(s *soak) func() {
+	if member := s.anyMember(); member != nil {
+		s.replace(member, (*standin.Server).Kill)
+	}
+	return nil
+}
+
+// anyMember draws a member of an open group; nil where there is none.
+func (s *soak) anyMember() *standin.Server {
 	model := []string{standin.ModelLarge, standin.ModelSmall}[s.random.IntN(2)]
 	heads := s.platform.Heads(model)
 	if len(heads) == 0 {
 		return nil
 	}
 	members := s.platform.Members(heads[s.random.IntN(len(heads))])
-	s.replace(members[s.random.IntN(len(members))], (*standin.Server).Kill)
+	return members[s.random.IntN(len(members))]
+}
+
+// restartMember has a member of an open group crash and start again under its ID.
+func restartMember(s *soak) func() {
+	member := s.anyMember()
+	if member == nil {
+		return nil
+	}
+	if err := member.Restart(); err != nil {
+		s.say("server was not started again: %v", err)
+	}
 	return nil
 }
 
--- a/lab/standin/crash.go
+++ b/lab/standin/crash.go
@@ -22,21 +22,26 @@
 	return strings.HasSuffix(r.URL.Path, "/"+NameCrashing)
 }
 
-// crash ends the server under a request, and starts another in its place some time later.
+// crash ends the server under a request, and starts it again some time later: in turns
+// under a new id and under the one that it had, before its entry has lapsed.
 func (p *Platform) crash(s *Server, r *http.Request) {
 	time.Sleep(crashTime)
-	s.mutex.Lock()
-	wasDead := s.isDead
-	s.mutex.Unlock()
-	if wasDead {
+	if s.dead() {
 		return
 	}
 	p.mutex.Lock()
 	p.crashes[r.URL.Path]++
+	keepsID := p.crashes[r.URL.Path]%2 == 0
 	p.mutex.Unlock()
-	s.Kill()
+	startAgain := s.Restart
+	if keepsID {
+		s.Stop()
+	} else {
+		s.Kill()
+		startAgain = func() error { return p.StartLike(s) }
+	}
 	time.AfterFunc(restartTime, func() {
-		if err := p.StartLike(s); err != nil {
+		if err := startAgain(); err != nil {
 			p.violate("start a server again: " + err.Error())
 		}
 	})
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -24,7 +24,9 @@
 	service  string
 	domain   string
 	address  string
-	http     *http.Server
+	// listens is where the server itself listens; address may lead there.
+	listens string
+	http    *http.Server
 
 	mutex   sync.Mutex
 	isDead  bool
@@ -90,24 +92,54 @@
 		s.state.Phase = "both"
 		s.state.Domain = json.RawMessage(strconv.Quote(domain))
 	}
+	p.mutex.Lock()
+	p.servers[id] = s
+	p.mutex.Unlock()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.serve(listener)
+	return nil
+}
+
+// serve begins a start of the server: it writes its entry and serves. The mutex is held.
+func (s *Server) serve(listener net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathOrder, s.handleOrder)
 	mux.HandleFunc("GET "+wire.PathReport, s.handleReport)
 	mux.HandleFunc("/", s.handleRequest)
-	s.http = &http.Server{
+	started := &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: time.Minute,
 	}
-	p.mutex.Lock()
-	p.servers[id] = s
-	p.mutex.Unlock()
+	s.http = started
+	s.listens = listener.Addr().String()
+	// Two starts within a millisecond are told apart too.
+	s.state.Born = max(s.state.Born+1, time.Now().UnixMilli())
 	go func() {
 		// Serve ends with an error only when the server is closed.
-		_ = s.http.Serve(listener)
+		_ = started.Serve(listener)
 	}()
-	s.mutex.Lock()
 	s.tell()
-	s.mutex.Unlock()
+}
+
+// Restart has the server crash and start again under its id, before its entry lapses. It
+// holds and knows nothing of before; its host keeps what is staged.
+func (s *Server) Restart() error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.isDead {
+		return nil
+	}
+	_ = s.http.Close()
+	listener, err := net.Listen("tcp", s.listens)
+	if err != nil {
+		return errors.Wrapf(err, "start %s again", s.id)
+	}
+	s.state.Models = nil
+	s.state.Group = nil
+	s.members = nil
+	s.seen = 0
+	s.serve(listener)
 	return nil
 }
 
@@ -144,6 +176,8 @@
 
 // Stop ends the server's process; its entry stays.
 func (s *Server) Stop() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	_ = s.http.Close()
 }
 
@@ -151,8 +185,8 @@
 func (s *Server) Kill() {
 	s.mutex.Lock()
 	s.isDead = true
-	s.mutex.Unlock()
 	_ = s.http.Close()
+	s.mutex.Unlock()
 	time.AfterFunc(lapse, func() {
 		s.platform.Store.put(wire.TableServers, s.id, nil)
 	})
@@ -189,7 +223,8 @@
 	_ = json.NewEncoder(w).Encode(report{
 		EngineState: s.state.EngineState,
 		Report: wire.Report{
-			Pace: s.pace,
+			Birth: s.state.Birth,
+			Pace:  s.pace,
 		},
 	})
 }
