Leave a head alone that may open again by orders that were not answered

Finding of a drawn case of TestFuzz: orders to join and to open that were not answered were carried out after the head had left its group; its entry was stale, and it joined another group while it served.

--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -102,7 +102,11 @@
 		c.closed = map[membershipKey]bool{}
 	}
 	for _, name := range names {
-		if g, ok := c.groups[name]; ok && g.isHeadOut {
+		g, ok := c.groups[name]
+		if ok && g.mayComeBack() {
+			c.noteLate(g.record.Members[0], unansweredFor)
+		}
+		if ok && g.isHeadOut {
 			c.closed[membershipKey{
 				group: name,
 				epoch: g.record.Epoch,
@@ -126,6 +130,9 @@
 	if !ok || g.record.Epoch != order.Epoch {
 		return
 	}
+	if order.Server.ID == g.record.Members[0] && result == NoAnswer {
+		g.unanswered |= 1 << order.Kind
+	}
 	if order.Kind == Leave && result == Taken && order.Server.ID == g.record.Members[0] {
 		g.hasHeadLeft = true
 	}
--- a/core/assembly/starts_test.go
+++ b/core/assembly/starts_test.go
@@ -75,3 +75,48 @@
 		qt.Assert(t, known.Membership.State, qt.Equals, fleet.NoGroup)
 	})
 }
+
+// Orders to join and to open that were not answered were carried out after the head had
+// left; its entry was stale, and it joined another group while it served the one before.
+func TestHeadThatMayOpenAgainIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := started(1)
+		var record assembly.Record
+		isLost := map[assembly.Kind]bool{}
+		// The first orders to join and to open that the head of a new group gets are late.
+		late := func(order assembly.Order) fate {
+			own := s.records[order.Group]
+			isHead := own.Name != "" && order.Server.ID == own.Members[0]
+			if record.Name == "" && isHead && own.Model == "large" {
+				record = own
+			}
+			isOfIt := isHead && own.Name == record.Name
+			if isOfIt && (order.Kind == assembly.Join || order.Kind == assembly.Open) && !isLost[order.Kind] {
+				isLost[order.Kind] = true
+				return fate{
+					delay: 9 * time.Second,
+				}
+			}
+			return fate{}
+		}
+		s.rebirth(headOf(s, "large"))
+		for end := time.Now().Add(time.Minute); len(isLost) < 2 || s.servers[record.Members[0]].state != fleet.Open; {
+			qt.Assert(t, time.Now().Before(end), qt.IsTrue)
+			s.run(c, false, late)
+			s.tick()
+		}
+		head := s.servers[record.Members[0]]
+		s.killMember(c, head, 1)
+		for end := time.Now().Add(time.Minute); s.records[record.Name].Name != ""; {
+			qt.Assert(t, time.Now().Before(end), qt.IsTrue)
+			s.run(c, false, promptly)
+			s.tick()
+		}
+		head.isCut, head.cutAt = true, time.Now()
+		s.add("d0", "large")
+		settle(s, c, false, 3*time.Second)
+		qt.Assert(t, head.state, qt.Equals, fleet.NoGroup)
+		settle(s, c, false, 12*time.Second)
+		qt.Assert(t, s.violated, qt.HasLen, 0)
+	})
+}
