Ages go on while the machine is suspended

The steady clock stands still in a sleep, so the configuration, the lease and what a client still waits for seemed younger than they are: a machine woke and accepted withdrawn keys, led on beside its successor, and sent requests whose clients had left; and the store's clock was dated too late from then on, so that copies of other daemons looked fresh for good. Three tests with suspended time; each fails by the runtime's clock alone.

--- /dev/null
+++ b/core/boottime/boottime_test.go
@@ -0,0 +1,30 @@
+package boottime_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/boottime"
+)
+
+func TestClockGoesOnWhileTheMachineIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		clock := boottime.Clock{
+			Suspended: func() time.Duration { return suspended },
+		}
+		began := clock.Now()
+		time.Sleep(time.Second)
+		suspended += 7 * time.Second
+		qt.Assert(t, clock.Since(began), qt.Equals, 8*time.Second)
+		qt.Assert(t, clock.Until(began.Add(time.Minute)), qt.Equals, 52*time.Second)
+
+		var plain boottime.Clock
+		began = plain.Now()
+		time.Sleep(time.Second)
+		qt.Assert(t, plain.Since(began), qt.Equals, time.Second)
+	})
+}
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -21,6 +21,7 @@
 
 	"github.com/pkg/errors"
 
+	"headcourse/core/boottime"
 	"headcourse/core/rowstore"
 )
 
@@ -76,6 +77,8 @@
 	Start string
 	// Rank returns the daemon's place among all: lower ones try earlier.
 	Rank func() int
+	// Clock goes on while the machine is suspended.
+	Clock boottime.Clock
 	// Changed is told when this daemon gains or loses the lease, and why.
 	Changed func(isLeader bool, epoch int64, reason string)
 	// IsAway, if set, tells that the store cannot be reached: then the lease is not tried
@@ -254,7 +257,8 @@
 		holder:  e.Name,
 		start:   e.Start,
 		version: version,
-		granted: time.Now(),
+		clock:   e.Clock,
+		granted: e.Clock.Now(),
 	}
 	if err := lease.Commit(ctx, nil, nil, nil); err != nil {
 		e.putOff()
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"headcourse/core/boottime"
 	"headcourse/core/leader"
 	"headcourse/core/rowstore"
 )
@@ -313,9 +314,9 @@
 }
 
 // held runs an elector until it leads and returns its lease.
-func held(ctx context.Context, c *cluster, i int) *leader.Lease {
+func held(ctx context.Context, c *cluster) *leader.Lease {
 	leases := make(chan *leader.Lease, 1)
-	go c.electors[i].Run(ctx, func(ctx context.Context, lease *leader.Lease) {
+	go c.electors[0].Run(ctx, func(ctx context.Context, lease *leader.Lease) {
 		leases <- lease
 		<-ctx.Done()
 	})
@@ -337,7 +338,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		c := newCluster("a")
-		lease := held(ctx, c, 0)
+		lease := held(ctx, c)
 		c.store.set(func(f *fakeStore) {
 			f.loseNext = true
 		})
@@ -356,7 +357,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		c := newCluster("a")
-		lease := held(ctx, c, 0)
+		lease := held(ctx, c)
 		c.store.set(func(f *fakeStore) {
 			f.lateNext = 3 * time.Second
 		})
@@ -370,12 +371,31 @@
 	})
 }
 
+// A leader whose machine slept for longer than a term woke with a lease that seemed to hold,
+// and gave orders beside its successor.
+func TestLeaseDoesNotHoldAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		c := newCluster("a")
+		var suspended atomic.Int64
+		c.electors[0].Clock = boottime.Clock{
+			Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
+		}
+		lease := held(ctx, c)
+		qt.Assert(t, lease.Holds(), qt.IsTrue)
+		suspended.Add(int64(leader.Term))
+		qt.Assert(t, lease.Holds(), qt.IsFalse)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestFormerLeaderChangesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		c := newCluster("a", "b")
 		paused, wake := context.WithCancel(context.Background())
-		former := held(paused, c, 0)
+		former := held(paused, c)
 		// The daemon is paused: it renews nothing and hears nothing.
 		c.cut["a"] = true
 		c.store.set(func(f *fakeStore) {
--- a/core/leader/lease.go
+++ b/core/leader/lease.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"headcourse/core/boottime"
 	"headcourse/core/rowstore"
 )
 
@@ -35,6 +36,9 @@
 	store  rowstore.Store
 	holder string
 	start  string
+	// clock goes on while the machine is suspended: another daemon may have taken the
+	// lease when it wakes.
+	clock boottime.Clock
 
 	// committing allows one change at a time, since each changes the version
 	// that the next is conditional on.
@@ -50,14 +54,14 @@
 func (l *Lease) Holds() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return !l.isLost && time.Since(l.granted) < Term-safety
+	return !l.isLost && l.clock.Since(l.granted) < Term-safety
 }
 
 // age returns the time since the last rewrite.
 func (l *Lease) age() time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return time.Since(l.granted)
+	return l.clock.Since(l.granted)
 }
 
 // lose marks the lease as lost.
@@ -74,7 +78,7 @@
 func (l *Lease) Commit(ctx context.Context, writes, removes []rowstore.Row, version *int64) error {
 	l.committing.Lock()
 	defer l.committing.Unlock()
-	sent := time.Now()
+	sent := l.clock.Now()
 	l.count++
 	committed, err := l.commitOnce(ctx, writes, removes)
 	if err == nil {
@@ -149,7 +153,7 @@
 	l.mutex.Lock()
 	l.version = version
 	l.mutex.Unlock()
-	sent := time.Now()
+	sent := l.clock.Now()
 	l.count++
 	committed, err := l.commitOnce(ctx, nil, nil)
 	var conflict *rowstore.Conflict
--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -300,7 +300,7 @@
 // with errUnanswered where none answers with a young copy.
 func (c *Chain) askRelays(ctx context.Context, table string, relays []Relay, limit time.Duration, call callTo) (Result, error) {
 	for _, relay := range relays {
-		sent := time.Now()
+		sent := c.clock.Now()
 		limited, cancel := context.WithTimeout(ctx, limit)
 		result, err := call(limited, relay.Reader)
 		cancel()
@@ -398,7 +398,7 @@
 		return nil
 	}
 	when := c.clock.When(result.Now)
-	if when.IsZero() || time.Since(when) > limit {
+	if when.IsZero() || c.clock.Since(when) > limit {
 		return errStale
 	}
 	return nil
--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -65,7 +65,7 @@
 
 // step makes one call and returns the pause after it.
 func (f *Follower) step(ctx context.Context) time.Duration {
-	sent := time.Now()
+	sent := f.Clock.Now()
 	result, err := f.call(ctx)
 	if errors.Is(err, ErrCompacted) {
 		f.isRead = false
--- a/core/rowstore/freshness.go
+++ b/core/rowstore/freshness.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"headcourse/core/boottime"
 )
 
 // Freshness tells how old a view of the store is, without comparing clocks.
@@ -13,6 +15,10 @@
 // n+d no earlier than s+d. The latest such proof dates every later answer, also
 // one that was long on its way. The zero value knows nothing.
 type Freshness struct {
+	// Clock goes on while the machine is suspended, as the store's does: by one that does
+	// not, each sleep would make later answers seem as much younger. Set it before use.
+	Clock boottime.Clock
+
 	mutex sync.Mutex
 	// zero is the latest proven local time at which the store's clock was 0.
 	zero    time.Time
@@ -20,6 +26,16 @@
 	asOf    time.Time
 }
 
+// Now returns the present, by the clock that all of its times are of.
+func (f *Freshness) Now() time.Time {
+	return f.Clock.Now()
+}
+
+// Since returns how long ago such a time is.
+func (f *Freshness) Since(t time.Time) time.Duration {
+	return f.Clock.Since(t)
+}
+
 // Prove notes that a call sent at sent was answered when the store's clock
 // showed now, and returns a local time at which the answer was surely true.
 func (f *Freshness) Prove(sent time.Time, now time.Duration) time.Time {
@@ -50,7 +66,7 @@
 func (f *Freshness) Latest() (time.Duration, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return time.Since(f.zero), f.isKnown
+	return f.Clock.Since(f.zero), f.isKnown
 }
 
 // Confirm notes that the view is complete as of a time.
@@ -69,5 +85,5 @@
 	if f.asOf.IsZero() {
 		return 0, false
 	}
-	return time.Since(f.asOf), true
+	return f.Clock.Since(f.asOf), true
 }
--- a/core/rowstore/hub.go
+++ b/core/rowstore/hub.go
@@ -100,11 +100,19 @@
 // isGood tells whether a copy is there for others, and the store was heard lately. The mutex
 // is held.
 func (h *Hub) isGood(known *copied) bool {
-	isInContact := h.ContactLimit == 0 || time.Since(h.contact) <= h.ContactLimit
+	isInContact := h.ContactLimit == 0 || h.sinceContact() <= h.ContactLimit
 	isOwn := h.IsSecondHand == nil || !h.IsSecondHand()
 	return known.rows != nil && isInContact && isOwn
 }
 
+// sinceContact returns how long ago the store was heard. The mutex is held.
+func (h *Hub) sinceContact() time.Duration {
+	if h.Clock == nil {
+		return time.Since(h.contact)
+	}
+	return h.Clock.Since(h.contact)
+}
+
 // firstCopyTime is how long a read waits for the first copy of a table. Daemons that
 // start together ask each other before any of them has read: 295 of them read
 // 618 tables from the store when they started. A store that answers does so in some
--- a/core/rowstore/rowstore_test.go
+++ b/core/rowstore/rowstore_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"headcourse/core/boottime"
 	"headcourse/core/rowstore"
 )
 
@@ -178,6 +179,35 @@
 	})
 }
 
+// A machine that slept woke with a view that looked as young as before, and served keys that
+// had been withdrawn meanwhile.
+func TestViewOfASuspendedMachineIsAsOldAsItIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		clock := rowstore.Freshness{
+			Clock: boottime.Clock{
+				Suspended: func() time.Duration { return suspended },
+			},
+		}
+		const offset = time.Hour
+		clock.Confirm(clock.Prove(clock.Now(), offset))
+		pause(time.Second)
+		suspended += 5 * time.Second
+		age, _ := clock.Age()
+		qt.Assert(t, age, qt.Equals, 6*time.Second)
+
+		// A copy of another daemon, of 4 s ago by the store's clock, is dated so.
+		when := clock.When(offset + 2*time.Second)
+		qt.Assert(t, clock.Since(when), qt.Equals, 4*time.Second)
+		// A call that the sleep interrupted proves no more than before it.
+		sent := clock.Now()
+		suspended += 5 * time.Second
+		clock.Confirm(clock.Prove(sent, offset+6*time.Second))
+		age, _ = clock.Age()
+		qt.Assert(t, age, qt.Equals, 5*time.Second)
+	})
+}
+
 func TestNothingConfirmedIsNotFresh(t *testing.T) {
 	var clock rowstore.Freshness
 	_, isKnown := clock.Age()
--- a/entry/control.go
+++ b/entry/control.go
@@ -40,6 +40,7 @@
 		Store: d.store,
 		Name:  d.settings.Name,
 		Start: d.start,
+		Clock: d.awake,
 		Rank:  d.rank,
 		IsAway: func() bool {
 			return d.outage.Load().IsUnderWay()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"headcourse/core/boottime"
 	"headcourse/core/demand"
 	"headcourse/core/fleet"
 	"headcourse/core/quarantine"
@@ -31,6 +32,7 @@
 	"headcourse/core/settings"
 	"headcourse/io/exposition"
 	"headcourse/io/gateway"
+	"headcourse/io/kernel"
 	"headcourse/io/logline"
 	"headcourse/io/relay"
 	"headcourse/platform"
@@ -77,6 +79,9 @@
 	gateway *gateway.Server
 	ready   *readiness
 	budgets retry.Budgets
+	// sleep measures suspensions; awake is the clock that counts them.
+	sleep kernel.Sleep
+	awake boottime.Clock
 	// clock dates the store's answers; fresh is how young the configuration is.
 	clock rowstore.Freshness
 	fresh rowstore.Freshness
@@ -162,6 +167,9 @@
 		known:      newMark(),
 		unreadable: newMark(),
 	}
+	d.awake.Suspended = d.sleep.Suspended
+	d.clock.Clock = d.awake
+	d.fresh.Clock = d.awake
 	d.troubles.Every = troubleEvery
 	store := platform.NewStore(known.Store)
 	store.Called = func(call string, took time.Duration) {
@@ -206,6 +214,7 @@
 		Ledger:   &d.ledger,
 		Registry: d.registry,
 		Log:      d.log,
+		Clock:    d.awake,
 	})
 	if err != nil {
 		return err
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -58,6 +58,7 @@
 	set("config_age_ms", d.Age().Milliseconds())
 	set("servers_version", view.Fleet.Version)
 	set("servers_known", int64(len(view.Fleet.Servers())))
+	set("suspended_ms", d.sleep.Suspended().Milliseconds())
 	set("requests_open", d.gateway.Open())
 	direct, relayed := d.StoreAnswers()
 	set("store_answers.direct", direct)
--- a/io/gateway/comeback.go
+++ b/io/gateway/comeback.go
@@ -44,7 +44,7 @@
 	case request.ReasonNoServer:
 		pause = groupPause
 	}
-	left := j.request.Wait - time.Since(j.request.Arrived)
+	left := j.request.Wait - j.server.clock.Since(j.came)
 	pause = min(pause, max(0, left/obeyedPart))
 	return time.Duration((leastPause + pauseSpread*rand.Float64()) * float64(pause)).Round(time.Millisecond)
 }
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"go.uber.org/zap"
 
 	"headcourse/core/balancer"
+	"headcourse/core/boottime"
 	"headcourse/core/config"
 	"headcourse/core/demand"
 	"headcourse/core/fleet"
@@ -94,6 +95,7 @@
 	dialect      Dialect
 	meter        *demand.Meter
 	viewPatience time.Duration
+	clock        boottime.Clock
 	log          *zap.Logger
 	registry     metrics.Registry
 	backends     *backend.Client
@@ -150,6 +152,8 @@
 	Ledger   *quarantine.Ledger
 	Registry metrics.Registry
 	Log      *zap.Logger
+	// Clock goes on while the machine is suspended, as clients' patience does.
+	Clock boottime.Clock
 	// ViewPatience is how long a request is held at most until the daemon has read
 	// what it serves by; 0: the default.
 	ViewPatience time.Duration
@@ -167,6 +171,7 @@
 		dialect:      options.Dialect,
 		meter:        options.Meter,
 		viewPatience: cmp.Or(options.ViewPatience, viewPatience),
+		clock:        options.Clock,
 		log:          options.Log,
 		registry:     options.Registry,
 		backends:     &backend.Client{},
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"headcourse/core/balancer"
+	"headcourse/core/boottime"
 	"headcourse/core/config"
 	"headcourse/core/demand"
 	"headcourse/core/fleet"
@@ -429,3 +431,41 @@
 	qt.Assert(t, lines[0].ContextMap()["content"], qt.Equals, lines[1].ContextMap()["content"])
 	qt.Assert(t, lines[0].ContextMap()["broke_after_ms"], qt.HasLen, 1)
 }
+
+// A request that was held through a sleep of the machine was sent with all of the time that
+// its client had had, though the client had left.
+func TestRequestOfASuspendedMachineIsNotSentTooLate(t *testing.T) {
+	var arrived atomic.Int64
+	addresses := backends(t, 1, func(http.ResponseWriter, *http.Request) {
+		arrived.Add(1)
+	})
+	var suspended atomic.Int64
+	from := newSource(someServers(config.Safe, addresses...))
+	from.known = make(chan struct{})
+	server, err := gateway.Listen(gateway.Options{
+		Address:  "127.0.0.1:0",
+		Source:   from,
+		Dialect:  platform.Dialect{},
+		Meter:    &demand.Meter{},
+		Budgets:  &retry.Budgets{},
+		Ledger:   &quarantine.Ledger{},
+		Registry: metrics.NewRegistry(),
+		Log:      zap.NewNop(),
+		Clock: boottime.Clock{
+			Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
+		},
+		ViewPatience: time.Hour,
+	})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(server.Kill)
+	go func() {
+		for server.Open() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		suspended.Add(int64(2 * time.Hour))
+		close(from.known)
+	}()
+	status, _ := ask(t, server.Address(), "r1", time.Hour)
+	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, arrived.Load(), qt.Equals, int64(0))
+}
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -13,6 +13,7 @@
 
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	came := s.clock.Now()
 	read, err := s.dialect.ReadRequest(ctx)
 	s.open.Add(1)
 	s.hadAny.Store(true)
@@ -21,6 +22,7 @@
 		request:  read,
 		excluded: map[string]bool{},
 		priority: noPriority,
+		came:     came,
 		last:     read.LastEvent,
 	}
 	if s.leaving.Load() {
@@ -118,7 +120,7 @@
 	}
 	waited := j.server.patience.Waited(j.route.Name, wait)
 	j.asked = j.request.Arrived.Add(-waited)
-	j.deadline = j.request.Arrived.Add(wait)
+	j.deadline = j.came.Add(wait)
 }
 
 // pickService draws one of a route's services by weight.
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -42,7 +42,10 @@
 	priority     int
 	// asked is when the client asked first, as far as known: before this attempt if
 	// it tried before.
-	asked    time.Time
+	asked time.Time
+	// came is when the request was taken up, deadline until when its client waits; both
+	// by the server's clock.
+	came     time.Time
 	deadline time.Time
 	// yields tells that the request gives way to others of its kind, since not all
 	// can be in time.
@@ -120,6 +123,11 @@
 	return j.content
 }
 
+// left returns how long the client still waits.
+func (j *job) left() time.Duration {
+	return j.server.clock.Until(j.deadline)
+}
+
 // hold notes the exchange under way, so that it ends if the client goes.
 func (j *job) hold(exchange *backend.Exchange) {
 	j.mutex.Lock()
@@ -212,7 +220,7 @@
 // maySendAgain tells whether a failed request may go to another server, and
 // counts it if so.
 func (j *job) maySendAgain(result tried) bool {
-	if j.isGone.Load() || j.isHeld.Load() || j.sends >= maxSends || time.Until(j.deadline) < leastLeft {
+	if j.isGone.Load() || j.isHeld.Load() || j.sends >= maxSends || j.left() < leastLeft {
 		return false
 	}
 	switch result.reason {
--- a/io/gateway/lane.go
+++ b/io/gateway/lane.go
@@ -29,7 +29,7 @@
 		return
 	}
 	kind := j.service + "/" + j.request.Model
-	patience := min(lanePatience, time.Until(j.deadline)/lanePart)
+	patience := min(lanePatience, j.left()/lanePart)
 	j.leaveLane = j.server.lane.Enter(kind, j.laneLimit(), patience)
 }
 
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -47,7 +47,7 @@
 			reason: request.ReasonCrashes,
 		}
 	}
-	left := time.Until(j.deadline)
+	left := j.left()
 	if left < leastLeft {
 		return tried{
 			reason: request.ReasonDeadline,
@@ -102,7 +102,7 @@
 	j.hold(exchange)
 	watch := j.watchFirst(server, exchange)
 	defer watch.stop()
-	if err = exchange.SetReadDeadline(j.deadline); err != nil {
+	if err = exchange.SetReadDeadline(time.Now().Add(j.left())); err != nil {
 		exchange.Abort()
 		return j.broken(watch, err)
 	}
@@ -217,7 +217,7 @@
 		reason = request.ReasonCrashes
 	case watch.hasFired():
 		reason = request.ReasonStalled
-	case time.Until(j.deadline) < leastLeft:
+	case j.left() < leastLeft:
 		reason = request.ReasonDeadline
 	}
 	return tried{
