--- /dev/null
+++ b/core/quarantine/main_test.go
@@ -0,0 +1,12 @@
+package quarantine_test
+
+import (
+	"testing"
+
+	"headcourse/lab/fuzz"
+)
+
+// TestMain fixes the seeds of the drawn cases.
+func TestMain(m *testing.M) {
+	fuzz.Exit(m)
+}
--- a/io/gateway/budget_test.go
+++ b/io/gateway/budget_test.go
@@ -8,16 +8,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
 	"headcourse/core/config"
-	"headcourse/core/demand"
-	"headcourse/core/quarantine"
 	"headcourse/core/retry"
 	"headcourse/io/gateway"
-	"headcourse/platform"
 	"headcourse/platform/wire"
 )
 
@@ -40,18 +36,10 @@
 	t.Cleanup(full.Close)
 	address := full.Listener.Addr().String()
 	core, logs := observer.New(zap.InfoLevel)
-	server, err := gateway.Listen(gateway.Options{
-		Address:  "127.0.0.1:0",
-		Source:   newSource(someServers(config.Safe, address, address)),
-		Dialect:  platform.Dialect{},
-		Meter:    &demand.Meter{},
-		Budgets:  noRetries(),
-		Ledger:   &quarantine.Ledger{},
-		Registry: metrics.NewRegistry(),
-		Log:      zap.New(core),
-	})
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(server.Kill)
+	used := options(newSource(someServers(config.Safe, address, address)))
+	used.Budgets = noRetries()
+	used.Log = zap.New(core)
+	server := start(t, used)
 
 	status, _ := ask(t, server.Address(), "r1", time.Minute)
 	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
@@ -75,18 +63,9 @@
 	}))
 	t.Cleanup(slow.Close)
 	address := slow.Listener.Addr().String()
-	server, err := gateway.Listen(gateway.Options{
-		Address:  "127.0.0.1:0",
-		Source:   newSource(someServers(config.Stream, address, address)),
-		Dialect:  platform.Dialect{},
-		Meter:    &demand.Meter{},
-		Budgets:  noRetries(),
-		Ledger:   &quarantine.Ledger{},
-		Registry: metrics.NewRegistry(),
-		Log:      zap.NewNop(),
-	})
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(server.Kill)
+	used := options(newSource(someServers(config.Stream, address, address)))
+	used.Budgets = noRetries()
+	server := start(t, used)
 	status, _ := ask(t, server.Address(), "r1", time.Hour)
 	qt.Assert(t, status, qt.Equals, http.StatusOK)
 }
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -19,7 +19,6 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"headcourse/core/balancer"
-	"headcourse/core/boottime"
 	"headcourse/core/config"
 	"headcourse/core/demand"
 	"headcourse/core/fleet"
@@ -103,22 +102,35 @@
 // MayTry always agrees.
 func (s *source) MayTry(quarantine.Trial) bool { return true }
 
-// listen starts a gateway and returns its address.
-func listen(t *testing.T, from gateway.Source, patience time.Duration) (*gateway.Server, string) {
+// options are what a gateway of a test needs.
+func options(from gateway.Source) gateway.Options {
+	return gateway.Options{
+		Address:  "127.0.0.1:0",
+		Source:   from,
+		Dialect:  platform.Dialect{},
+		Meter:    &demand.Meter{},
+		Budgets:  &retry.Budgets{},
+		Ledger:   &quarantine.Ledger{},
+		Registry: metrics.NewRegistry(),
+		Log:      zap.NewNop(),
+	}
+}
+
+// start starts a gateway that ends with the test.
+func start(t *testing.T, options gateway.Options) *gateway.Server {
 	t.Helper()
-	server, err := gateway.Listen(gateway.Options{
-		Address:      "127.0.0.1:0",
-		Source:       from,
-		Dialect:      platform.Dialect{},
-		Meter:        &demand.Meter{},
-		Budgets:      &retry.Budgets{},
-		Ledger:       &quarantine.Ledger{},
-		Registry:     metrics.NewRegistry(),
-		Log:          zap.NewNop(),
-		ViewPatience: patience,
-	})
+	server, err := gateway.Listen(options)
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(server.Kill)
+	return server
+}
+
+// listen starts a gateway that holds requests for a time, and returns its address.
+func listen(t *testing.T, from gateway.Source, patience time.Duration) (*gateway.Server, string) {
+	t.Helper()
+	used := options(from)
+	used.ViewPatience = patience
+	server := start(t, used)
 	return server, server.Address()
 }
 
@@ -408,18 +420,9 @@
 	}))
 	t.Cleanup(backend.Close)
 	core, logs := observer.New(zap.InfoLevel)
-	server, err := gateway.Listen(gateway.Options{
-		Address:  "127.0.0.1:0",
-		Source:   newSource(oneServer(backend, config.Safe)),
-		Dialect:  platform.Dialect{},
-		Meter:    &demand.Meter{},
-		Budgets:  &retry.Budgets{},
-		Ledger:   &quarantine.Ledger{},
-		Registry: metrics.NewRegistry(),
-		Log:      zap.New(core),
-	})
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(server.Kill)
+	used := options(newSource(oneServer(backend, config.Safe)))
+	used.Log = zap.New(core)
+	server := start(t, used)
 
 	for _, id := range []string{"first", "again"} {
 		status, _ := ask(t, server.Address(), id, time.Minute)
@@ -442,22 +445,10 @@
 	var suspended atomic.Int64
 	from := newSource(someServers(config.Safe, addresses...))
 	from.known = make(chan struct{})
-	server, err := gateway.Listen(gateway.Options{
-		Address:  "127.0.0.1:0",
-		Source:   from,
-		Dialect:  platform.Dialect{},
-		Meter:    &demand.Meter{},
-		Budgets:  &retry.Budgets{},
-		Ledger:   &quarantine.Ledger{},
-		Registry: metrics.NewRegistry(),
-		Log:      zap.NewNop(),
-		Clock: boottime.Clock{
-			Suspended: func() time.Duration { return time.Duration(suspended.Load()) },
-		},
-		ViewPatience: time.Hour,
-	})
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(server.Kill)
+	used := options(from)
+	used.ViewPatience = time.Hour
+	used.Clock.Suspended = func() time.Duration { return time.Duration(suspended.Load()) }
+	server := start(t, used)
 	go func() {
 		for server.Open() == 0 {
 			time.Sleep(time.Millisecond)
--- a/io/gateway/quarantine_test.go
+++ b/io/gateway/quarantine_test.go
@@ -12,15 +12,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-	"github.com/rcrowley/go-metrics"
-	"go.uber.org/zap"
 
 	"headcourse/core/config"
-	"headcourse/core/demand"
 	"headcourse/core/quarantine"
-	"headcourse/core/retry"
 	"headcourse/io/gateway"
-	"headcourse/platform"
 	"headcourse/platform/wire"
 )
 
@@ -61,19 +56,9 @@
 // listenWith starts a gateway that shares a ledger with the test.
 func listenWith(t *testing.T, from gateway.Source, ledger *quarantine.Ledger) *gateway.Server {
 	t.Helper()
-	server, err := gateway.Listen(gateway.Options{
-		Address:  "127.0.0.1:0",
-		Source:   from,
-		Dialect:  platform.Dialect{},
-		Meter:    &demand.Meter{},
-		Budgets:  &retry.Budgets{},
-		Ledger:   ledger,
-		Registry: metrics.NewRegistry(),
-		Log:      zap.NewNop(),
-	})
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(server.Kill)
-	return server
+	used := options(from)
+	used.Ledger = ledger
+	return start(t, used)
 }
 
 // contentOfAsk is the content of what ask sends.
