--- a/io/gateway/budget_test.go
+++ b/io/gateway/budget_test.go
@@ -13,7 +13,6 @@
 
 	"headcourse/core/config"
 	"headcourse/core/retry"
-	"headcourse/io/gateway"
 	"headcourse/platform/wire"
 )
 
