--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -156,6 +156,8 @@
 	suspects map[Digest]*suspect
 	answered memory
 	onHeld   func(Digest)
+	// dropped were forgotten for want of room, and the store still tells of them.
+	dropped []Cleared
 }
 
 // Listen has held called for each request under whose trial a server ended.
@@ -264,6 +266,9 @@
 		}
 	}
 	delete(l.suspects, chosen)
+	if cleared := oldest.told(chosen); cleared.IsAny() {
+		l.dropped = append(l.dropped, cleared)
+	}
 }
 
 // isBefore tells whether a suspect is forgotten before another.
@@ -410,11 +415,12 @@
 }
 
 // Sweep forgets requests that have been suspected or held for long enough, and returns
-// what the store tells of them.
+// what the store tells of them, and of those that were forgotten for want of room since.
 func (l *Ledger) Sweep() []Cleared {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	var old []Cleared
+	old := l.dropped
+	l.dropped = nil
 	for digest, one := range l.suspects {
 		limit := suspectFor
 		if one.hasFailed() {
--- a/core/quarantine/ledger_test.go
+++ b/core/quarantine/ledger_test.go
@@ -190,12 +190,15 @@
 	ledger.Note(trialEnd("bad", "c", 1))
 	const many = 6000
 	for i := range many {
-		ledger.Note(endAt(fmt.Sprintf("flood %d", i), "d"))
+		ledger.Told(endAt(fmt.Sprintf("flood %d", i), "d"))
 	}
 	suspected, held := ledger.Counts()
 	qt.Assert(t, suspected, qt.Equals, 4096)
 	qt.Assert(t, held, qt.Equals, 1)
 	qt.Assert(t, step(ledger, "bad"), qt.Equals, quarantine.Hold)
+	// The rows of the others are to be removed, so that the table is bounded too.
+	qt.Assert(t, ledger.Sweep(), qt.HasLen, many+1-4096)
+	qt.Assert(t, ledger.Sweep(), qt.HasLen, 0)
 }
 
 // In whichever order and however often daemons hear of ends and trials, they agree: one
