A server has ended only if it takes no connection; a trial goes on where nothing ended

Now a server whose connection broke off is looked at, once for all requests there; and a request on trial is sent on while no server ends under it and fewer than three have.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -27,6 +27,9 @@
 	// sent by trials only. One costs a group and all that runs in it, some 30 requests;
 	// but one alone happens to 30 requests for each that crashes a server.
 	suspectedFrom = 2
+	// endsCounted is how many servers may end under a request before each further send
+	// counts, by the users' rule.
+	endsCounted = 3
 	// mostTrials bounds the trials of a request: the users allow it three more sends when
 	// three servers have ended under it.
 	mostTrials = 3
@@ -318,6 +321,16 @@
 	return one.decide(digest, time.Now())
 }
 
+// MayGoOn tells whether a request that is on trial may be sent to another server, since
+// nothing is known of the first: it was full or stood still. Once as many servers have ended
+// under it as the rule on retries speaks of, each send counts.
+func (l *Ledger) MayGoOn(digest Digest, trial int) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	one := l.suspects[digest]
+	return one == nil || (one.trials == trial && one.failed < trial && len(one.ends) < endsCounted)
+}
+
 // Ends returns the starts of servers that ended under a request, in order.
 func (l *Ledger) Ends(digest Digest) []string {
 	l.mutex.Lock()
--- a/core/quarantine/ledger_test.go
+++ b/core/quarantine/ledger_test.go
@@ -120,6 +120,30 @@
 	})
 }
 
+// A request on trial was not sent on when its server stood still, and its client went away
+// with nothing, though nothing spoke against it.
+func TestTrialGoesOnWhileNoServerEndsUnderIt(t *testing.T) {
+	ledger := suspected("quiet")
+	trial := ledger.Decide(digestOf("quiet")).Trial
+	ledger.Tried(trial, 7)
+	qt.Assert(t, step(ledger, "quiet"), qt.Equals, quarantine.Hold)
+	qt.Assert(t, ledger.MayGoOn(digestOf("quiet"), trial.Number), qt.IsTrue)
+	qt.Assert(t, ledger.MayGoOn(digestOf("quiet"), trial.Number+1), qt.IsFalse)
+
+	ledger.Told(endAt("quiet", "c"))
+	qt.Assert(t, ledger.MayGoOn(digestOf("quiet"), trial.Number), qt.IsFalse)
+	ledger.Answered(digestOf("quiet"))
+	qt.Assert(t, ledger.MayGoOn(digestOf("quiet"), trial.Number), qt.IsTrue)
+
+	ledger = suspected("bad")
+	ledger.Tried(quarantine.Trial{
+		Digest: digestOf("bad"),
+		Number: 1,
+	}, 7)
+	ledger.Note(trialEnd("bad", "b", 1))
+	qt.Assert(t, ledger.MayGoOn(digestOf("bad"), 1), qt.IsFalse)
+}
+
 // Servers that fail together end under what many callers ask alike: a page that dashboards
 // load again and again was held for as long as the test ran.
 func TestRequestThatIsAnsweredIsNotSuspected(t *testing.T) {
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -10,6 +10,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"net"
 	"sync"
 	"syscall"
@@ -33,6 +34,9 @@
 	keepMargin  = 700 * time.Millisecond
 	// unackedLimit ends connections to peers that take nothing any more.
 	unackedLimit = 2 * time.Second
+	// endedLook is how long a connection is watched that a server may close at once: some
+	// times longer than links take.
+	endedLook = 30 * time.Millisecond
 	// bufferSize holds the largest head of an answer.
 	bufferSize = 8 << 10
 )
@@ -104,26 +108,44 @@
 		}
 		_ = kept.Close()
 	}
-	timeout := c.ConnectTimeout
-	if timeout == 0 {
-		timeout = DefaultConnect
+	made, err := c.dial(address)
+	if err != nil {
+		return nil, connectError(address, err)
 	}
+	return &conn{
+		Conn:   made,
+		reader: bufio.NewReaderSize(made, bufferSize),
+	}, nil
+}
+
+// dial makes a connection.
+func (c *Client) dial(address string) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout:   timeout,
+		Timeout:   cmp.Or(c.ConnectTimeout, DefaultConnect),
 		KeepAlive: -1,
 		Control:   limitUnacked,
 	}
 	made, err := dialer.Dial("tcp", address)
 	if err != nil {
-		return nil, connectError(address, err)
+		return nil, err
 	}
 	c.mutex.Lock()
 	c.opened++
 	c.mutex.Unlock()
-	return &conn{
-		Conn:   made,
-		reader: bufio.NewReaderSize(made, bufferSize),
-	}, nil
+	return made, nil
+}
+
+// HasEnded tells whether the server at an address has ended: it takes no connection, or
+// closes one at once, as what stands before a server does when that is gone. A server that
+// merely broke off an answer keeps it open. It takes up to endedLook, or the time to connect.
+func (c *Client) HasEnded(address string) bool {
+	made, err := c.dial(address)
+	if err != nil {
+		return true
+	}
+	defer func() { _ = made.Close() }()
+	time.Sleep(endedLook)
+	return tcp.Look(made) == tcp.Closed
 }
 
 // connectError returns the error of a failed connect.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -105,9 +105,11 @@
 	lane         urgency.Lane
 	sizes        usage.Sizes
 	budgets      *retry.Budgets
-	// ledger knows which requests are held; underWay finds those that were sent before.
+	// ledger knows which requests are held; underWay finds those that were sent before;
+	// checks find out which servers have ended.
 	ledger   *quarantine.Ledger
 	underWay underWay
+	checks   checks
 	http     *fasthttp.Server
 	listener net.Listener
 	// gone finds out which clients went away.
--- a/io/gateway/quarantine.go
+++ b/io/gateway/quarantine.go
@@ -15,8 +15,9 @@
 
 // Counters of requests under which servers end.
 const (
-	countEnds = "quarantine_ends_noted"
-	countHeld = "quarantine_requests_held"
+	countEnds   = "quarantine_ends_noted"
+	countNoEnds = "quarantine_ends_refuted"
+	countHeld   = "quarantine_requests_held"
 )
 
 // isEnd tells whether a connection was closed or reset by its peer. A link that loses
@@ -34,6 +35,9 @@
 // under its content so often that it may not be: then only on a trial, to which all daemons
 // agree.
 func (j *job) maySendContent() bool {
+	if j.trial > 0 && j.server.ledger.MayGoOn(j.digest(), j.trial) {
+		return true
+	}
 	decision := j.server.ledger.Decide(j.digest())
 	j.trial = decision.Trial.Number
 	j.heldFor = decision.Pause
@@ -54,19 +58,84 @@
 	}
 }
 
-// noteEnd notes that a server ended while the request was under way there.
+// noteEnd notes that a server ended while the request was under way there, if it did: a
+// server may also have broken off an answer, or refused a connection too many. Where servers
+// have ended under the content before, the request waits for that; else it goes on meanwhile.
 func (j *job) noteEnd(server fleet.Server) {
-	end := quarantine.End{
+	isChecked := j.server.checks.add(server, quarantine.End{
 		Digest: j.digest(),
 		Start:  server.Start(),
 		Trial:  j.trial,
+	}, j.server.checkEnd)
+	if len(j.server.ledger.Ends(j.digest())) > 0 {
+		<-isChecked
+	}
+}
+
+// checkEnd finds out whether a server has ended, and notes the ends of it if it has.
+func (s *Server) checkEnd(server fleet.Server) {
+	hasEnded := s.backends.HasEnded(server.Address)
+	ends := s.checks.take(server)
+	if !hasEnded {
+		metrics.GetOrRegisterCounter(countNoEnds, s.registry).Inc(int64(len(ends)))
+		return
 	}
-	if j.server.ledger.Note(end) {
-		metrics.GetOrRegisterCounter(countEnds, j.server.registry).Inc(1)
-		j.server.source.Ended(end)
+	for _, end := range ends {
+		if s.ledger.Note(end) {
+			metrics.GetOrRegisterCounter(countEnds, s.registry).Inc(1)
+			s.source.Ended(end)
+		}
 	}
 }
 
+// checks are the looks at servers that may have ended, one for all requests that were under
+// way there. The zero value has none.
+type checks struct {
+	mutex sync.Mutex
+	open  map[string]*check
+}
+
+// check is one look. isDone is closed when its ends have been noted.
+type check struct {
+	ends   []quarantine.End
+	isDone chan struct{}
+}
+
+// add adds an end to the look at its server, which look begins if there is none, and returns
+// what is closed when it is over.
+func (c *checks) add(server fleet.Server, end quarantine.End, look func(fleet.Server)) <-chan struct{} {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if one, ok := c.open[end.Start]; ok {
+		one.ends = append(one.ends, end)
+		return one.isDone
+	}
+	if c.open == nil {
+		c.open = map[string]*check{}
+	}
+	one := &check{
+		ends: []quarantine.End{
+			end,
+		},
+		isDone: make(chan struct{}),
+	}
+	c.open[end.Start] = one
+	go func() {
+		defer close(one.isDone)
+		look(server)
+	}()
+	return one.isDone
+}
+
+// take ends the look at a server and returns what was under way there.
+func (c *checks) take(server fleet.Server) []quarantine.End {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	one := c.open[server.Start()]
+	delete(c.open, server.Start())
+	return one.ends
+}
+
 // clear notes that a server answered the request whole and lives: servers that ended
 // under it ended for another reason.
 func (j *job) clear() {
