--- a/core/quarantine/ledger_test.go
+++ b/core/quarantine/ledger_test.go
@@ -25,9 +25,9 @@
 	}
 }
 
-// trialEnd returns the end of a start of a server under a trial.
-func trialEnd(body, start string, number int) quarantine.End {
-	end := endAt(body, start)
+// trialEnd returns the end of a start of a server under a trial of the body "bad".
+func trialEnd(start string, number int) quarantine.End {
+	end := endAt("bad", start)
 	end.Trial = number
 	return end
 }
@@ -82,7 +82,7 @@
 			qt.Assert(t, ledger.Tried(decision.Trial, version), qt.IsTrue)
 			qt.Assert(t, step(ledger, "bad"), qt.Equals, quarantine.Hold)
 
-			qt.Assert(t, ledger.Note(trialEnd("bad", fmt.Sprintf("trial %d", number), number+1)), qt.IsTrue)
+			qt.Assert(t, ledger.Note(trialEnd(fmt.Sprintf("trial %d", number), number+1)), qt.IsTrue)
 			qt.Assert(t, held, qt.Equals, number+1)
 			time.Sleep(pause - time.Second)
 			decision = ledger.Decide(digestOf("bad"))
@@ -140,7 +140,7 @@
 		Digest: digestOf("bad"),
 		Number: 1,
 	}, 7)
-	ledger.Note(trialEnd("bad", "b", 1))
+	ledger.Note(trialEnd("b", 1))
 	qt.Assert(t, ledger.MayGoOn(digestOf("bad"), 1), qt.IsFalse)
 }
 
@@ -191,7 +191,7 @@
 		Digest: digestOf("bad"),
 		Number: 1,
 	}, 7)
-	ledger.Told(trialEnd("bad", "c", 1))
+	ledger.Told(trialEnd("c", 1))
 	qt.Assert(t, step(ledger, "bad"), qt.Equals, quarantine.Hold)
 	ledger.RemovedTrial(digestOf("bad"))
 	for _, start := range []string{"a", "b"} {
@@ -211,7 +211,7 @@
 // frees none that is held.
 func TestLedgerIsBoundedAndKeepsWhatIsHeld(t *testing.T) {
 	ledger := suspected("bad")
-	ledger.Note(trialEnd("bad", "c", 1))
+	ledger.Note(trialEnd("c", 1))
 	const many = 6000
 	for i := range many {
 		ledger.Told(endAt(fmt.Sprintf("flood %d", i), "d"))
