Only a whole success clears a suspected request

A server's own failure cleared it too, and kept it from being suspected for ten minutes: a request that crashes servers may wait for its turn until its time is over and be told 504, or be failed before it runs. An answer without length or chunks ends the same way when its server crashes. The age of the view is looked at after a trial was agreed on, which waits for the store.

--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -126,6 +126,12 @@
 	return content, nil
 }
 
+// EndsWithConnection tells whether the end of the answer is only that of its connection: it
+// has neither a length nor chunks.
+func (e *Exchange) EndsWithConnection() bool {
+	return e.endsWithConn
+}
+
 // Finish gives the connection back after a whole answer, to be kept for
 // keepFor (0: as usual); mayKeep is false where the server asked to close, or
 // an answer was out of place.
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -171,7 +171,6 @@
 		return
 	}
 	ctx.Response.SetBodyRaw(result.body)
-	j.clear()
 	j.end(result.answer.Status, request.ReasonNone)
 }
 
--- a/io/gateway/quarantine.go
+++ b/io/gateway/quarantine.go
@@ -7,10 +7,13 @@
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"headcourse/core/fleet"
 	"headcourse/core/quarantine"
+	"headcourse/core/request"
+	"headcourse/io/backend"
 )
 
 // Counters of requests under which servers end.
@@ -137,8 +140,14 @@
 }
 
 // clear notes that a server answered the request whole and lives: servers that ended
-// under it ended for another reason.
-func (j *job) clear() {
+// under it ended for another reason. Only a success shows that it ran to its end: a failure
+// may be told of a request that waited for its turn until its time was over; and an answer
+// that ends with its connection also ends so when its server crashes.
+func (j *job) clear(answer request.Answer, exchange *backend.Exchange) {
+	isSuccess := answer.Status >= fasthttp.StatusOK && answer.Status < fasthttp.StatusMultipleChoices
+	if !isSuccess || exchange.EndsWithConnection() {
+		return
+	}
 	if cleared := j.server.ledger.Answered(j.digest()); cleared.IsAny() {
 		j.server.source.Cleared(cleared)
 	}
--- a/io/gateway/quarantine_test.go
+++ b/io/gateway/quarantine_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -255,6 +256,40 @@
 	qt.Assert(t, ledger.Ends(contentOfAsk()), qt.HasLen, 0)
 }
 
+// A request that crashes servers waited for its turn until its time was over, was told 504,
+// and counted as answered: it was sent on for minutes.
+func TestOnlyAWholeSuccessClearsARequest(t *testing.T) {
+	for _, answer := range []http.HandlerFunc{
+		func(w http.ResponseWriter, r *http.Request) {
+			answerWhole(w, r)
+			w.WriteHeader(http.StatusGatewayTimeout)
+		},
+		func(w http.ResponseWriter, r *http.Request) {
+			answerWhole(w, r)
+			w.WriteHeader(http.StatusInternalServerError)
+		},
+		func(w http.ResponseWriter, r *http.Request) {
+			// It ends with its connection, as it would if the server had crashed.
+			conn, buffer, err := http.NewResponseController(w).Hijack()
+			qt.Check(t, err, qt.IsNil)
+			_, err = fmt.Fprintf(buffer, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal\r\n\r\npart", wire.HeaderID, r.Header.Get(wire.HeaderID), wire.HeaderSeal)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, buffer.Flush(), qt.IsNil)
+			qt.Check(t, conn.Close(), qt.IsNil)
+		},
+	} {
+		from := newSource(someServers(config.Unsafe, backends(t, 1, answer)...))
+		var ledger quarantine.Ledger
+		ledger.Told(quarantine.End{
+			Digest: contentOfAsk(),
+			Start:  "a",
+		})
+		server := listenWith(t, from, &ledger)
+		_, _ = ask(t, server.Address(), "r1", time.Minute)
+		qt.Assert(t, ledger.Ends(contentOfAsk()), qt.DeepEquals, []string{"a"})
+	}
+}
+
 // Servers reset connections beyond their number and break answers off. Each such break was
 // taken for the end of a server; on a day without requests that crash servers two contents
 // were held.
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -210,7 +210,7 @@
 	perEvent := s.heard.Sub(s.sent).Seconds() / float64(max(1, s.job.events))
 	s.job.server.tracker.Succeeded(s.server.ID, perEvent)
 	s.job.noteSize()
-	s.job.clear()
+	s.job.clear(s.answer, s.exchange)
 	s.job.end(fasthttp.StatusOK, request.ReasonNone)
 	return nil
 }
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -37,14 +37,15 @@
 // try sends the request to one server, after the last event that the client
 // has, and reads its answer, or a stream's up to its first event.
 func (j *job) try(last int64) tried {
-	if j.config.NeedsKey(j.route) && !j.server.source.MayAcceptKeys() {
+	if !j.maySendContent() {
 		return tried{
-			reason: request.ReasonStale,
+			reason: request.ReasonCrashes,
 		}
 	}
-	if !j.maySendContent() {
+	// After agreeing on a trial, which waits for the store: the view may be too old now.
+	if j.config.NeedsKey(j.route) && !j.server.source.MayAcceptKeys() {
 		return tried{
-			reason: request.ReasonCrashes,
+			reason: request.ReasonStale,
 		}
 	}
 	left := j.left()
@@ -136,13 +137,12 @@
 		return j.broken(watch, err)
 	}
 	exchange.Finish(mayKeep, answer.KeepFor)
+	j.clear(answer, exchange)
 	result := tried{
 		answer: answer,
 		body:   body,
 	}
 	if answer.Status >= fasthttp.StatusInternalServerError {
-		// It ran there, and the server lives.
-		j.clear()
 		result.reason = request.ReasonServerError
 		result.mayHaveRun = true
 	}
