--- a/core/leader/crowd_test.go
+++ b/core/leader/crowd_test.go
@@ -54,8 +54,7 @@
 // Found on trouble-1 of the site of hundreds of VMs: the store turned the leader alone
 // away for seven seconds, and it asked for its own lease 17 times a second.
 func TestLeaderThatIsTurnedAwayAsksForItsOwnLeaseRarely(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a")
 		var tries atomic.Int64
 		c.electors[0].Store = countingStore{
@@ -76,7 +75,5 @@
 		})
 		time.Sleep(time.Second)
 		qt.Assert(t, c.leader(), qt.Equals, "a")
-		cancel()
-		synctest.Wait()
 	})
 }
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -193,22 +193,18 @@
 }
 
 func TestOneLeadsAndKeepsLeading(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a", "b", "c")
 		for i := range c.electors {
 			c.run(ctx, i)
 		}
 		time.Sleep(30 * time.Second)
 		qt.Assert(t, c.terms, qt.DeepEquals, []string{"a"})
-		cancel()
-		synctest.Wait()
 	})
 }
 
 func TestAnotherTakesOverWithinTwoTermsOfADeath(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a", "b", "c")
 		dying, die := context.WithCancel(context.Background())
 		c.run(dying, 0)
@@ -227,14 +223,11 @@
 		time.Sleep(2 * leader.Term)
 		qt.Assert(t, c.leader(), qt.Equals, "b")
 		qt.Assert(t, c.overlap, qt.IsFalse)
-		cancel()
-		synctest.Wait()
 	})
 }
 
 func TestStoppedLeaderGivesTheLeaseUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a", "b")
 		stopping, stop := context.WithCancel(context.Background())
 		c.run(stopping, 0)
@@ -243,15 +236,12 @@
 		stop()
 		time.Sleep(500 * time.Millisecond)
 		qt.Assert(t, c.leader(), qt.Equals, "b")
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // A leader that does not reach the store stops before another can begin.
 func TestLeaderWithoutStoreStopsBeforeItsSuccessorBegins(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a", "b")
 		cutOff := newFakeStore()
 		c.electors[0].Store = &switched{
@@ -268,8 +258,6 @@
 		time.Sleep(3 * leader.Term)
 		qt.Assert(t, c.leader(), qt.Equals, "b")
 		qt.Assert(t, c.overlap, qt.IsFalse)
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -313,6 +301,17 @@
 	return s.current().Commit(ctx, transaction)
 }
 
+// run plays a test on the paused clock; what it started ends with ctx, after it.
+func run(t *testing.T, play func(ctx context.Context, t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		play(ctx, t)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // held runs an elector until it leads and returns its lease.
 func held(ctx context.Context, c *cluster) *leader.Lease {
 	leases := make(chan *leader.Lease, 1)
@@ -335,8 +334,7 @@
 }
 
 func TestChangeWhoseAnswerWasLostIsUnknownAndNotDoneTwice(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a")
 		lease := held(ctx, c)
 		c.store.set(func(f *fakeStore) {
@@ -346,16 +344,13 @@
 		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrUnknown)
 		qt.Assert(t, c.store.value("g1"), qt.Equals, "1")
 		qt.Assert(t, lease.Holds(), qt.IsTrue)
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // A write that the store would do seconds later is dead once its writer has been
 // told that the outcome is unknown: the lease row has changed since.
 func TestChangeThatIsDoneLateIsNotDoneAtAll(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a")
 		lease := held(ctx, c)
 		c.store.set(func(f *fakeStore) {
@@ -366,16 +361,13 @@
 		qt.Assert(t, lease.Commit(ctx, record("next"), nil, nil), qt.IsNil)
 		time.Sleep(5 * time.Second)
 		qt.Assert(t, c.store.value("g1"), qt.Equals, "next")
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // A leader whose machine slept for longer than a term woke with a lease that seemed to hold,
 // and gave orders beside its successor.
 func TestLeaseDoesNotHoldAfterASuspension(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a")
 		var suspended atomic.Int64
 		c.electors[0].Clock = boottime.Clock{
@@ -385,14 +377,11 @@
 		qt.Assert(t, lease.Holds(), qt.IsTrue)
 		suspended.Add(int64(leader.Term))
 		qt.Assert(t, lease.Holds(), qt.IsFalse)
-		cancel()
-		synctest.Wait()
 	})
 }
 
 func TestFormerLeaderChangesNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a", "b")
 		paused, wake := context.WithCancel(context.Background())
 		former := held(paused, c)
@@ -412,14 +401,11 @@
 		qt.Assert(t, err, qt.ErrorIs, leader.ErrLost)
 		qt.Assert(t, c.store.value("g1"), qt.Equals, "")
 		wake()
-		cancel()
-		synctest.Wait()
 	})
 }
 
 func TestRestartedLeaderTakesItsOwnLeaseAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a", "b")
 		_, err := c.store.Commit(ctx, rowstore.Transaction{
 			Writes: []rowstore.Row{
@@ -435,8 +421,6 @@
 		c.run(ctx, 1)
 		time.Sleep(200 * time.Millisecond)
 		qt.Assert(t, c.leader(), qt.Equals, "b")
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -455,8 +439,7 @@
 // Found on a drawn day of a site with 68 daemons: all of them tried for the lease while
 // the store was away, again and again.
 func TestNobodyTriesForTheLeaseWhileTheStoreIsAway(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
+	run(t, func(ctx context.Context, t *testing.T) {
 		c := newCluster("a", "b", "c")
 		var isAway atomic.Bool
 		var tries atomic.Int64
@@ -494,7 +477,5 @@
 		qt.Assert(t, c.leader(), qt.Equals, "b")
 		qt.Assert(t, tries.Load() <= before+2, qt.IsTrue, qt.Commentf("%d tries", tries.Load()-before))
 		qt.Assert(t, c.overlap, qt.IsFalse)
-		cancel()
-		synctest.Wait()
 	})
 }
