Time between two readings of clocks does not count as sleep

The steady clock was read first, and the largest difference kept: a process that loses its turn in between, on a small VM, took that for a suspension for good. Found by reading.

--- a/io/kernel/kernel.go
+++ b/io/kernel/kernel.go
@@ -41,21 +41,23 @@
 	}
 	s.asked = now
 	if suspended, err := ask(); err == nil {
-		// Two clocks are read one after the other; what was measured never shrinks.
+		// Each answer is a little too small; the largest is nearest.
 		s.suspended = max(s.suspended, suspended)
 	}
 	return s.suspended
 }
 
-// ask returns by how much the clock that counts suspended time is ahead of the steady one,
-// as clock_gettime(2) tells.
+// ask returns by how much the clock that counts suspended time is at least ahead of the
+// steady one, as clock_gettime(2) tells. The process may lose its turn between two readings,
+// for tens of milliseconds on a small VM, so the steady clock is read last: time that went by
+// in between must not count as sleep.
 func ask() (time.Duration, error) {
-	var steady, boot unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady); err != nil {
+	var boot, steady unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot); err != nil {
 		return 0, err
 	}
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot); err != nil {
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady); err != nil {
 		return 0, err
 	}
-	return time.Duration(boot.Nano() - steady.Nano()), nil
+	return max(0, time.Duration(boot.Nano()-steady.Nano())), nil
 }
