--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -20,9 +20,8 @@
 	staged map[string]stageOrder
 	loads  []time.Time
 	// closed are ended groups whose head is known to be out of them: their
-	// members may join others without leaving first. The value tells that its entry has
-	// shown it too.
-	closed map[membershipKey]bool
+	// members may join others without leaving first.
+	closed map[membershipKey]closedHead
 	// orphans is when a server was last told to leave a group without record.
 	orphans map[string]time.Time
 	// counted is how many servers each service had when last looked at.
@@ -48,6 +47,13 @@
 	epoch int64
 }
 
+// closedHead is the head of an ended group. wasSeenOut tells that its entry has shown too
+// that it is out.
+type closedHead struct {
+	id         string
+	wasSeenOut bool
+}
+
 // stageOrder is a stage order under way.
 type stageOrder struct {
 	model string
@@ -100,14 +106,16 @@
 // Removed notes that records were removed.
 func (c *Controller) Removed(names []string) {
 	if c.closed == nil {
-		c.closed = map[membershipKey]bool{}
+		c.closed = map[membershipKey]closedHead{}
 	}
 	for _, name := range names {
 		if g, ok := c.groups[name]; ok && g.isHeadOut {
 			c.closed[membershipKey{
 				group: name,
 				epoch: g.record.Epoch,
-			}] = false
+			}] = closedHead{
+				id: g.record.Members[0],
+			}
 		}
 		delete(c.groups, name)
 	}
--- a/core/assembly/finish.go
+++ b/core/assembly/finish.go
@@ -189,23 +189,13 @@
 // it: orders to join and to open that were not answered are carried out seconds later. Such
 // a group is not closed any more: its head and its members leave before they join others.
 func (c *Controller) noteHeadsBack(view fleet.View) {
-	if len(c.closed) == 0 {
-		return
-	}
-	isIn := map[membershipKey]bool{}
-	for _, server := range view.Servers() {
-		if m := server.Membership; m.State != fleet.NoGroup && m.Rank == 0 {
-			isIn[membershipKey{
-				group: m.Group,
-				epoch: m.Epoch,
-			}] = true
-		}
-	}
-	for key, wasSeenOut := range c.closed {
+	for key, head := range c.closed {
+		server, _ := view.Server(head.id)
 		switch {
-		case !isIn[key]:
-			c.closed[key] = true
-		case wasSeenOut:
+		case !server.Membership.In(key.group, key.epoch):
+			head.wasSeenOut = true
+			c.closed[key] = head
+		case head.wasSeenOut:
 			delete(c.closed, key)
 		}
 	}
