--- a/entry/stalls_test.go
+++ b/entry/stalls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -54,3 +55,20 @@
 		return !s.daemons[0].IsTroubled(troubled)
 	})
 }
+
+// Hundreds of daemons that lost power together served after 30 s instead of 8.5 s while they
+// waited, without a bound, to read what daemons tell of servers.
+func TestDaemonIsReadyWithoutWhatOthersTellIfItCannotBeRead(t *testing.T) {
+	s := newSite(t, 1)
+	s.daemons[0].Kill()
+	s.platform.Store.SilenceTable("told")
+	s.daemons[0] = s.startDaemon("front-b")
+	s.awaitTrue(func() bool {
+		answer, err := http.Get("http://" + s.daemons[0].ReadinessAddress())
+		if err != nil {
+			return false
+		}
+		qt.Check(t, answer.Body.Close(), qt.IsNil)
+		return answer.StatusCode == http.StatusOK
+	})
+}
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -56,6 +56,8 @@
 	version int64
 	floor   int64
 	fault   Fault
+	// silent is a table about which nothing is answered; empty: none.
+	silent  string
 	changed chan struct{}
 }
 
@@ -131,6 +133,13 @@
 	s.wake()
 }
 
+// SilenceTable has the store answer nothing about one table.
+func (s *Store) SilenceTable(table string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = table
+}
+
 // Write writes a row from inside, as another writer would, whatever the fault.
 func (s *Store) Write(table, key string, value []byte) {
 	s.put(table, key, value)
@@ -166,6 +175,9 @@
 func (s *Store) enter(w http.ResponseWriter, r *http.Request) bool {
 	s.mutex.Lock()
 	fault := s.fault
+	if s.silent != "" && r.URL.Query().Get("Table") == s.silent {
+		fault = Silent
+	}
 	s.mutex.Unlock()
 	switch fault {
 	case Refusing:
