--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -40,8 +40,8 @@
 	// suspectFor how long an end counts without one.
 	HeldFor    = 24 * time.Hour
 	suspectFor = 10 * time.Minute
-	// mostSuspects bounds the digests that are noted, held ones included: about 1 MB. It
-	// takes the end of a server to add one, and some 30 come with each.
+	// mostSuspects bounds the digests that are noted, held ones included: 1.7 MB of heap
+	// with two ends each. It takes the end of a server to add some, 30 to 80 with each.
 	mostSuspects = 4096
 )
 
--- a/core/quarantine/memory.go
+++ b/core/quarantine/memory.go
@@ -7,7 +7,7 @@
 	// answeredFor is how long a whole answer clears a request, at least; up to twice that.
 	// It spans the time within which servers that fail together end: minutes.
 	answeredFor = 10 * time.Minute
-	// mostAnswered bounds each half of a memory: two halves take about 1 MB. A daemon
+	// mostAnswered bounds each half of a memory: two full halves take 0.6 MB of heap. A daemon
 	// of the design size, 40 requests a second, fills one in 200 s.
 	mostAnswered = 8192
 )
--- a/entry/view.go
+++ b/entry/view.go
@@ -43,9 +43,9 @@
 }
 
 // isReady tells whether clients should be sent here: configuration, servers and what
-// daemons tell of them were read, and the view is current. A daemon that is cut off serves on those that have a
-// connection to it, where keys may still be accepted, but others serve new ones
-// better; where the store is away for all of them, the balancer uses all of them.
+// daemons tell of them were read, and the view is current. A daemon that is cut off serves
+// on those that have a connection to it, where keys may still be accepted, but others serve
+// new ones better; where the store is away for all of them, the balancer uses all of them.
 func (d *Daemon) isReady() bool {
 	isReady := d.hasView() && d.hasTold() && d.IsCurrent()
 	if d.wasReady.Swap(isReady) != isReady {
