Read and log the pause that a server asks for

Cause: logs could not tell whether a server had asked for a pause, nor why one was sent requests in it. Change: answers carry a directive, kept for each start of a server and logged; sends in a pause are counted by what became of the daemon's own rest. Choice of servers as before.

--- /dev/null
+++ b/core/directive/directive_test.go
@@ -0,0 +1,84 @@
+package directive_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/boottime"
+	"headcourse/core/directive"
+)
+
+// pause returns a directive that asks for a pause.
+func pause(length time.Duration) directive.Directive {
+	return directive.Directive{
+		Pause: length,
+	}
+}
+
+func TestPauseIsOverWhenItsTimeIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var book directive.Book
+		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, time.Duration(0))
+		qt.Assert(t, book.Note("i-1", pause(3*time.Second)), qt.IsTrue)
+		time.Sleep(2900 * time.Millisecond)
+		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, 100*time.Millisecond)
+		qt.Assert(t, book.PauseLeft("i-2"), qt.Equals, time.Duration(0))
+		time.Sleep(100 * time.Millisecond)
+		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, time.Duration(0))
+		qt.Assert(t, book.Note("i-1", pause(time.Second)), qt.IsTrue)
+	})
+}
+
+// Each answer was given for its own time, so a later, shorter word ends none.
+func TestPauseThatEndsLastHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var book directive.Book
+		book.Note("i-1", pause(3*time.Second))
+		qt.Assert(t, book.Note("i-1", pause(time.Second)), qt.IsFalse)
+		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, 3*time.Second)
+		book.Note("i-1", pause(5*time.Second))
+		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, 5*time.Second)
+		book.Note("i-1", directive.Directive{})
+		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, 5*time.Second)
+	})
+}
+
+func TestPauseIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var book directive.Book
+		book.Note("i-1", pause(1<<62))
+		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, directive.MaxPause)
+	})
+}
+
+// A suspended machine wakes with the pause over for as long as it slept.
+func TestPauseGoesOnWhileTheMachineIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		book := directive.Book{
+			Clock: boottime.Clock{
+				Suspended: func() time.Duration { return suspended },
+			},
+		}
+		book.Note("i-1", pause(10*time.Second))
+		time.Sleep(time.Second)
+		suspended = 4 * time.Second
+		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, 5*time.Second)
+	})
+}
+
+func TestSweepForgetsOnlyWhatIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var book directive.Book
+		book.Note("i-1", pause(time.Second))
+		book.Note("i-2", pause(3*time.Second))
+		time.Sleep(2 * time.Second)
+		book.Sweep()
+		qt.Assert(t, book.PauseLeft("i-2"), qt.Equals, time.Second)
+		qt.Assert(t, book.Note("i-2", pause(time.Second)), qt.IsFalse)
+		qt.Assert(t, book.Note("i-1", pause(time.Second)), qt.IsTrue)
+	})
+}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -2,7 +2,11 @@
 // and what may be said of it.
 package request
 
-import "time"
+import (
+	"time"
+
+	"headcourse/core/directive"
+)
 
 // Request is one attempt of a client, copied from the connection.
 type Request struct {
@@ -83,6 +87,8 @@
 	// tells that it does not keep it.
 	KeepFor time.Duration
 	Close   bool
+	// Directive is what the server says about further requests.
+	Directive directive.Directive
 }
 
 // Reason names why a request was refused, sent again or ended early. Each has
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -29,6 +29,7 @@
 	"headcourse/core/boottime"
 	"headcourse/core/config"
 	"headcourse/core/demand"
+	"headcourse/core/directive"
 	"headcourse/core/fleet"
 	"headcourse/core/quarantine"
 	"headcourse/core/request"
@@ -105,6 +106,8 @@
 	lane         urgency.Lane
 	sizes        usage.Sizes
 	budgets      *retry.Budgets
+	// directives are what servers said about further requests.
+	directives directive.Book
 	// ledger knows which requests are held; underWay finds those that were sent before;
 	// checks find out which servers have ended.
 	ledger   *quarantine.Ledger
@@ -182,6 +185,7 @@
 		listener:     listener,
 		stop:         stop,
 	}
+	server.directives.Clock = options.Clock
 	server.http = &fasthttp.Server{
 		Handler:                      server.handle,
 		ErrorHandler:                 server.handleBadRequest,
@@ -267,6 +271,7 @@
 			isKnown := s.source.View().Fleet.IsUsable
 			s.backends.Sweep(isKnown)
 			s.tracker.Sweep(isKnown)
+			s.directives.Sweep()
 		}
 	}
 }
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -63,6 +63,7 @@
 	j.sends++
 	j.sentAt = time.Now()
 	j.excluded[server.ID] = true
+	j.noteSendInPause(server)
 	head := j.server.dialect.WriteHead(j.request, request.Attempt{
 		Server:       server.ID,
 		Organisation: j.organisation,
@@ -107,7 +108,7 @@
 		exchange.Abort()
 		return j.broken(watch, err)
 	}
-	answer, isMisplaced, err := j.readHead(exchange)
+	answer, isMisplaced, err := j.readHead(server, exchange)
 	if err != nil {
 		exchange.Abort()
 		return j.broken(watch, err)
@@ -152,13 +153,14 @@
 // readHead reads the head of the request's own answer. Answers to earlier
 // requests may stand before it; they are read past, and the connection is not
 // used again.
-func (j *job) readHead(exchange *backend.Exchange) (answer request.Answer, isMisplaced bool, err error) {
+func (j *job) readHead(server fleet.Server, exchange *backend.Exchange) (answer request.Answer, isMisplaced bool, err error) {
 	for range maxMisplaced {
 		var head fasthttp.ResponseHeader
 		if err = exchange.ReadHead(&head); err != nil {
 			return answer, isMisplaced, err
 		}
 		answer = j.server.dialect.ReadAnswer(&head)
+		j.server.heed(server, answer.Directive)
 		if answer.ID == j.request.ID || answer.ID == "" {
 			return answer, isMisplaced, nil
 		}
