A server that asked for a pause is no candidate until it is over

Cause: a server's explicit word was not read, and what stood for it was a guess: a rest of the daemon's own that a success ended, and a preference that gave way where no other server was left. Change: directives of servers are limits, apart from the tracker's preferences. The choice, the look for another server and the last moment before writing go by them; where all servers want none, a request is refused at once with the time at which the first takes requests again, spread.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -14,7 +14,9 @@
 // that lost a member goes on taking requests and answers none; its silence,
 // over all of its streams, is the first sign. It is then rested, with a single
 // request let through from time to time to find out whether it works again. A server
-// that other daemons found in trouble comes after those that are well.
+// that other daemons found in trouble comes after those that are well. All of these are
+// preferences: a server that said itself that it wants no request (core/directive) is no
+// candidate.
 package balancer
 
 import (
@@ -74,8 +76,6 @@
 	failures int
 	restTill time.Time
 	rest     time.Duration
-	// wasCleared tells that a success ended the last rest before its time.
-	wasCleared bool
 	// isSilent tells that the rest is for silence, and ends with it; it began at
 	// silentAt.
 	isSilent bool
@@ -270,7 +270,6 @@
 	one := t.of(id)
 	one.failures = 0
 	one.rest = 0
-	one.wasCleared = one.wasCleared || time.Now().Before(one.restTill)
 	one.restTill = time.Time{}
 	if pace <= 0 {
 		return
@@ -298,14 +297,6 @@
 	}
 	one.rest = min(max(firstRest, 2*one.rest), longestRest)
 	one.restTill = now.Add(one.rest)
-	one.wasCleared = false
-}
-
-// WasCleared tells whether a success ended the last rest of a server before its time.
-func (t *Tracker) WasCleared(id string) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	return t.of(id).wasCleared
 }
 
 // IsResting tells whether a server is rested.
--- a/core/directive/directive.go
+++ b/core/directive/directive.go
@@ -67,6 +67,19 @@
 	return wasFree
 }
 
+// Forbids tells whether the start may be sent no request now.
+func (b *Book) Forbids(start string) bool {
+	return b.PauseLeft(start) > 0
+}
+
+// IsEmpty tells whether nothing is kept, which is so at most times: then nobody needs to
+// look at each server.
+func (b *Book) IsEmpty() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.kept) == 0
+}
+
 // PauseLeft returns for how much longer the start wants no request; 0: it has not said so,
 // or its time is over.
 func (b *Book) PauseLeft(start string) time.Duration {
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -116,4 +116,5 @@
 	ReasonNoBudget      Reason = "retry_budget"
 	ReasonOverload      Reason = "overload"
 	ReasonCrashes       Reason = "crashes_servers"
+	ReasonPaused        Reason = "servers_paused"
 )
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -70,27 +70,19 @@
 	return c.opened, c.reused
 }
 
-// Send writes a request to a server and returns the exchange. The error is a
-// *http1.Error, which tells whether any of the request may have been sent.
-func (c *Client) Send(server, address string, head, body []byte) (*Exchange, error) {
+// Connect returns an exchange with a server for which nothing has been written yet. The
+// error is a *http1.Error.
+func (c *Client) Connect(server, address string) (*Exchange, error) {
 	used, err := c.connect(server, address)
 	if err != nil {
 		return nil, err
 	}
-	exchange := &Exchange{
-		client: c,
-		server: server,
-		conn:   used,
-	}
-	if err = exchange.write(head, body); err != nil {
-		exchange.Abort()
-		return nil, &http1.Error{
-			Peer:  address,
-			Sent:  true,
-			Cause: err,
-		}
-	}
-	return exchange, nil
+	return &Exchange{
+		client:  c,
+		server:  server,
+		address: address,
+		conn:    used,
+	}, nil
 }
 
 // connect returns a kept connection that is still good, or a new one.
@@ -191,6 +183,11 @@
 		keepFor = defaultKeep
 	}
 	used.goodUntil = time.Now().Add(keepFor - keepMargin)
+	c.putBack(server, used)
+}
+
+// putBack stores a connection for as long as it is good.
+func (c *Client) putBack(server string, used *conn) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.idle == nil {
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -112,7 +112,9 @@
 // send sends a request to the server.
 func (s *server) send(client *backend.Client) *backend.Exchange {
 	s.t.Helper()
-	exchange, err := client.Send("i-0001", s.listener.Addr().String(), []byte(requestHead), nil)
+	exchange, err := client.Connect("i-0001", s.listener.Addr().String())
+	qt.Assert(s.t, err, qt.IsNil)
+	err = exchange.Send([]byte(requestHead), nil)
 	qt.Assert(s.t, err, qt.IsNil)
 	s.t.Cleanup(exchange.Abort)
 	qt.Assert(s.t, exchange.SetReadDeadline(time.Now().Add(patience)), qt.IsNil)
@@ -285,7 +287,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	address := listener.Addr().String()
 	qt.Assert(t, listener.Close(), qt.IsNil)
-	_, err = (&backend.Client{}).Send("i-0001", address, []byte(requestHead), nil)
+	_, err = (&backend.Client{}).Connect("i-0001", address)
 	var failed *http1.Error
 	qt.Assert(t, errors.As(err, &failed), qt.IsTrue)
 	qt.Assert(t, failed.Sent, qt.IsFalse)
@@ -315,7 +317,9 @@
 	client := &backend.Client{}
 	qt.Assert(t, s.ask(client), qt.Equals, "whole")
 
-	exchange, err := client.Send("i-0001", s.listener.Addr().String(), []byte(requestHead), nil)
+	exchange, err := client.Connect("i-0001", s.listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	err = exchange.Send([]byte(requestHead), nil)
 	qt.Assert(t, err, qt.IsNil)
 	const shortly = 50 * time.Millisecond
 	qt.Assert(t, exchange.SetReadDeadline(time.Now().Add(shortly)), qt.IsNil)
@@ -328,3 +332,17 @@
 	qt.Assert(t, made, qt.Equals, int64(2))
 	qt.Assert(t, reused, qt.Equals, int64(1))
 }
+
+// A connection for which nothing was written is used for the next request, and no longer
+// than the server keeps it.
+func TestConnectionThatWasNotUsedIsKept(t *testing.T) {
+	s := serve(t, say(wholeAnswer), say(wholeAnswer), say(wholeAnswer))
+	client := &backend.Client{}
+	for range 2 {
+		exchange, err := client.Connect("i-0001", s.listener.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		exchange.Release()
+		qt.Assert(t, s.ask(client), qt.Equals, "whole")
+	}
+	qt.Assert(t, opened(client), qt.Equals, int64(1))
+}
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -9,6 +9,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"headcourse/io/http1"
 )
 
 // longBody is the size from which a body is written beside reading the answer:
@@ -21,10 +23,11 @@
 // Exchange is one request and its answer. Its methods are for one goroutine,
 // but Abort may be called from any.
 type Exchange struct {
-	client *Client
-	server string
-	conn   *conn
-	body   io.Reader
+	client  *Client
+	server  string
+	address string
+	conn    *conn
+	body    io.Reader
 	// isWhole tells that the whole answer was read; endsWithConn that the
 	// answer's end is the end of its connection.
 	isWhole      bool
@@ -36,6 +39,32 @@
 	aborted  atomic.Bool
 }
 
+// Send writes the request, which must be done once. The error is a *http1.Error: some of the
+// request may have been sent. The exchange has then been broken off.
+func (e *Exchange) Send(head, body []byte) error {
+	err := e.write(head, body)
+	if err == nil {
+		return nil
+	}
+	e.Abort()
+	return &http1.Error{
+		Peer:  e.address,
+		Sent:  true,
+		Cause: err,
+	}
+}
+
+// Release gives back the connection of an exchange for which nothing was written.
+func (e *Exchange) Release() {
+	e.once.Do(func() {
+		if e.conn.goodUntil.IsZero() {
+			e.client.keep(e.server, e.conn, 0)
+			return
+		}
+		e.client.putBack(e.server, e.conn)
+	})
+}
+
 // write writes the request, long bodies in a goroutine of their own.
 func (e *Exchange) write(head, body []byte) error {
 	if err := e.conn.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
--- a/io/gateway/comeback.go
+++ b/io/gateway/comeback.go
@@ -21,6 +21,11 @@
 	// trialPause is for the trial of a request under which servers ended, which takes up
 	// to the whole length of an answer.
 	trialPause = 2 * time.Second
+	// returnSpread is the part of the pause that all servers asked for, and returnTime the
+	// time, over which clients return after its end: at one moment they would be turned
+	// away again.
+	returnSpread = 0.25
+	returnTime   = 400 * time.Millisecond
 	// obeyedPart is the part of its remaining time that a client waits at most.
 	obeyedPart = 3
 	// leastPause and pauseSpread: the pause is drawn between these parts of it, so
@@ -43,8 +48,19 @@
 		pause = storePause
 	case request.ReasonNoServer:
 		pause = groupPause
+	default:
+		if left := j.server.firstPauseEnd(j.service, j.request.Model); left > 0 {
+			return afterPause(left)
+		}
 	}
 	left := j.request.Wait - j.server.clock.Since(j.came)
 	pause = min(pause, max(0, left/obeyedPart))
 	return time.Duration((leastPause + pauseSpread*rand.Float64()) * float64(pause)).Round(time.Millisecond)
 }
+
+// afterPause returns when a client should try again whose servers all want no request for so
+// long: no sooner, since each daemon that asks them earlier breaks their word.
+func afterPause(left time.Duration) time.Duration {
+	spread := returnTime + time.Duration(returnSpread*float64(left))
+	return (left + time.Duration(rand.Float64()*float64(spread))).Round(time.Millisecond)
+}
--- a/io/gateway/directives.go
+++ b/io/gateway/directives.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -8,19 +10,8 @@
 	"headcourse/core/fleet"
 )
 
-// Counters of what servers say about further requests.
-const (
-	countPauses      = "server_pauses_asked"
-	countSentInPause = "requests_sent_in_pause."
-)
-
-// Why a server was sent a request in the pause that it had asked for, by what the tracker
-// made of its refusal.
-const (
-	restOver    = "rest_over"
-	restCleared = "rest_cleared"
-	restPassed  = "rest_passed_over"
-)
+// countPauses counts the answers by which servers asked for a pause.
+const countPauses = "server_pauses_asked"
 
 // heed notes what a server's answer says about further requests.
 func (s *Server) heed(server fleet.Server, said directive.Directive) {
@@ -36,24 +27,34 @@
 	}
 }
 
-// noteSendInPause notes that the request is about to be sent to a server in the pause that
-// it had asked for.
-func (j *job) noteSendInPause(server fleet.Server) {
-	left := j.server.directives.PauseLeft(server.Start())
-	if left == 0 {
-		return
+// serving returns the servers that may be sent a request of a service and model now: those
+// of the view without those that said that they want none. The caller must not change it.
+func (s *Server) serving(service, model string) []fleet.Server {
+	known := s.source.View().Fleet.Serving(service, model)
+	if s.directives.IsEmpty() {
+		return known
+	}
+	var allowed []fleet.Server
+	for _, server := range known {
+		if !s.directives.Forbids(server.Start()) {
+			allowed = append(allowed, server)
+		}
 	}
-	why := restOver
-	switch {
-	case j.server.tracker.IsResting(server.ID):
-		why = restPassed
-	case j.server.tracker.WasCleared(server.ID):
-		why = restCleared
+	return allowed
+}
+
+// firstPauseEnd returns in how long the first server of a service and model takes requests
+// again; 0 where one does so now, or where there is none.
+func (s *Server) firstPauseEnd(service, model string) time.Duration {
+	var first time.Duration
+	for _, server := range s.source.View().Fleet.Serving(service, model) {
+		left := s.directives.PauseLeft(server.Start())
+		if left == 0 {
+			return 0
+		}
+		if first == 0 || left < first {
+			first = left
+		}
 	}
-	metrics.GetOrRegisterCounter(countSentInPause+why, j.server.registry).Inc(1)
-	j.server.log.Info("clients: sent to a server that asked for a pause",
-		zap.String("request_id", j.request.ID),
-		zap.String("server", server.ID),
-		zap.Int64("pause_left_ms", left.Milliseconds()),
-		zap.String("why", why))
+	return first
 }
--- a/io/gateway/directives_test.go
+++ b/io/gateway/directives_test.go
@@ -18,16 +18,16 @@
 )
 
 // pauseAsked is the pause that the tests' servers ask for: longer than any test takes.
-const pauseAsked = time.Hour
+const pauseAsked = 20 * time.Minute
 
 // ownRest is longer than a daemon rests a server by itself after its first refusal.
 const ownRest = 500 * time.Millisecond
 
 // turnAway says that the server did not run the request and wants none for a while.
-func turnAway(w http.ResponseWriter, r *http.Request) {
+func turnAway(w http.ResponseWriter, r *http.Request, pause time.Duration) {
 	w.Header().Set(wire.HeaderID, r.Header.Get(wire.HeaderID))
 	w.Header().Set(wire.HeaderNotExecuted, "1")
-	w.Header().Set("Retry-After", strconv.Itoa(int(pauseAsked.Seconds())))
+	w.Header().Set("Retry-After", strconv.Itoa(int(pause.Seconds())))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -62,7 +62,7 @@
 		var asked atomic.Int64
 		paused := backends(t, 1, func(w http.ResponseWriter, r *http.Request) {
 			asked.Add(1)
-			turnAway(w, r)
+			turnAway(w, r, pauseAsked)
 		})
 		well := backends(t, 1, answerWhole)
 		core, logs := observer.New(zap.InfoLevel)
@@ -89,7 +89,7 @@
 		paused := backends(t, 1, func(w http.ResponseWriter, r *http.Request) {
 			if began.Add(1) > 1 {
 				turned.Add(1)
-				turnAway(w, r)
+				turnAway(w, r, pauseAsked)
 				return
 			}
 			answerEvent(t, w, r)
@@ -120,7 +120,7 @@
 		var asked atomic.Int64
 		paused := backends(t, 2, func(w http.ResponseWriter, r *http.Request) {
 			asked.Add(1)
-			turnAway(w, r)
+			turnAway(w, r, pauseAsked)
 		})
 		_, address := listen(t, newSource(someServers(config.Safe, paused...)), time.Minute)
 		for _, status := range askMany(t, address, 5) {
@@ -129,3 +129,29 @@
 		qt.Assert(t, asked.Load(), qt.Equals, int64(2))
 	})
 }
+
+// Clients that were told to come back sooner found no server again, and lost their last try;
+// all at one moment, they would be turned away together.
+func TestClientsReturnAfterTheFirstPauseOfAllServersIsOver(t *testing.T) {
+	var asked atomic.Int64
+	longer := backends(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		turnAway(w, r, 2*pauseAsked)
+	})
+	shorter := backends(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		turnAway(w, r, pauseAsked)
+	})
+	_, address := listen(t, newSource(someServers(config.Safe, longer[0], shorter[0])), time.Minute)
+	drawn := map[time.Duration]bool{}
+	for i := range 20 {
+		status, header := ask(t, address, "r"+strconv.Itoa(i), 10*pauseAsked)
+		qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+		pause := comesBack(t, header)
+		// The tests themselves take less than a minute.
+		qt.Assert(t, pause >= pauseAsked-time.Minute && pause < 2*pauseAsked-time.Minute, qt.IsTrue, qt.Commentf("%s", pause))
+		drawn[pause] = true
+	}
+	qt.Assert(t, len(drawn) > 10, qt.IsTrue)
+	qt.Assert(t, asked.Load(), qt.Equals, int64(2))
+}
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -243,7 +243,7 @@
 
 // hasOtherServer tells whether there is a server that was not asked yet.
 func (j *job) hasOtherServer() bool {
-	for _, server := range j.server.source.View().Fleet.Serving(j.service, j.request.Model) {
+	for _, server := range j.server.serving(j.service, j.request.Model) {
 		if !j.excluded[server.ID] {
 			return true
 		}
@@ -254,7 +254,7 @@
 // pick chooses the server for the next send.
 func (j *job) pick() (fleet.Server, func(), bool) {
 	kind := j.noteAsked()
-	serving := j.server.source.View().Fleet.Serving(j.service, j.request.Model)
+	serving := j.server.serving(j.service, j.request.Model)
 	if len(serving) == 0 {
 		return fleet.Server{}, nil, false
 	}
@@ -273,6 +273,14 @@
 	return fleet.Server{}, nil, false
 }
 
+// whyNoServer returns why no server can be chosen.
+func (j *job) whyNoServer() request.Reason {
+	if j.server.firstPauseEnd(j.service, j.request.Model) > 0 {
+		return request.ReasonPaused
+	}
+	return request.ReasonNoServer
+}
+
 // noteAsked measures a request once, at its first send, and returns its kind.
 func (j *job) noteAsked() demand.Kind {
 	kind := demand.Kind{
--- a/io/gateway/lane.go
+++ b/io/gateway/lane.go
@@ -37,8 +37,7 @@
 // way: its part of a share of all places.
 func (j *job) laneLimit() int {
 	places := 0
-	view := j.server.source.View()
-	for _, server := range view.Fleet.Serving(j.service, j.request.Model) {
+	for _, server := range j.server.serving(j.service, j.request.Model) {
 		places += server.Capacity
 	}
 	return max(1, int(laneShare*float64(places)/float64(max(1, j.server.source.Daemons()))))
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -34,6 +34,16 @@
 	stream   *stream
 }
 
+// mayHaveArrived tells whether any of the request may have reached the server.
+func (t tried) mayHaveArrived() bool {
+	switch t.reason {
+	case request.ReasonConnect, request.ReasonPaused:
+		return t.mayHaveRun
+	default:
+		return true
+	}
+}
+
 // try sends the request to one server, after the last event that the client
 // has, and reads its answer, or a stream's up to its first event.
 func (j *job) try(last int64) tried {
@@ -57,13 +67,12 @@
 	server, done, ok := j.pick()
 	if !ok {
 		return tried{
-			reason: request.ReasonNoServer,
+			reason: j.whyNoServer(),
 		}
 	}
 	j.sends++
 	j.sentAt = time.Now()
 	j.excluded[server.ID] = true
-	j.noteSendInPause(server)
 	head := j.server.dialect.WriteHead(j.request, request.Attempt{
 		Server:       server.ID,
 		Organisation: j.organisation,
@@ -76,7 +85,7 @@
 	if result.mayHaveRun || result.reason == request.ReasonNone {
 		j.runs++
 	}
-	if result.reason != request.ReasonConnect || result.mayHaveRun {
+	if result.mayHaveArrived() {
 		j.arrivals++
 	}
 	if result.stream != nil {
@@ -92,7 +101,12 @@
 
 // exchangeWith sends the request and reads the answer.
 func (j *job) exchangeWith(server fleet.Server, head []byte) tried {
-	exchange, err := j.server.backends.Send(server.ID, server.Address, head, j.request.Body)
+	exchange, err := j.send(server, head)
+	if errors.Is(err, errWithheld) {
+		return tried{
+			reason: request.ReasonPaused,
+		}
+	}
 	if err != nil {
 		var failed *http1.Error
 		sent := errors.As(err, &failed) && failed.Sent
@@ -130,6 +144,24 @@
 	}
 }
 
+// errWithheld reports that a request was not written: its server has said that it wants none.
+var errWithheld = errors.New("the server wants no request")
+
+// send writes the request to a server. It returns errWithheld where the server has said so
+// since it was chosen: on a busy machine, or where the connection was slow to come up, that
+// may be hundreds of milliseconds later.
+func (j *job) send(server fleet.Server, head []byte) (*backend.Exchange, error) {
+	exchange, err := j.server.backends.Connect(server.ID, server.Address)
+	if err != nil {
+		return nil, err
+	}
+	if j.server.directives.Forbids(server.Start()) {
+		exchange.Release()
+		return nil, errWithheld
+	}
+	return exchange, exchange.Send(head, j.request.Body)
+}
+
 // readWhole reads the body of an answer that is not a stream.
 func (j *job) readWhole(exchange *backend.Exchange, answer request.Answer, mayKeep bool, watch *watchdog) tried {
 	body, err := exchange.ReadAll(answerLimit)
--- a/io/gateway/watchdog.go
+++ b/io/gateway/watchdog.go
@@ -128,7 +128,7 @@
 
 // hasOther tells whether another server could take the request now.
 func (w *watchdog) hasOther() bool {
-	for _, other := range w.job.server.source.View().Fleet.Serving(w.job.service, w.job.request.Model) {
+	for _, other := range w.job.server.serving(w.job.service, w.job.request.Model) {
 		if other.ID != w.server.ID && !w.job.server.tracker.IsResting(other.ID) {
 			return true
 		}
