A server that says that it leaves is sent nothing more

Cause: a leave was learned from the server's entry alone, which some servers never change; every answer of a server that leaves says so. Change: read on all answers (whole, refused, errors, heads of streams, answers to earlier requests), kept for the start of the server until ten minutes after it was last known; clients do not get the header.

--- a/core/directive/directive.go
+++ b/core/directive/directive.go
@@ -18,16 +18,22 @@
 // of use for as long as the daemon runs.
 const MaxPause = time.Hour
 
+// LeaveKept is how long a leave is kept after its server was last known: longer than servers take
+// to end and outages of the store, after which their entries come back.
+const LeaveKept = 10 * time.Minute
+
 // Directive is what one answer of a server says about further requests. The zero value says
 // nothing.
 type Directive struct {
 	// Pause is for how long the server wants no request; 0: not said.
 	Pause time.Duration
+	// IsLeaving tells that the server finishes what it has, and then ends.
+	IsLeaving bool
 }
 
 // IsAny tells whether the directive says anything.
 func (d Directive) IsAny() bool {
-	return d.Pause > 0
+	return d.Pause > 0 || d.IsLeaving
 }
 
 // Book keeps directives by the starts of servers (fleet.Server.Start). The zero value is
@@ -43,59 +49,82 @@
 // entry is what one start of a server said.
 type entry struct {
 	pausedUntil time.Time
+	isLeaving   bool
+	// known is when a leaving start was known last.
+	known time.Time
 }
 
-// Note keeps a directive that has just come, and tells whether it changes what may be sent:
-// the start was not paused before. Of several pauses the one that ends last holds: each
-// answer was given for its own time.
-func (b *Book) Note(start string, said Directive) bool {
+// Note keeps a directive that has just come, and returns what of it is news: a pause of a
+// start that was not paused, and the first word of its leave. Of several pauses the one that
+// ends last holds: each answer was given for its own time. Nothing ends a leave.
+func (b *Book) Note(start string, said Directive) Directive {
 	if !said.IsAny() {
-		return false
+		return Directive{}
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.Clock.Now()
 	one := b.kept[start]
-	wasFree := !now.Before(one.pausedUntil)
+	news := said
+	if now.Before(one.pausedUntil) {
+		news.Pause = 0
+	}
 	if until := now.Add(min(said.Pause, MaxPause)); until.After(one.pausedUntil) {
 		one.pausedUntil = until
 	}
+	if said.IsLeaving {
+		news.IsLeaving = !one.isLeaving
+		one.isLeaving = true
+		one.known = now
+	}
 	if b.kept == nil {
 		b.kept = map[string]entry{}
 	}
 	b.kept[start] = one
-	return wasFree
+	return news
 }
 
 // Forbids tells whether the start may be sent no request now.
 func (b *Book) Forbids(start string) bool {
-	return b.PauseLeft(start) > 0
-}
-
-// IsEmpty tells whether nothing is kept, which is so at most times: then nobody needs to
-// look at each server.
-func (b *Book) IsEmpty() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return len(b.kept) == 0
+	one := b.kept[start]
+	return one.isLeaving || b.Clock.Until(one.pausedUntil) > 0
 }
 
 // PauseLeft returns for how much longer the start wants no request; 0: it has not said so,
-// or its time is over.
+// or its time is over, or it leaves and never wants one again.
 func (b *Book) PauseLeft(start string) time.Duration {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return max(0, b.Clock.Until(b.kept[start].pausedUntil))
+	one := b.kept[start]
+	if one.isLeaving {
+		return 0
+	}
+	return max(0, b.Clock.Until(one.pausedUntil))
+}
+
+// IsEmpty tells whether nothing is kept, which is so at most times: then nobody needs to
+// look at each server.
+func (b *Book) IsEmpty() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.kept) == 0
 }
 
-// Sweep forgets pauses that are over.
-func (b *Book) Sweep() {
+// Sweep forgets pauses that are over, and leaves of starts that isKnown has not known for
+// LeaveKept.
+func (b *Book) Sweep(isKnown func(start string) bool) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.Clock.Now()
 	for start, one := range b.kept {
-		if !now.Before(one.pausedUntil) {
+		switch {
+		case !one.isLeaving && !now.Before(one.pausedUntil), one.isLeaving && now.Sub(one.known) >= LeaveKept && !isKnown(start):
 			delete(b.kept, start)
+		case one.isLeaving && isKnown(start):
+			one.known = now
+			b.kept[start] = one
 		}
 	}
 }
--- a/core/directive/directive_test.go
+++ b/core/directive/directive_test.go
@@ -22,13 +22,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		var book directive.Book
 		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, time.Duration(0))
-		qt.Assert(t, book.Note("i-1", pause(3*time.Second)), qt.IsTrue)
+		qt.Assert(t, book.Note("i-1", pause(3*time.Second)).IsAny(), qt.IsTrue)
 		time.Sleep(2900 * time.Millisecond)
 		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, 100*time.Millisecond)
 		qt.Assert(t, book.PauseLeft("i-2"), qt.Equals, time.Duration(0))
 		time.Sleep(100 * time.Millisecond)
 		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, time.Duration(0))
-		qt.Assert(t, book.Note("i-1", pause(time.Second)), qt.IsTrue)
+		qt.Assert(t, book.Note("i-1", pause(time.Second)).IsAny(), qt.IsTrue)
 	})
 }
 
@@ -37,7 +37,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var book directive.Book
 		book.Note("i-1", pause(3*time.Second))
-		qt.Assert(t, book.Note("i-1", pause(time.Second)), qt.IsFalse)
+		qt.Assert(t, book.Note("i-1", pause(time.Second)).IsAny(), qt.IsFalse)
 		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, 3*time.Second)
 		book.Note("i-1", pause(5*time.Second))
 		qt.Assert(t, book.PauseLeft("i-1"), qt.Equals, 5*time.Second)
@@ -70,15 +70,47 @@
 	})
 }
 
+// nobody knows no start.
+func nobody(string) bool { return false }
+
+// A leave has no end: the entry of a server that leaves may go and come back, as it does
+// when the store was away, while the server still works.
+func TestLeaveIsKeptForLongAfterTheServerWasLastKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var book directive.Book
+		leave := directive.Directive{
+			IsLeaving: true,
+		}
+		qt.Assert(t, book.IsEmpty(), qt.IsTrue)
+		qt.Assert(t, book.Note("i-1@7", leave).IsAny(), qt.IsTrue)
+		qt.Assert(t, book.Note("i-1@7", leave).IsAny(), qt.IsFalse)
+		qt.Assert(t, book.Forbids("i-1@8"), qt.IsFalse)
+		for range 3 {
+			time.Sleep(directive.LeaveKept)
+			book.Sweep(func(start string) bool { return start == "i-1@7" })
+			qt.Assert(t, book.Forbids("i-1@7"), qt.IsTrue)
+		}
+		// Pauses end, but none ends a leave.
+		book.Note("i-1@7", pause(time.Second))
+		time.Sleep(2 * time.Second)
+		book.Sweep(nobody)
+		qt.Assert(t, book.Forbids("i-1@7"), qt.IsTrue)
+		qt.Assert(t, book.PauseLeft("i-1@7"), qt.Equals, time.Duration(0))
+		time.Sleep(directive.LeaveKept)
+		book.Sweep(nobody)
+		qt.Assert(t, book.IsEmpty(), qt.IsTrue)
+	})
+}
+
 func TestSweepForgetsOnlyWhatIsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var book directive.Book
 		book.Note("i-1", pause(time.Second))
 		book.Note("i-2", pause(3*time.Second))
 		time.Sleep(2 * time.Second)
-		book.Sweep()
+		book.Sweep(nobody)
 		qt.Assert(t, book.PauseLeft("i-2"), qt.Equals, time.Second)
-		qt.Assert(t, book.Note("i-2", pause(time.Second)), qt.IsFalse)
-		qt.Assert(t, book.Note("i-1", pause(time.Second)), qt.IsTrue)
+		qt.Assert(t, book.Note("i-2", pause(time.Second)).IsAny(), qt.IsFalse)
+		qt.Assert(t, book.Note("i-1", pause(time.Second)).IsAny(), qt.IsTrue)
 	})
 }
--- a/io/gateway/directives.go
+++ b/io/gateway/directives.go
@@ -10,21 +10,45 @@
 	"headcourse/core/fleet"
 )
 
-// countPauses counts the answers by which servers asked for a pause.
-const countPauses = "server_pauses_asked"
+// Counters of what servers say about further requests: of answers that ask for a pause, and
+// of starts of servers that say that they leave.
+const (
+	countPauses = "server_pauses_asked"
+	countLeaves = "server_leaves_said"
+)
 
 // heed notes what a server's answer says about further requests.
 func (s *Server) heed(server fleet.Server, said directive.Directive) {
 	if !said.IsAny() {
 		return
 	}
-	metrics.GetOrRegisterCounter(countPauses, s.registry).Inc(1)
-	if s.directives.Note(server.Start(), said) {
-		s.log.Info("servers: asked for a pause",
-			zap.String("server", server.ID),
-			zap.String("group", server.Membership.Group),
-			zap.Int64("pause_ms", said.Pause.Milliseconds()))
+	news := s.directives.Note(server.Start(), said)
+	if said.Pause > 0 {
+		metrics.GetOrRegisterCounter(countPauses, s.registry).Inc(1)
+	}
+	if news.IsLeaving {
+		metrics.GetOrRegisterCounter(countLeaves, s.registry).Inc(1)
+	}
+	if !news.IsAny() {
+		return
+	}
+	s.log.Info("servers: wants no request",
+		zap.String("server", server.ID),
+		zap.String("group", server.Membership.Group),
+		zap.Int64("pause_ms", news.Pause.Milliseconds()),
+		zap.Bool("is_leaving", news.IsLeaving))
+}
+
+// sweepDirectives forgets what servers said that hold no longer.
+func (s *Server) sweepDirectives() {
+	if s.directives.IsEmpty() {
+		return
+	}
+	starts := map[string]bool{}
+	for _, server := range s.source.View().Fleet.Servers() {
+		starts[server.Start()] = true
 	}
+	s.directives.Sweep(func(start string) bool { return starts[start] })
 }
 
 // serving returns the servers that may be sent a request of a service and model now: those
@@ -44,15 +68,15 @@
 }
 
 // firstPauseEnd returns in how long the first server of a service and model takes requests
-// again; 0 where one does so now, or where there is none.
+// again; 0 where one does so now, or where none will.
 func (s *Server) firstPauseEnd(service, model string) time.Duration {
+	if len(s.serving(service, model)) > 0 {
+		return 0
+	}
 	var first time.Duration
 	for _, server := range s.source.View().Fleet.Serving(service, model) {
 		left := s.directives.PauseLeft(server.Start())
-		if left == 0 {
-			return 0
-		}
-		if first == 0 || left < first {
+		if left > 0 && (first == 0 || left < first) {
 			first = left
 		}
 	}
--- a/io/gateway/directives_test.go
+++ b/io/gateway/directives_test.go
@@ -9,11 +9,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
 	"headcourse/core/config"
+	"headcourse/core/fleet"
+	"headcourse/io/gateway"
 	"headcourse/platform/wire"
 )
 
@@ -155,3 +158,126 @@
 	qt.Assert(t, len(drawn) > 10, qt.IsTrue)
 	qt.Assert(t, asked.Load(), qt.Equals, int64(2))
 }
+
+// leave marks an answer as that of a server that leaves.
+func leave(w http.ResponseWriter) {
+	w.Header().Set(wire.HeaderLeaving, "1")
+}
+
+// A server that leaves says so in its answers some time before its entry does, and some
+// servers' entries never do: daemons that went by the entry alone sent it requests until it
+// was gone.
+func TestServerThatSaysThatItLeavesIsSentNothingMore(t *testing.T) {
+	answers := map[string]http.HandlerFunc{
+		"whole answer": func(w http.ResponseWriter, r *http.Request) {
+			leave(w)
+			answerWhole(w, r)
+		},
+		"refusal": func(w http.ResponseWriter, r *http.Request) {
+			leave(w)
+			w.Header().Set(wire.HeaderNotExecuted, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"other server": func(w http.ResponseWriter, _ *http.Request) {
+			leave(w)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		},
+		"error": func(w http.ResponseWriter, r *http.Request) {
+			leave(w)
+			answerWhole(w, r)
+			w.WriteHeader(http.StatusInternalServerError)
+		},
+		"stream that breaks off": func(w http.ResponseWriter, r *http.Request) {
+			leave(w)
+			answerEvent(t, w, r)
+			panic(http.ErrAbortHandler)
+		},
+		"answer to an earlier request": func(w http.ResponseWriter, _ *http.Request) {
+			leave(w)
+			w.Header().Set(wire.HeaderID, "earlier")
+		},
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int64
+			leaving := backends(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				asked.Add(1)
+				answer(w, r)
+			})
+			well := backends(t, 1, answerWhole)
+			used := options(newSource(someServers(config.Safe, leaving[0], well[0])))
+			server := start(t, used)
+			for asked.Load() == 0 {
+				askMany(t, server.Address(), 1)
+			}
+			// Past the daemon's own rest of a server that failed.
+			time.Sleep(ownRest)
+			for _, status := range askMany(t, server.Address(), 20) {
+				qt.Assert(t, status, qt.Equals, http.StatusOK)
+			}
+			qt.Assert(t, asked.Load(), qt.Equals, int64(1))
+			count := metrics.GetOrRegisterCounter("server_leaves_said", used.Registry).Count()
+			qt.Assert(t, count, qt.Equals, int64(1))
+		})
+	}
+}
+
+// What a server says of its connections is for the daemon: clients have others.
+func TestClientsAreNotToldThatAServerLeaves(t *testing.T) {
+	addresses := backends(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		leave(w)
+		answerWhole(w, r)
+	})
+	_, address := listen(t, newSource(someServers(config.Safe, addresses...)), time.Minute)
+	status, header := ask(t, address, "r1", time.Minute)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, header.Get(wire.HeaderLeaving), qt.Equals, "")
+
+	// The next request has no server, and is refused at once.
+	status, header = ask(t, address, "r2", time.Minute)
+	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, comesBack(t, header) > 0, qt.IsTrue)
+}
+
+// changingSource is a source whose view changes.
+type changingSource struct {
+	*source
+	now atomic.Pointer[gateway.View]
+}
+
+// View returns the view as it is now.
+func (s *changingSource) View() gateway.View { return *s.now.Load() }
+
+// A server that starts again under its ID has said nothing yet.
+func TestServerThatStartedAgainIsSentRequestsAgain(t *testing.T) {
+	for name, say := range map[string]http.HandlerFunc{
+		"paused":  func(w http.ResponseWriter, r *http.Request) { turnAway(w, r, pauseAsked) },
+		"leaving": func(w http.ResponseWriter, r *http.Request) { leave(w); answerWhole(w, r) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int64
+			addresses := backends(t, 1, func(w http.ResponseWriter, r *http.Request) {
+				if asked.Add(1) == 1 {
+					say(w, r)
+					return
+				}
+				answerWhole(w, r)
+			})
+			view := someServers(config.Safe, addresses...)
+			from := &changingSource{
+				source: newSource(view),
+			}
+			from.now.Store(&view)
+			_, address := listen(t, from, time.Minute)
+			askMany(t, address, 3)
+			qt.Assert(t, asked.Load(), qt.Equals, int64(1))
+
+			again := view
+			started := view.Fleet.Servers()[0]
+			started.Born++
+			again.Fleet = view.Fleet.WithAll(2, []fleet.Server{started}, time.Now())
+			from.now.Store(&again)
+			qt.Assert(t, askMany(t, address, 1), qt.DeepEquals, []int{http.StatusOK})
+		})
+	}
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -271,7 +271,7 @@
 			isKnown := s.source.View().Fleet.IsUsable
 			s.backends.Sweep(isKnown)
 			s.tracker.Sweep(isKnown)
-			s.directives.Sweep()
+			s.sweepDirectives()
 		}
 	}
 }
