Stand-in, soak: servers that ask for pauses, and that leave by their answers alone

Cause: no stand-in's server said anything about further requests, so neither tests nor the soak could break what is asked of daemons then. Change: both are faults of the soak (on one server, on half, on all, in step or not, 0.2 s to 20 s), and the stand-in checks each daemon by the users' bounds; freezes, restarts and cuts excuse.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -94,6 +95,7 @@
 	return &standin.Client{
 		Platform: s.platform,
 		Address:  s.daemons[daemon].ClientsAddress(),
+		Daemon:   strconv.Itoa(daemon),
 		Key:      key,
 	}
 }
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -100,6 +100,7 @@
 	client := &standin.Client{
 		Platform: s.platform,
 		Address:  s.daemons[i].entry.Address(),
+		Daemon:   s.daemons[i].name,
 	}
 	for turn := 0; ctx.Err() == nil; turn++ {
 		const oldEvery = 7
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -94,6 +94,14 @@
 		name:  "server is in a bad mood",
 		begin: badMood,
 	},
+	{
+		name:  "servers turn requests away and ask for pauses",
+		begin: askForPauses,
+	},
+	{
+		name:  "plain server leaves and says so in its answers alone",
+		begin: leaveByAnswers,
+	},
 	{
 		name:  "keys change",
 		begin: changeKeys,
@@ -187,7 +195,11 @@
 		return nil
 	}
 	harmed.Set(s.harm())
-	return heal(harmed)
+	end := s.beginExcuse(nil)
+	return func() {
+		harmed.Set(proxy.None)
+		end()
+	}
 }
 
 // strandStore silences the open connections of a daemon to the store for good.
@@ -200,6 +212,7 @@
 func strandServer(s *soak) func() {
 	if harmed := s.anyServer(); harmed != nil {
 		harmed.Strand()
+		s.excuse(nil, killTime)
 	}
 	return nil
 }
@@ -233,7 +246,9 @@
 // signalOne sends a signal to one daemon.
 func signalOne(signal unix.Signal) func(s *soak) func() {
 	return func(s *soak) func() {
-		s.signal(s.anyDaemon(), signal)
+		one := s.anyDaemon()
+		s.excuse(one, stopTime)
+		s.signal(one, signal)
 		return nil
 	}
 }
@@ -241,12 +256,17 @@
 // pauseOne pauses a daemon for a while.
 func pauseOne(s *soak) func() {
 	one := s.anyDaemon()
+	end := s.beginExcuse(one)
 	s.signal(one, unix.SIGSTOP)
-	return func() { s.signal(one, unix.SIGCONT) }
+	return func() {
+		s.signal(one, unix.SIGCONT)
+		end()
+	}
 }
 
 // killAll kills all daemons at once.
 func killAll(s *soak) func() {
+	s.excuse(nil, killTime)
 	for _, one := range s.daemons {
 		s.signal(one, unix.SIGKILL)
 	}
--- a/lab/standin/client.go
+++ b/lab/standin/client.go
@@ -18,8 +18,10 @@
 // Client sends requests to one daemon and checks the answers.
 type Client struct {
 	Platform *Platform
-	// Address is the daemon's IP:port for clients.
+	// Address is the daemon's IP:port for clients, Daemon its name; empty: what servers say
+	// to it about further requests is not checked.
 	Address string
+	Daemon  string
 	Key     string
 	http    http.Client
 }
@@ -56,6 +58,8 @@
 	request.Host = Host
 	request.Header.Set(wire.HeaderID, id)
 	request.Header.Set(wire.HeaderDeadline, "6000")
+	request.Header.Set(headerDaemon, c.Daemon)
+	request.Header.Set(headerSent, strconv.FormatInt(time.Now().UnixMilli(), 10))
 	if c.Key != "" {
 		request.Header.Set(wire.HeaderKey, c.Key)
 	}
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -57,8 +57,10 @@
 	// crashes counts the servers that crashed, by the path of the request.
 	crashes map[string]int
 	broken  []string
-	dir     string
-	lead    func(address string) (string, error)
+	// promises are what servers said to daemons about further requests.
+	promises promises
+	dir      string
+	lead     func(address string) (string, error)
 }
 
 // Size is how large a stand-in is.
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -35,6 +35,10 @@
 	seen    int64
 	mood    Mood
 	pace    float64
+	// pause is what the server asks for with each request that it turns away; 0: none.
+	pause time.Duration
+	// isLeaving tells that all answers say that the server leaves.
+	isLeaving bool
 }
 
 // SetPace makes the server's report say how many times longer its work takes.
@@ -108,7 +112,7 @@
 	mux.HandleFunc("GET "+wire.PathReport, s.handleReport)
 	mux.HandleFunc("/", s.handleRequest)
 	started := &http.Server{
-		Handler:           mux,
+		Handler:           s.sayLeave(mux),
 		ReadHeaderTimeout: time.Minute,
 	}
 	s.http = started
@@ -139,6 +143,8 @@
 	s.state.Group = nil
 	s.members = nil
 	s.seen = 0
+	s.isLeaving = false
+	s.platform.promises.forgetServer(s.id)
 	s.serve(listener)
 	return nil
 }
@@ -165,6 +171,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.state.State = wire.StateDraining
+	s.isLeaving = true
 	s.tell()
 }
 
@@ -345,6 +352,7 @@
 	if !s.isExpected(w, r) {
 		return
 	}
+	s.platform.checkDirectives(s, r)
 	s.mutex.Lock()
 	mood := s.mood
 	isHead := s.domain == "" || (s.state.Group != nil && s.state.Group.Rank == 0 && s.state.Group.State == "open")
@@ -359,6 +367,7 @@
 	}
 	id := r.Header.Get(wire.HeaderID)
 	if mood == Shedding || !s.waitWhole(r) {
+		s.askForPause(w, r)
 		w.Header().Set(wire.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
