--- a/io/gateway/directives_test.go
+++ b/io/gateway/directives_test.go
@@ -173,7 +173,7 @@
 			leave(w)
 			answerWhole(w, r)
 		},
-		"refusal": func(w http.ResponseWriter, r *http.Request) {
+		"refusal": func(w http.ResponseWriter, _ *http.Request) {
 			leave(w)
 			w.Header().Set(wire.HeaderNotExecuted, "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
