A trial whose request was answered meanwhile is sent

Cause: between the decision to try a suspected request and the other daemons' agreement it may be answered whole; the trial was then refused for two seconds, and its row stayed. Change: it is sent, and the row goes. Measured: the test failed first (refused), passes.

--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -124,7 +124,14 @@
 	var conflict *rowstore.Conflict
 	switch {
 	case err == nil:
-		return d.ledger.Tried(trial, version)
+		if !d.ledger.Tried(trial, version) {
+			// It was answered whole meanwhile: there is nothing left to try.
+			d.Cleared(quarantine.Cleared{
+				Digest:   trial.Digest,
+				HasTrial: true,
+			})
+		}
+		return true
 	case errors.As(err, &conflict):
 		d.takeTold(conflict.Rows, 0, time.Time{})
 	default:
--- a/entry/crashing_test.go
+++ b/entry/crashing_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"headcourse/core/quarantine"
 	"headcourse/lab/standin"
 	"headcourse/platform/wire"
 )
@@ -93,3 +94,19 @@
 		})
 	}
 }
+
+// A request was refused for two seconds although it had just been answered: another of its
+// content was, between the decision to try it and the other daemons' agreement.
+func TestTrialOfARequestThatWasAnsweredMeanwhileIsSent(t *testing.T) {
+	s := newSite(t, 1)
+	s.await(func() standin.Answer {
+		return get(s.client(0, standin.KeyOne))
+	}, isWhole)
+	trial := quarantine.Trial{
+		Digest: quarantine.DigestOf(standin.PathSafe+"gate", "cuenca", nil),
+		Number: 1,
+	}
+	qt.Assert(t, s.daemons[0].MayTry(trial), qt.IsTrue)
+	// Its row goes again, so that no other daemon waits for its end.
+	s.awaitTrue(func() bool { return s.daemons[0].MayTry(trial) })
+}
