A pause outlives a start of its server under the same ID; lines of pauses are bounded

Cause: the entry of a server that started again comes later than the start, so that the daemon keeps the next start's word for the former one and would forget it with that. Change: a pause goes on under the next start, a leave does not; starts are noted before the view shows them; lines about servers' words at most one each 200 ms for a service.

--- a/core/directive/directive.go
+++ b/core/directive/directive.go
@@ -1,10 +1,9 @@
-// Package directive keeps what backend servers told this daemon about sending to them: how
-// long one wants no request.
+// Package directive keeps what backend servers told this daemon about sending to them: for
+// how long one wants no request, and that one leaves.
 //
 // What a server says itself is a limit and holds until the time is over, whatever this daemon
 // sees of it meanwhile. What a daemon concludes from failures and silence is a preference,
-// and stands in package balancer. A directive is for one daemon and one start of a server:
-// the same server under the same ID, started anew, has said nothing yet.
+// and stands in package balancer. A directive is for one daemon and one start of a server.
 package directive
 
 import (
@@ -112,6 +111,21 @@
 	return len(b.kept) == 0
 }
 
+// Restarted notes that a server's entry tells of its next start under the same ID. The entry
+// comes later than the start, so a pause may have been asked by the next one already and goes
+// on. A leave is of the former: it would put the next out of use for good.
+func (b *Book) Restarted(former, next string) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	until := b.kept[former].pausedUntil
+	one := b.kept[next]
+	if !until.After(b.Clock.Now()) || !until.After(one.pausedUntil) {
+		return
+	}
+	one.pausedUntil = until
+	b.kept[next] = one
+}
+
 // Sweep forgets pauses that are over, and leaves of starts that isKnown has not known for
 // LeaveKept.
 func (b *Book) Sweep(isKnown func(start string) bool) {
--- a/core/directive/directive_test.go
+++ b/core/directive/directive_test.go
@@ -114,3 +114,28 @@
 		qt.Assert(t, book.Note("i-1", pause(time.Second)).IsAny(), qt.IsTrue)
 	})
 }
+
+// A server started again under its ID and asked for a pause before its new entry was read:
+// the word was kept for the start before. A leave of that one is void.
+func TestPauseOutlivesAStartUnderTheSameID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var book directive.Book
+		book.Note("i-1@7", pause(3*time.Second))
+		book.Note("i-1@7", directive.Directive{
+			IsLeaving: true,
+		})
+		book.Restarted("i-1@7", "i-1@9")
+		qt.Assert(t, book.PauseLeft("i-1@9"), qt.Equals, 3*time.Second)
+		time.Sleep(3 * time.Second)
+		qt.Assert(t, book.Forbids("i-1@9"), qt.IsFalse)
+
+		// A longer word of the new start itself stays.
+		book.Note("i-2@9", pause(5*time.Second))
+		book.Note("i-2@7", pause(time.Second))
+		book.Restarted("i-2@7", "i-2@9")
+		qt.Assert(t, book.PauseLeft("i-2@9"), qt.Equals, 5*time.Second)
+
+		book.Restarted("i-3@7", "i-3@9")
+		qt.Assert(t, book.Forbids("i-3@9"), qt.IsFalse)
+	})
+}
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -120,12 +120,12 @@
 		}
 	}
 	former := d.view.Load().Fleet
-	d.change(func(view *gateway.View) {
-		view.Fleet = view.Fleet.WithAll(version, servers, d.outage.Load().LostUntil(d.grace()), void...)
-	})
 	for _, server := range servers {
 		d.noteStart(former, server)
 	}
+	d.change(func(view *gateway.View) {
+		view.Fleet = view.Fleet.WithAll(version, servers, d.outage.Load().LostUntil(d.grace()), void...)
+	})
 	d.serversRead.Store(true)
 	d.noteKnown()
 	d.log.Info("servers: read", zap.Int("servers", len(servers)), zap.Int64("table_version", version))
@@ -154,12 +154,12 @@
 		})
 	}
 	former := d.view.Load().Fleet
-	d.change(func(view *gateway.View) {
-		view.Fleet = view.Fleet.WithChanges(version, changes, d.outage.Load().LostUntil(d.grace()))
-	})
 	for _, change := range changes {
 		d.noteStart(former, change.Server)
 	}
+	d.change(func(view *gateway.View) {
+		view.Fleet = view.Fleet.WithChanges(version, changes, d.outage.Load().LostUntil(d.grace()))
+	})
 	if d.isFirstHand() {
 		d.logChanges(former, changes)
 	}
@@ -172,7 +172,7 @@
 	if !wasKnown || before.Born == server.Born {
 		return
 	}
-	d.gateway.Restarted(server.ID)
+	d.gateway.Restarted(before, server)
 	if d.isFirstHand() {
 		d.log.Info("servers: started again",
 			zap.String("server", server.ID),
--- a/io/gateway/directives.go
+++ b/io/gateway/directives.go
@@ -17,6 +17,10 @@
 	countLeaves = "server_leaves_said"
 )
 
+// directiveLineEvery bounds the lines about what the servers of a service say: tens may ask
+// for pauses of some tenths of a second, all at once.
+const directiveLineEvery = 200 * time.Millisecond
+
 // heed notes what a server's answer says about further requests.
 func (s *Server) heed(server fleet.Server, said directive.Directive) {
 	if !said.IsAny() {
@@ -32,11 +36,16 @@
 	if !news.IsAny() {
 		return
 	}
+	mayWrite, leftOut := s.directiveLines.Pass(server.Service)
+	if !mayWrite {
+		return
+	}
 	s.log.Info("servers: wants no request",
 		zap.String("server", server.ID),
 		zap.String("group", server.Membership.Group),
 		zap.Int64("pause_ms", news.Pause.Milliseconds()),
-		zap.Bool("is_leaving", news.IsLeaving))
+		zap.Bool("is_leaving", news.IsLeaving),
+		zap.Int("lines_left_out", leftOut))
 }
 
 // sweepDirectives forgets what servers said that hold no longer.
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -108,6 +108,8 @@
 	budgets      *retry.Budgets
 	// directives are what servers said about further requests.
 	directives directive.Book
+	// directiveLines bounds the lines about them.
+	directiveLines logline.Rarely
 	// ledger knows which requests are held; underWay finds those that were sent before;
 	// checks find out which servers have ended.
 	ledger   *quarantine.Ledger
@@ -186,6 +188,7 @@
 		stop:         stop,
 	}
 	server.directives.Clock = options.Clock
+	server.directiveLines.Every = directiveLineEvery
 	server.http = &fasthttp.Server{
 		Handler:                      server.handle,
 		ErrorHandler:                 server.handleBadRequest,
@@ -232,9 +235,11 @@
 	return s.backends.Counts()
 }
 
-// Restarted tells that a backend server has started again under its ID.
-func (s *Server) Restarted(id string) {
-	s.tracker.Forget(id)
+// Restarted tells that a backend server has started again under its ID, before the view
+// shows so.
+func (s *Server) Restarted(former, next fleet.Server) {
+	s.tracker.Forget(former.ID)
+	s.directives.Restarted(former.Start(), next.Start())
 }
 
 // Leave makes every further answer ask its client to use another connection.
