--- /dev/null
+++ b/io/gateway/choose.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"math/rand/v2"
+
+	"headcourse/core/balancer"
+	"headcourse/core/demand"
+	"headcourse/core/fleet"
+	"headcourse/core/request"
+	"headcourse/core/usage"
+)
+
+// hasOtherServer tells whether there is a server that was not asked yet.
+func (j *job) hasOtherServer() bool {
+	for _, server := range j.server.serving(j.service, j.request.Model) {
+		if !j.excluded[server.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+// pick chooses the server for the next send.
+func (j *job) pick() (fleet.Server, func(), bool) {
+	kind := j.noteAsked()
+	serving := j.server.serving(j.service, j.request.Model)
+	if len(serving) == 0 {
+		return fleet.Server{}, nil, false
+	}
+	preference := j.server.source.Preference(kind)
+	candidates := preference.WithTiers(j.candidates(serving), rand.Float64())
+	chosen, done, ok := j.server.tracker.Pick(candidates, j.excluded, j.request.Cost())
+	if !ok {
+		return fleet.Server{}, nil, false
+	}
+	for _, server := range serving {
+		if server.ID == chosen.ID {
+			return server, done, true
+		}
+	}
+	done()
+	return fleet.Server{}, nil, false
+}
+
+// whyNoServer returns why no server can be chosen.
+func (j *job) whyNoServer() request.Reason {
+	if j.server.firstPauseEnd(j.service, j.request.Model) > 0 {
+		return request.ReasonPaused
+	}
+	return request.ReasonNoServer
+}
+
+// noteAsked measures a request once, at its first send, and returns its kind.
+func (j *job) noteAsked() demand.Kind {
+	kind := demand.Kind{
+		Service: j.service,
+		Model:   j.request.Model,
+	}
+	if j.sends == 0 {
+		j.server.meter.Note(kind, j.request.Cost(), j.tokens())
+	}
+	return kind
+}
+
+// tokens returns what the request asks of a model engine: its answer is as long as those
+// to others of its model are on the mean.
+func (j *job) tokens() usage.Rate {
+	service := j.config.Service(j.service)
+	if service == nil || service.Engine == nil {
+		return usage.Rate{}
+	}
+	return usage.Of(usage.Size{
+		Prompt: float64(j.request.PromptTokens),
+		Answer: j.server.sizes.Of(j.request.Model, service.Engine.Usual).Answer,
+	}, j.route.Goal)
+}
+
+// candidates returns the servers that may take the request.
+func (j *job) candidates(serving []fleet.Server) []balancer.Candidate {
+	candidates := make([]balancer.Candidate, len(serving))
+	for i, server := range serving {
+		candidates[i] = balancer.Candidate{
+			ID:         server.ID,
+			Capacity:   server.Capacity,
+			Zone:       server.Zone,
+			Domain:     server.Domain,
+			IsTroubled: j.server.source.IsTroubled(server),
+		}
+	}
+	return candidates
+}
