The list of servers is copied only where one of them wants no request

Cause: after one leave the list of all heads was copied at each choice for ten minutes. Change: it is copied only if it holds such a server. Measured: tests of the gateway; with 400 heads a copy was some 100 KB a choice by size, worked out, not measured.

--- a/io/gateway/directives.go
+++ b/io/gateway/directives.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -64,16 +65,15 @@
 // of the view without those that said that they want none. The caller must not change it.
 func (s *Server) serving(service, model string) []fleet.Server {
 	known := s.source.View().Fleet.Serving(service, model)
-	if s.directives.IsEmpty() {
+	if s.directives.IsEmpty() || !slices.ContainsFunc(known, s.wantsNone) {
 		return known
 	}
-	var allowed []fleet.Server
-	for _, server := range known {
-		if !s.directives.Forbids(server.Start()) {
-			allowed = append(allowed, server)
-		}
-	}
-	return allowed
+	return slices.DeleteFunc(slices.Clone(known), s.wantsNone)
+}
+
+// wantsNone tells whether a server has said that it wants no request now.
+func (s *Server) wantsNone(server fleet.Server) bool {
+	return s.directives.Forbids(server.Start())
 }
 
 // firstPauseEnd returns in how long the first server of a service and model takes requests
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if j.server.directives.Forbids(server.Start()) {
+	if j.server.wantsNone(server) {
 		exchange.Release()
 		return nil, errWithheld
 	}
