--- a/entry/directives_test.go
+++ b/entry/directives_test.go
@@ -40,6 +40,7 @@
 		qt.Assert(t, answer.Status, qt.Equals, http.StatusServiceUnavailable)
 		qt.Assert(t, answer.Retry, qt.Not(qt.Equals), "")
 	}
+	qt.Assert(t, s.platform.DirectiveCounts().Pauses > 0, qt.IsTrue)
 	for _, one := range append(plain, head) {
 		one.AskForPauses(0)
 	}
@@ -67,4 +68,5 @@
 			qt.Assert(t, isWhole(streamSmall(client)), qt.IsTrue)
 		}
 	}
+	qt.Assert(t, s.platform.DirectiveCounts().Leaves >= len(s.daemons), qt.IsTrue)
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -106,6 +106,8 @@
 	stop()
 	clients.Wait()
 	s.say("%s", s.tally.String())
+	counts := s.platform.DirectiveCounts()
+	s.say("%d pauses asked, %d requests in them after what was under way; %d leaves said", counts.Pauses, counts.InPause, counts.Leaves)
 	return append(broken, s.platform.Violations()...), nil
 }
 
--- a/lab/standin/directives.go
+++ b/lab/standin/directives.go
@@ -35,6 +35,22 @@
 	// excused counts the troubles of each daemon for which it cannot be blamed; those of
 	// everybody stand under the empty name.
 	excused map[string]int
+	counts  DirectiveCounts
+}
+
+// DirectiveCounts is what daemons were asked that can be blamed for it, and what came from
+// them all the same.
+type DirectiveCounts struct {
+	Pauses  int
+	Leaves  int
+	InPause int
+}
+
+// DirectiveCounts returns the counts so far.
+func (p *Platform) DirectiveCounts() DirectiveCounts {
+	p.promises.mutex.Lock()
+	defer p.promises.mutex.Unlock()
+	return p.promises.counts
 }
 
 // spokenKey names a server and the daemon that it spoke to.
@@ -135,6 +151,7 @@
 	told.mutex.Lock()
 	defer told.mutex.Unlock()
 	if heard := told.to(s.id, r.Header.Get(headerDaemon)); heard != nil {
+		told.counts.Pauses++
 		heard.pauses = append(heard.pauses, &pauseSpoken{
 			from: now.Add(pauseGrace),
 			till: now.Add(pause),
@@ -165,6 +182,7 @@
 	defer p.mutex.Unlock()
 	if heard := p.to(server, daemon); heard != nil && heard.left.IsZero() {
 		heard.left = time.Now()
+		p.counts.Leaves++
 	}
 }
 
@@ -184,6 +202,7 @@
 			continue
 		}
 		pause.came++
+		p.promises.counts.InPause++
 		if pause.came == pauseSends+1 {
 			p.violate(fmt.Sprintf("%s had asked %s for a pause and got more than %d requests in it", s.id, daemon, pauseSends))
 		}
