A trial is not sent to servers that ended under its request

Cause: requests that ran beside two crashes were on trial; the trials went to the two servers that had ended, while their entries stood, and their ends were counted as the trials', so that what all clients share was held for ten minutes. Change: a trial avoids starts that ended under the request while another server is left; a daemon does not count an end that it knew before the trial began. TestTrialGoesOnWhileNoServerEndsUnderIt let a start end twice, which none does: it now takes another start, and also checks that the request is held.

--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -98,8 +98,8 @@
 
 // suspect is what is known of one digest.
 type suspect struct {
-	// ends has, by the start of a server, whether the store has told of its end.
-	ends map[string]bool
+	// ends has the ends, by the starts of servers.
+	ends map[string]endKnown
 	// last is when an end or a trial became known last.
 	last time.Time
 	// trials is the number of the last trial, version its row's, triedAt when it became
@@ -110,6 +110,18 @@
 	failed  int
 }
 
+// endKnown is when the end of a start became known, and whether the store has told of it.
+type endKnown struct {
+	at     time.Time
+	isTold bool
+}
+
+// endedBeforeTrial tells whether a start's end was known before the last trial began.
+func (s *suspect) endedBeforeTrial(start string) bool {
+	known, ok := s.ends[start]
+	return ok && known.at.Before(s.triedAt)
+}
+
 // hasFailed tells whether a server ended under the last trial. Words of both may come in
 // any order.
 func (s *suspect) hasFailed() bool {
@@ -202,8 +214,18 @@
 		return isCleared
 	}
 	one := l.suspect(end.Digest)
-	_, wasThere := one.ends[end.Start]
-	one.ends[end.Start] = one.ends[end.Start] || isTold
+	if !isTold && end.Trial > 0 && one.endedBeforeTrial(end.Start) {
+		// The trial went to a server that had ended, but for its entry: it tells nothing of
+		// the request, which was held for minutes by it. Others are not told.
+		l.mutex.Unlock()
+		return isKnown
+	}
+	known, wasThere := one.ends[end.Start]
+	if !wasThere {
+		known.at = now
+	}
+	known.isTold = known.isTold || isTold
+	one.ends[end.Start] = known
 	one.last = now
 	isHeldNow := end.Trial > one.failed
 	one.failed = max(one.failed, end.Trial)
@@ -229,7 +251,7 @@
 	}
 	l.makeRoom()
 	one = &suspect{
-		ends: map[string]bool{},
+		ends: map[string]endKnown{},
 		last: time.Now(),
 	}
 	l.suspects[digest] = one
@@ -275,7 +297,7 @@
 		HasTrial: s.version > 0,
 	}
 	for _, start := range slices.Sorted(maps.Keys(s.ends)) {
-		if s.ends[start] {
+		if s.ends[start].isTold {
 			cleared.Starts = append(cleared.Starts, start)
 		}
 	}
--- a/core/quarantine/ledger_test.go
+++ b/core/quarantine/ledger_test.go
@@ -140,8 +140,10 @@
 		Digest: digestOf("bad"),
 		Number: 1,
 	}, 7)
-	ledger.Note(trialEnd("b", 1))
+	ledger.Note(trialEnd("c", 1))
 	qt.Assert(t, ledger.MayGoOn(digestOf("bad"), 1), qt.IsFalse)
+	_, held := ledger.Counts()
+	qt.Assert(t, held, qt.Equals, 1)
 }
 
 // Servers that fail together end under what many callers ask alike: a page that dashboards
@@ -260,3 +262,25 @@
 		}
 	})
 }
+
+// Requests that merely ran beside two crashes were on trial, sent to a server that had ended
+// already, while its entry stood, and held for minutes: its end was counted as the trial's.
+func TestEndFromBeforeTheTrialIsNotOfIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := suspected("bad")
+		time.Sleep(time.Second)
+		trial := ledger.Decide(digestOf("bad")).Trial
+		qt.Assert(t, ledger.Tried(trial, 7), qt.IsTrue)
+		time.Sleep(time.Millisecond)
+		qt.Assert(t, ledger.Note(trialEnd("b", trial.Number)), qt.IsFalse)
+		qt.Assert(t, ledger.MayGoOn(digestOf("bad"), trial.Number), qt.IsTrue)
+		_, held := ledger.Counts()
+		qt.Assert(t, held, qt.Equals, 0)
+
+		// One that ends in its course is, also where another request told of it first.
+		ledger.Note(endAt("bad", "c"))
+		qt.Assert(t, ledger.Note(trialEnd("c", trial.Number)), qt.IsTrue)
+		_, held = ledger.Counts()
+		qt.Assert(t, held, qt.Equals, 1)
+	})
+}
--- a/io/gateway/quarantine.go
+++ b/io/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"sync"
 	"syscall"
 
@@ -55,12 +56,34 @@
 			zap.Int("trial", j.trial),
 			zap.Strings("ended", j.server.ledger.Ends(j.digest())),
 			zap.Bool("is_agreed", mayTry))
+		j.avoidEnded()
 		return mayTry
 	default:
 		return false
 	}
 }
 
+// avoidEnded excludes servers that ended under the request, whose entries may still stand:
+// a trial there tells nothing. Where there are only such, they may have started again.
+func (j *job) avoidEnded() {
+	ends := j.server.ledger.Ends(j.digest())
+	var ended []string
+	isOtherLeft := false
+	for _, server := range j.server.serving(j.service, j.request.Model) {
+		if slices.Contains(ends, server.Start()) {
+			ended = append(ended, server.ID)
+		} else {
+			isOtherLeft = true
+		}
+	}
+	if !isOtherLeft {
+		return
+	}
+	for _, id := range ended {
+		j.excluded[id] = true
+	}
+}
+
 // noteEnd notes that a server ended while the request was under way there, if it did: a
 // server may also have broken off an answer, or refused a connection too many. Where servers
 // have ended under the content before, the request waits for that; else it goes on meanwhile.
--- a/io/gateway/quarantine_test.go
+++ b/io/gateway/quarantine_test.go
@@ -336,3 +336,40 @@
 	ended, _ := from.heard()
 	qt.Assert(t, ended, qt.HasLen, 0)
 }
+
+// A trial that goes to a server which has ended, since its entry still stands, tells nothing
+// of the request.
+func TestTrialIsNotSentToAServerThatEndedUnderTheRequest(t *testing.T) {
+	var toEnded atomic.Int64
+	ended := backends(t, 4, func(w http.ResponseWriter, r *http.Request) {
+		toEnded.Add(1)
+		answerWhole(w, r)
+	})
+	well := backends(t, 1, answerWhole)
+	var ledger quarantine.Ledger
+	for i := range ended {
+		ledger.Told(quarantine.End{
+			Digest: contentOfAsk(),
+			Start:  "i-" + strconv.Itoa(i),
+		})
+	}
+	server := listenWith(t, newSource(someServers(config.Safe, append(ended, well...)...)), &ledger)
+	status, _ := ask(t, server.Address(), "r1", time.Minute)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, toEnded.Load(), qt.Equals, int64(0))
+}
+
+// Where only such servers are left, they may have started again since.
+func TestTrialIsSentToAServerThatEndedWhereNoOtherIsLeft(t *testing.T) {
+	addresses := backends(t, 2, answerWhole)
+	var ledger quarantine.Ledger
+	for i := range addresses {
+		ledger.Told(quarantine.End{
+			Digest: contentOfAsk(),
+			Start:  "i-" + strconv.Itoa(i),
+		})
+	}
+	server := listenWith(t, newSource(someServers(config.Safe, addresses...)), &ledger)
+	status, _ := ask(t, server.Address(), "r1", time.Minute)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+}
