Daemons read the limits that servers name, and write of sends to such servers

Logs could not tell whether a limit is not read, is kept by each daemon for itself, or is lost on the way to the choice of a server. It is now read, noted for each start, written of when it changes and at sends; nothing is decided by it yet.

--- /dev/null
+++ b/core/ratelimit/limit.go
@@ -0,0 +1,48 @@
+// Package ratelimit keeps the limits that backend servers name: how many requests a second
+// one takes from all daemons together, for as long as its answers say so.
+package ratelimit
+
+import "math"
+
+// MaxPerSecond bounds the limits that are kept: beyond it a limit limits nothing.
+const MaxPerSecond = 1e6
+
+// Limit is what one answer of a server says about its limit. The zero value names none.
+type Limit struct {
+	// PerSecond is how many requests a second the server takes, from 0 to MaxPerSecond;
+	// it counts where IsNamed.
+	PerSecond float64
+	IsNamed   bool
+	// IsUnclear tells that the answer names a limit that makes no sense: it is none, and
+	// does not tell that the one before is over.
+	IsUnclear bool
+}
+
+// Named returns the limit of a number of requests a second; one that is no number from 0 on
+// is unclear.
+func Named(perSecond float64) Limit {
+	if math.IsNaN(perSecond) || perSecond < 0 {
+		return Limit{
+			IsUnclear: true,
+		}
+	}
+	return Limit{
+		PerSecond: min(perSecond, MaxPerSecond),
+		IsNamed:   true,
+	}
+}
+
+// Lowest returns the strictest of what several words of one answer say. A word that is
+// unclear counts only where no other names a limit.
+func Lowest(words ...Limit) Limit {
+	var lowest Limit
+	for _, one := range words {
+		switch {
+		case one.IsNamed && (!lowest.IsNamed || one.PerSecond < lowest.PerSecond):
+			lowest = one
+		case one.IsUnclear && !lowest.IsNamed:
+			lowest = one
+		}
+	}
+	return lowest
+}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"headcourse/core/directive"
+	"headcourse/core/ratelimit"
 )
 
 // Request is one attempt of a client, copied from the connection.
@@ -89,6 +90,8 @@
 	Close   bool
 	// Directive is what the server says about further requests.
 	Directive directive.Directive
+	// Limit is what the server says it takes from all daemons together.
+	Limit ratelimit.Limit
 }
 
 // Reason names why a request was refused, sent again or ended early. Each has
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"headcourse/core/directive"
 	"headcourse/core/fleet"
 	"headcourse/core/quarantine"
+	"headcourse/core/ratelimit"
 	"headcourse/core/request"
 	"headcourse/core/retry"
 	"headcourse/core/urgency"
@@ -110,6 +111,10 @@
 	directives directive.Book
 	// directiveLines bounds the lines about them.
 	directiveLines logline.Rarely
+	// limits are what servers said that they take from all daemons together; limitLines
+	// bounds the lines about them.
+	limits     ratelimit.Book
+	limitLines logline.Rarely
 	// ledger knows which requests are held; underWay finds those that were sent before;
 	// checks find out which servers have ended.
 	ledger   *quarantine.Ledger
@@ -189,6 +194,8 @@
 	}
 	server.directives.Clock = options.Clock
 	server.directiveLines.Every = directiveLineEvery
+	server.limits.Clock = options.Clock
+	server.limitLines.Every = directiveLineEvery
 	server.http = &fasthttp.Server{
 		Handler:                      server.handle,
 		ErrorHandler:                 server.handleBadRequest,
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -159,6 +159,7 @@
 		exchange.Release()
 		return nil, errWithheld
 	}
+	j.noteLimited(server)
 	return exchange, exchange.Send(head, j.request.Body)
 }
 
@@ -193,6 +194,7 @@
 		}
 		answer = j.server.dialect.ReadAnswer(&head)
 		j.server.heed(server, answer.Directive)
+		j.server.heedLimit(server, answer.Limit)
 		if answer.ID == j.request.ID || answer.ID == "" {
 			return answer, isMisplaced, nil
 		}
