Failing test: servers that name a limit get more than that from all daemons together

What was seen: two heads of twelve named 1.7 and 2.2 requests a second, for all daemons together, and got 17 and 21 in four seconds, where 15 and 18 are allowed; they got as many as before their first word. The stand-in's servers learn to name limits, and it checks the sum over all daemons that were told, by the users' formula. Five daemons send 13 a second to a server that takes 1.7.

--- a/lab/standin/answers.go
+++ b/lab/standin/answers.go
@@ -17,6 +17,7 @@
 		return
 	}
 	s.platform.checkDirectives(s, r)
+	s.platform.checkLimit(s, r.Header.Get(headerDaemon))
 	s.mutex.Lock()
 	mood := s.mood
 	isHead := s.domain == "" || (s.state.Group != nil && s.state.Group.Rank == 0 && s.state.Group.State == "open")
--- a/lab/standin/directives.go
+++ b/lab/standin/directives.go
@@ -35,7 +35,9 @@
 	// excused counts the troubles of each daemon for which it cannot be blamed; those of
 	// everybody stand under the empty name.
 	excused map[string]int
-	counts  DirectiveCounts
+	// limits are those of servers that name one, by their IDs.
+	limits map[string]*limitSpoken
+	counts DirectiveCounts
 }
 
 // DirectiveCounts is what daemons were asked that can be blamed for it, and what came from
@@ -44,6 +46,10 @@
 	Pauses  int
 	Leaves  int
 	InPause int
+	// Limits counts the daemons that a server told its limit, Limited the requests that
+	// came from these to such servers.
+	Limits  int
+	Limited int
 }
 
 // DirectiveCounts returns the counts so far.
@@ -85,6 +91,9 @@
 			delete(p.promises.spoken, key)
 		}
 	}
+	for _, spoken := range p.promises.limits {
+		spoken.forgetDaemon(daemon)
+	}
 }
 
 // forgetServer forgets what a server said, which starts again.
@@ -96,11 +105,17 @@
 			delete(p.spoken, key)
 		}
 	}
+	delete(p.limits, id)
+}
+
+// isChecked tells whether a daemon can be blamed now. The mutex is held.
+func (p *promises) isChecked(daemon string) bool {
+	return daemon != "" && p.excused[""] == 0 && p.excused[daemon] == 0
 }
 
 // to returns what a server said to a daemon; nil where it is not checked. The mutex is held.
 func (p *promises) to(server, daemon string) *spoken {
-	if daemon == "" || p.excused[""] > 0 || p.excused[daemon] > 0 {
+	if !p.isChecked(daemon) {
 		return nil
 	}
 	key := spokenKey{
@@ -159,8 +174,8 @@
 	}
 }
 
-// sayLeave puts the word of a leave on all answers of a server that leaves.
-func (s *Server) sayLeave(next http.Handler) http.Handler {
+// sayOwn puts on all answers what the server says of itself: that it leaves, and its limit.
+func (s *Server) sayOwn(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mutex.Lock()
 		isLeaving := s.isLeaving
@@ -168,11 +183,18 @@
 		if isLeaving {
 			w.Header().Set(wire.HeaderLeaving, "1")
 		}
+		isLimited := s.sayLimit(w)
 		next.ServeHTTP(w, r)
-		// A daemon that broke off, as its client did, has perhaps not read the answer.
-		if isLeaving && r.Context().Err() == nil {
+		if r.Context().Err() != nil {
+			// A daemon that broke off, as its client did, has perhaps not read the answer.
+			return
+		}
+		if isLeaving {
 			s.platform.promises.noteLeave(s.id, r.Header.Get(headerDaemon))
 		}
+		if isLimited {
+			s.platform.promises.noteLimit(s.id, r.Header.Get(headerDaemon))
+		}
 	})
 }
 
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -36,6 +36,8 @@
 	pause time.Duration
 	// isLeaving tells that all answers say that the server leaves.
 	isLeaving bool
+	// limit is what all answers say that the server takes a second; nil: nothing.
+	limit *float64
 }
 
 // SetPace makes the server's report say how many times longer its work takes.
@@ -109,7 +111,7 @@
 	mux.HandleFunc("GET "+wire.PathReport, s.handleReport)
 	mux.HandleFunc("/", s.handleRequest)
 	started := &http.Server{
-		Handler:           s.sayLeave(mux),
+		Handler:           s.sayOwn(mux),
 		ReadHeaderTimeout: time.Minute,
 	}
 	s.http = started
@@ -141,6 +143,7 @@
 	s.members = nil
 	s.seen = 0
 	s.isLeaving = false
+	s.limit = nil
 	s.platform.promises.forgetServer(s.id)
 	s.serve(listener)
 	return nil
