Daemons keep to a server's limit all together

What was seen: servers in need named how many requests a second they take from all daemons together, and went on to get as many as before, up to 21 in four seconds where 15 are allowed.

Cause: daemons did not read the limit. And one that each daemon keeps to by itself would break it as well: even parts add up to a whole request for each daemon, 360 at one moment from 360 daemons. The class: a bound that is one for all daemons, kept by each for itself.

Mend (core/ratelimit): a limit is divided among few daemons, as many as half of the tolerated excess has whole requests, those of the server's zone first, by an order that all know from the list of daemons. Each has a token bucket for its part, asked when a server is chosen and again right before the first byte. The others leave the server alone. Daemons tell each other by a row of the store that a server has a limit, and that it is over; where nobody speaks of one for a minute they ask in turns. Where all servers get as many as they take, requests are refused at once, with when there is room.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -49,6 +49,8 @@
 	Domain string
 	// IsTroubled tells that other daemons found it standing still or slow.
 	IsTroubled bool
+	// IsLimited tells that it takes only some requests a second, one of them now.
+	IsLimited bool
 	// tier and isFar are set by Preference.WithTiers.
 	tier  tier
 	isFar bool
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -315,3 +316,33 @@
 	step, _ = limits.Step(limits.Move, false)
 	qt.Assert(t, step, qt.Equals, balancer.Move)
 }
+
+// A server that takes only some requests a second is a candidate now and then. What it takes
+// of a daemon is used by it, and the subsets of the others do not change with it.
+func TestLimitedServerIsUsedWhileItHasRoomAndMovesNoOther(t *testing.T) {
+	preference := balancer.Preference{
+		Zone: "quito-a",
+		Daemon: subset.Daemon{
+			Rank: 3,
+			Of:   40,
+		},
+	}
+	limited := zoneHeads()
+	limited[2].IsLimited = true
+	gone := slices.Delete(zoneHeads(), 2, 3)
+	chosen := func(candidates []balancer.Candidate) map[string]bool {
+		const cost = 100
+		var tracker balancer.Tracker
+		all := map[string]bool{}
+		for range 8 {
+			one, _, ok := tracker.Pick(preference.WithTiers(candidates, 0.5), nil, cost)
+			qt.Assert(t, ok, qt.IsTrue)
+			all[one.ID] = true
+		}
+		return all
+	}
+	with := chosen(limited)
+	qt.Assert(t, with["quito-a-2"], qt.IsTrue)
+	delete(with, "quito-a-2")
+	qt.Assert(t, with, qt.DeepEquals, chosen(gone))
+}
--- a/core/balancer/preference.go
+++ b/core/balancer/preference.go
@@ -31,13 +31,15 @@
 )
 
 // WithTiers returns the candidates with the tiers that they have for one request. The
-// zone is drawn at a place between 0 and 1. Servers in trouble do not count as room.
+// zone is drawn at a place between 0 and 1. Servers in trouble do not count as room, nor do
+// those that take only some requests a second: they come and go as candidates with each of
+// these, and subsets would change as often.
 func (p Preference) WithTiers(candidates []Candidate, at float64) []Candidate {
 	zone := locality.Draw(locality.Divide(p.Zone, p.zones(candidates)), at)
 	var ids []string
 	places := 0
 	for _, candidate := range candidates {
-		if candidate.Zone == zone && !candidate.IsTroubled {
+		if candidate.Zone == zone && candidate.isRoom() {
 			ids = append(ids, candidate.ID)
 			places += candidate.Capacity
 		}
@@ -49,7 +51,7 @@
 	}
 	placed := make([]Candidate, len(candidates))
 	for i, candidate := range candidates {
-		candidate.tier = tierOf(candidate, zone, isChosen)
+		candidate.tier = p.tierOf(candidate, zone, isChosen)
 		if candidate.tier == elsewhere && len(subset) == len(ids) {
 			// A daemon that uses all servers of a zone sees a good part of their load, and
 			// leaves the zone by its own requests sooner than by what is asked everywhere:
@@ -63,8 +65,11 @@
 }
 
 // tierOf returns the tier of one candidate.
-func tierOf(candidate Candidate, zone string, isChosen map[string]bool) tier {
+func (p Preference) tierOf(candidate Candidate, zone string, isChosen map[string]bool) tier {
 	switch {
+	case candidate.IsLimited && candidate.Zone == p.Zone:
+		// What it takes of this daemon is lost if it is not used.
+		return inSubset
 	case zone != "" && candidate.Zone != zone:
 		return elsewhere
 	case isChosen[candidate.ID] || candidate.IsTroubled:
@@ -75,6 +80,11 @@
 	}
 }
 
+// isRoom tells whether the candidate counts as room for requests.
+func (c Candidate) isRoom() bool {
+	return !c.IsTroubled && !c.IsLimited
+}
+
 // zones joins the room of each zone with what is asked there, ordered by name.
 func (p Preference) zones(candidates []Candidate) []locality.Zone {
 	rooms := map[string]float64{
@@ -84,7 +94,7 @@
 		rooms[zone] = 0
 	}
 	for _, candidate := range candidates {
-		if !candidate.IsTroubled {
+		if candidate.isRoom() {
 			rooms[candidate.Zone] += float64(max(1, candidate.Capacity))
 		}
 	}
--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -157,6 +157,41 @@
 	return place, of
 }
 
+// OrderFor returns a daemon's place, from 0, in an order of all daemons for a key, and how many
+// of them are in a zone, which come first. The orders of different keys differ, so that they
+// burden different daemons; the place of an unlisted daemon is after all others.
+func (l List) OrderFor(key, zone, name string) (place, near int) {
+	isListed := false
+	own := orderHash(key, name)
+	isNear := false
+	for _, daemon := range l.daemons {
+		if daemon.Name == name {
+			isListed, isNear = true, daemon.Zone == zone
+		}
+	}
+	for _, daemon := range l.daemons {
+		isBefore := daemon.Name != name && orderHash(key, daemon.Name) < own
+		if daemon.Zone == zone {
+			near++
+		}
+		if (daemon.Zone == zone) != isNear {
+			isBefore = !isNear
+		}
+		if isBefore {
+			place++
+		}
+	}
+	if !isListed {
+		return len(l.daemons), near
+	}
+	return place, near
+}
+
+// orderHash orders daemons for a key.
+func orderHash(key, name string) uint64 {
+	return xxhash.Sum64String(key + "/" + name)
+}
+
 // Zones returns the zones that have daemons, each once, in their order.
 func (l List) Zones() []string {
 	var zones []string
--- a/core/neighbours/neighbours_test.go
+++ b/core/neighbours/neighbours_test.go
@@ -182,3 +182,32 @@
 	_, err = neighbours.Decode("front-0", []byte("{"))
 	qt.Assert(t, err, qt.ErrorMatches, "decode daemon front-0: .*")
 }
+
+// Every daemon has a place of its own for a key, those of the key's zone first; what one key
+// burdens another spares.
+func TestOrdersForKeys(t *testing.T) {
+	const each = 5
+	all := daemons(3 * each)
+	for i := range all {
+		all[i].Zone = []string{"a", "b", "c"}[i%3]
+	}
+	list := neighbours.NewList(all)
+	first := map[string]int{}
+	for key := range 60 {
+		taken := map[int]bool{}
+		for _, daemon := range all {
+			place, near := list.OrderFor(strconv.Itoa(key), "b", daemon.Name)
+			qt.Assert(t, near, qt.Equals, each)
+			qt.Assert(t, taken[place], qt.IsFalse)
+			taken[place] = true
+			qt.Assert(t, place < each, qt.Equals, daemon.Zone == "b", qt.Commentf("%s: %d", daemon.Name, place))
+			if place == 0 {
+				first[daemon.Name]++
+			}
+		}
+		qt.Assert(t, taken, qt.HasLen, list.Len())
+		unlisted, _ := list.OrderFor(strconv.Itoa(key), "b", "nobody")
+		qt.Assert(t, unlisted, qt.Equals, list.Len())
+	}
+	qt.Assert(t, first, qt.HasLen, each)
+}
--- a/core/ratelimit/book.go
+++ b/core/ratelimit/book.go
@@ -7,54 +7,232 @@
 	"headcourse/core/boottime"
 )
 
-// Book keeps limits by the starts of servers (fleet.Server.Start). The zero value is empty
-// and safe for concurrent use.
+// Figures of a book.
+const (
+	// ownHolds is how long what this daemon heard itself goes before what others tell, if
+	// that is more: their word may be from before.
+	ownHolds = 2 * time.Second
+	// askAfter is after how long without any word of a limit daemons ask whether it still
+	// holds, one after the other, each in a turn of askTurn: all that had a part may be gone.
+	askAfter = 60 * time.Second
+	askTurn  = window
+	// keptFor is how long a limit of a server that is not known any more is kept.
+	keptFor = 10 * time.Minute
+)
+
+// Book keeps limits by the starts of servers (fleet.Server.Start), and what this daemon has
+// sent of its part of each. The zero value is empty and safe for concurrent use.
 type Book struct {
 	// Clock goes on while the machine is suspended, as the server's time does. Set before use.
 	Clock boottime.Clock
 
 	mutex sync.Mutex
-	kept  map[string]entry
+	kept  map[string]*entry
 }
 
-// entry is what one start of a server named.
+// entry is the limit of one start of a server. spoken is when its last word came.
 type entry struct {
-	limit Limit
-	// first is when this daemon heard first of the limit.
-	first time.Time
+	limit  Limit
+	spoken time.Time
+	// heard is when this daemon heard a word itself.
+	heard time.Time
+	// overruled is what others told while ownHolds; nil: nothing.
+	overruled *Limit
+	bucket    bucket
+	// asked is the turn in which this daemon asked last whether the limit holds.
+	asked int
+}
+
+// learn notes a limit that came now. The mutex is held.
+func (b *Book) learn(start string, limit Limit, now time.Time) *entry {
+	one := b.kept[start]
+	if one == nil {
+		// What was sent before is not counted here: the part begins empty.
+		one = &entry{
+			bucket: bucket{
+				filled: now,
+			},
+		}
+		if b.kept == nil {
+			b.kept = map[string]*entry{}
+		}
+		b.kept[start] = one
+	}
+	one.limit = limit
+	one.spoken = now
+	one.overruled = nil
+	one.asked = 0
+	return one
 }
 
-// Heard notes what an answer of a server says, and tells whether that is news.
-func (b *Book) Heard(start string, said Limit) bool {
+// Heard notes what the answer to a request of this daemon says, which was sent at a time of
+// the book's clock (zero: not known), and tells whether it changed what holds. Answers come out
+// of order: one to a request that was sent before the last word came may be older than it, so
+// it raises or ends no limit.
+func (b *Book) Heard(start string, said Limit, sent time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	one, isKnown := b.kept[start]
-	switch {
-	case said.IsUnclear:
+	one := b.kept[start]
+	if said.IsUnclear || (one == nil && !said.IsNamed) {
 		return false
-	case !said.IsNamed:
-		delete(b.kept, start)
-		return isKnown
 	}
-	isNews := one.limit != said
-	if !isKnown {
-		one.first = b.Clock.Now()
+	isLower := said.IsNamed && (one == nil || said.PerSecond <= one.limit.PerSecond)
+	if !isLower && !sent.After(one.spoken) {
+		return false
 	}
-	one.limit = said
-	if b.kept == nil {
-		b.kept = map[string]entry{}
+	if !said.IsNamed {
+		delete(b.kept, start)
+		return true
 	}
-	b.kept[start] = one
+	// A lower word holds at once, whenever it was said.
+	isNews := one == nil || one.limit != said
+	now := b.Clock.Now()
+	b.learn(start, said, now).heard = now
 	return isNews
 }
 
-// Known returns the limit that a start named, and for how long this daemon has known of one.
+// Told notes what other daemons say of a start; a limit that is not named is over. What this
+// daemon has just heard itself goes before a word that allows more.
+func (b *Book) Told(start string, told Limit) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	one := b.kept[start]
+	now := b.Clock.Now()
+	isMore := !told.IsNamed || (one != nil && told.PerSecond > one.limit.PerSecond)
+	if isMore && one != nil && now.Sub(one.heard) < ownHolds {
+		one.overruled = &told
+		return
+	}
+	b.apply(start, told, now)
+}
+
+// apply notes a limit, or that it is over. The mutex is held.
+func (b *Book) apply(start string, limit Limit, now time.Time) {
+	if limit.IsNamed {
+		b.learn(start, limit, now)
+	} else {
+		delete(b.kept, start)
+	}
+}
+
+// settle applies what was overruled, where this daemon heard nothing more itself. The mutex
+// is held.
+func (b *Book) settle(start string, now time.Time) {
+	one := b.kept[start]
+	if one != nil && one.overruled != nil && now.Sub(one.heard) >= ownHolds {
+		b.apply(start, *one.overruled, now)
+	}
+}
+
+// Known returns the limit of a start, and how long ago its last word came.
 func (b *Book) Known(start string) (limit Limit, since time.Duration) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	one, isKnown := b.kept[start]
-	if !isKnown {
+	one := b.kept[start]
+	if one == nil {
 		return Limit{}, 0
 	}
-	return one.limit, b.Clock.Since(one.first)
+	return one.limit, b.Clock.Since(one.spoken)
+}
+
+// Has tells whether a start has a limit.
+func (b *Book) Has(start string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.kept[start] != nil
+}
+
+// IsEmpty tells whether no server has a limit, which is so at most times: then nobody needs
+// to look at each.
+func (b *Book) IsEmpty() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(b.kept) == 0
+}
+
+// filled returns the entry of a start with the tokens that are due; nil where it has no limit.
+// The mutex is held.
+func (b *Book) filled(start string, place Place, now time.Time) *entry {
+	b.settle(start, now)
+	one := b.kept[start]
+	if one != nil {
+		one.bucket.fill(one.limit, place, now)
+	}
+	return one
+}
+
+// hasRoom tells whether a further request may be sent now.
+func (e *entry) hasRoom(now time.Time) bool {
+	return e.bucket.missing() == 0 || e.mayAsk(now)
+}
+
+// mayAsk tells whether this daemon is to ask now whether the limit still holds.
+func (e *entry) mayAsk(now time.Time) bool {
+	turn := e.turn(now)
+	place := e.bucket.place
+	return turn > e.asked && place.Of > 0 && (turn-1)%place.Of == place.Rank && e.bucket.reserved == 0
+}
+
+// turn returns the number of the turn to ask, from 1; 0: nobody asks yet.
+func (e *entry) turn(now time.Time) int {
+	quiet := now.Sub(e.spoken) - askAfter
+	if quiet < 0 {
+		return 0
+	}
+	return 1 + int(quiet/askTurn)
+}
+
+// HasRoom tells whether this daemon, at a place among all, may send a start a request now.
+func (b *Book) HasRoom(start string, place Place) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.Clock.Now()
+	one := b.filled(start, place, now)
+	return one == nil || one.hasRoom(now)
+}
+
+// Wait returns in how long there is room; isEver is false where this daemon has no part.
+func (b *Book) Wait(start string, place Place) (wait time.Duration, isEver bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.Clock.Now()
+	one := b.filled(start, place, now)
+	if one == nil || one.hasRoom(now) {
+		return 0, true
+	}
+	return one.bucket.wait()
+}
+
+// Reserve keeps room for a request that is to be sent soon, and returns false where there is
+// none. Release must be called at its end.
+func (b *Book) Reserve(start string, place Place) (*Reservation, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.Clock.Now()
+	reservation := &Reservation{
+		book:  b,
+		start: start,
+	}
+	one := b.filled(start, place, now)
+	if one == nil {
+		return reservation, true
+	}
+	if !one.hasRoom(now) {
+		return nil, false
+	}
+	one.bucket.reserved++
+	reservation.of = one
+	return reservation, true
+}
+
+// Sweep forgets limits of starts that isKnown does not know and of which nothing was heard
+// for long.
+func (b *Book) Sweep(isKnown func(start string) bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for start, one := range b.kept {
+		if b.Clock.Since(one.spoken) > keptFor && !isKnown(start) {
+			delete(b.kept, start)
+		}
+	}
 }
--- a/core/ratelimit/limit.go
+++ b/core/ratelimit/limit.go
@@ -2,7 +2,12 @@
 // one takes from all daemons together, for as long as its answers say so.
 package ratelimit
 
-import "math"
+import (
+	"encoding/json"
+	"math"
+
+	"github.com/pkg/errors"
+)
 
 // MaxPerSecond bounds the limits that are kept: beyond it a limit limits nothing.
 const MaxPerSecond = 1e6
@@ -46,3 +51,34 @@
 	}
 	return lowest
 }
+
+// word is a limit as daemons tell it each other. By is the daemon, for whoever looks.
+type word struct {
+	By        string   `json:"by"`
+	PerSecond *float64 `json:"per_second"`
+}
+
+// Encode returns the limit as a daemon tells it to the others.
+func (l Limit) Encode(by string) ([]byte, error) {
+	value, err := json.Marshal(word{
+		By:        by,
+		PerSecond: &l.PerSecond,
+	})
+	return value, errors.Wrap(err, "encode limit")
+}
+
+// Decode returns the limit that a daemon told. It fails on what names none.
+func Decode(value []byte) (Limit, error) {
+	var told word
+	if err := json.Unmarshal(value, &told); err != nil {
+		return Limit{}, errors.Wrap(err, "decode limit")
+	}
+	if told.PerSecond == nil {
+		return Limit{}, errors.New("decode limit: per_second is missing")
+	}
+	limit := Named(*told.PerSecond)
+	if !limit.IsNamed {
+		return Limit{}, errors.Errorf("decode limit: per_second %v is below 0", *told.PerSecond)
+	}
+	return limit, nil
+}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -120,4 +120,5 @@
 	ReasonOverload      Reason = "overload"
 	ReasonCrashes       Reason = "crashes_servers"
 	ReasonPaused        Reason = "servers_paused"
+	ReasonLimited       Reason = "servers_limited"
 )
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -27,6 +27,7 @@
 	"headcourse/core/demand"
 	"headcourse/core/fleet"
 	"headcourse/core/quarantine"
+	"headcourse/core/ratelimit"
 	"headcourse/core/retry"
 	"headcourse/core/rowstore"
 	"headcourse/core/settings"
@@ -118,6 +119,10 @@
 	// ledger knows under which requests servers ended; words are to be told to all daemons.
 	ledger quarantine.Ledger
 	words  chan word
+	// limits are what servers take a second from all daemons together, notices what daemons
+	// tell each other of them.
+	limits  ratelimit.Book
+	notices ratelimit.Notices
 	// changed tells the leader that the view is another.
 	changed chan struct{}
 	// viewRead is set when configuration and servers were read for the first time.
@@ -172,6 +177,7 @@
 	}
 	d.awake.Suspended = d.sleep.Suspended
 	d.clock.Clock = d.awake
+	d.limits.Clock = d.awake
 	d.fresh.Clock = d.awake
 	d.troubles.Every = troubleEvery
 	store := platform.NewStore(known.Store)
@@ -215,6 +221,7 @@
 		Meter:    &d.meter,
 		Budgets:  &d.budgets,
 		Ledger:   &d.ledger,
+		Limits:   &d.limits,
 		Registry: d.registry,
 		Log:      d.log,
 		Clock:    d.awake,
--- a/entry/foreign_test.go
+++ b/entry/foreign_test.go
@@ -38,6 +38,7 @@
 				s.platform.Store.Write(table, fmt.Sprintf("strange-%d-%d", n, i), []byte(value))
 			}
 			s.platform.Store.Write("told", fmt.Sprintf("end/strange-%d-%d", n, i), []byte(value))
+			s.platform.Store.Write("told", fmt.Sprintf("limit/strange-%d-%d", n, i), []byte(value))
 			s.platform.Store.Write("told", fmt.Sprintf("trial/strange-%d-%d", n, i), []byte(value))
 		}
 	}
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -15,7 +15,7 @@
 
 // toldTable has what daemons tell all others of backend servers: at which groups requests
 // stand still or are slow, keyed by the group, and which servers ended under a request
-// (crashes.go).
+// (crashes.go), and which take no more than some requests a second (limits.go).
 const toldTable = "told"
 
 // toldWait is how long one call waits for such words: a call that is under way when
@@ -139,6 +139,7 @@
 func (d *Daemon) takeAllTold(rows []rowstore.Row, version int64, asOf time.Time) {
 	d.told.keep(rows)
 	d.keepEnds(rows)
+	d.keepLimits(rows)
 	d.takeTold(rows, version, asOf)
 	d.toldRead.Store(true)
 	d.noteKnown()
@@ -152,6 +153,8 @@
 			d.takeEnd(row)
 		case isTrial(row):
 			d.takeTrial(row)
+		case isLimit(row):
+			d.takeLimit(row)
 		default:
 			d.takeStall(row)
 		}
--- a/entry/words.go
+++ b/entry/words.go
@@ -22,7 +22,7 @@
 	// wordsAgain is the time between two tries: within the time in which a daemon counts
 	// as in touch, 3 s and more, others must know.
 	wordsAgain = 500 * time.Millisecond
-	// sweepEvery is the time between two looks for ends to be forgotten.
+	// sweepEvery is the time between two looks for words to be forgotten.
 	sweepEvery = time.Minute
 )
 
@@ -38,7 +38,7 @@
 	select {
 	case d.words <- one:
 	default:
-		metrics.GetOrRegisterCounter("quarantine_words_dropped", d.registry).Inc(1)
+		metrics.GetOrRegisterCounter("words_dropped", d.registry).Inc(1)
 	}
 }
 
@@ -56,6 +56,7 @@
 			return
 		case <-sweep.C:
 			d.sweepEnds()
+			d.sweepLimits()
 			continue
 		case one := <-d.words:
 			take(one)
@@ -121,7 +122,7 @@
 		d.noteTrouble(toldTable)(err)
 		return false
 	}
-	d.log.Info("requests: ends of servers told",
+	d.log.Info("servers: words told",
 		zap.Int("told", len(transaction.Writes)),
 		zap.Int("removed", len(transaction.Removes)))
 	return true
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -2,10 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"headcourse/core/balancer"
 	"headcourse/core/demand"
 	"headcourse/core/fleet"
+	"headcourse/core/ratelimit"
 	"headcourse/core/request"
 	"headcourse/core/usage"
 )
@@ -20,32 +22,47 @@
 	return false
 }
 
-// pick chooses the server for the next send.
-func (j *job) pick() (fleet.Server, func(), bool) {
+// choice is the server for one send.
+type choice struct {
+	server fleet.Server
+	// done must be called at the end of the exchange.
+	done func()
+	// room is kept for the send, where the server takes only so many.
+	room *ratelimit.Reservation
+}
+
+// pick chooses the server for the next send, and keeps room for it there.
+func (j *job) pick() (choice, bool) {
 	kind := j.noteAsked()
-	serving := j.server.serving(j.service, j.request.Model)
-	if len(serving) == 0 {
-		return fleet.Server{}, nil, false
-	}
 	preference := j.server.source.Preference(kind)
-	candidates := preference.WithTiers(j.candidates(serving), rand.Float64())
-	chosen, done, ok := j.server.tracker.Pick(candidates, j.excluded, j.request.Cost())
-	if !ok {
-		return fleet.Server{}, nil, false
-	}
-	for _, server := range serving {
-		if server.ID == chosen.ID {
-			return server, done, true
+	for {
+		serving := j.server.serving(j.service, j.request.Model)
+		candidates := preference.WithTiers(j.candidates(serving), rand.Float64())
+		chosen, done, ok := j.server.tracker.Pick(candidates, j.excluded, j.request.Cost())
+		if !ok {
+			return choice{}, false
+		}
+		at := slices.IndexFunc(serving, func(server fleet.Server) bool {
+			return server.ID == chosen.ID
+		})
+		server := serving[at]
+		room, hasRoom := j.server.limits.Reserve(server.Start(), j.server.source.LimitPlace(server))
+		if hasRoom {
+			return choice{
+				server: server,
+				done:   done,
+				room:   room,
+			}, true
 		}
+		// Another request took the room meanwhile: the server serves no more.
+		done()
 	}
-	done()
-	return fleet.Server{}, nil, false
 }
 
 // whyNoServer returns why no server can be chosen.
 func (j *job) whyNoServer() request.Reason {
-	if j.server.firstPauseEnd(j.service, j.request.Model) > 0 {
-		return request.ReasonPaused
+	if reason := j.server.whyWithheld(j.service, j.request.Model).reason; reason != request.ReasonNone {
+		return reason
 	}
 	return request.ReasonNoServer
 }
@@ -85,6 +102,7 @@
 			Zone:       server.Zone,
 			Domain:     server.Domain,
 			IsTroubled: j.server.source.IsTroubled(server),
+			IsLimited:  j.server.limits.Has(server.Start()),
 		}
 	}
 	return candidates
--- a/io/gateway/comeback.go
+++ b/io/gateway/comeback.go
@@ -49,8 +49,13 @@
 	case request.ReasonNoServer:
 		pause = groupPause
 	default:
-		if left := j.server.firstPauseEnd(j.service, j.request.Model); left > 0 {
-			return afterPause(left)
+		why := j.server.whyWithheld(j.service, j.request.Model)
+		if why.left > 0 {
+			return afterPause(why.left)
+		}
+		if why.reason == request.ReasonLimited {
+			// This daemon has no part of what they take; others have.
+			pause = groupPause
 		}
 	}
 	left := j.request.Wait - j.server.clock.Since(j.came)
@@ -58,7 +63,7 @@
 	return time.Duration((leastPause + pauseSpread*rand.Float64()) * float64(pause)).Round(time.Millisecond)
 }
 
-// afterPause returns when a client should try again whose servers all want no request for so
+// afterPause returns when a client should try again whose servers all take no request for so
 // long: no sooner, since each daemon that asks them earlier breaks their word.
 func afterPause(left time.Duration) time.Duration {
 	spread := returnTime + time.Duration(returnSpread*float64(left))
--- a/io/gateway/directives.go
+++ b/io/gateway/directives.go
@@ -9,6 +9,7 @@
 
 	"headcourse/core/directive"
 	"headcourse/core/fleet"
+	"headcourse/core/request"
 )
 
 // Counters of what servers say about further requests: of answers that ask for a pause, and
@@ -49,44 +50,66 @@
 		zap.Int("lines_left_out", leftOut))
 }
 
-// sweepDirectives forgets what servers said that hold no longer.
-func (s *Server) sweepDirectives() {
-	if s.directives.IsEmpty() {
+// sweepSaid forgets what servers said that holds no longer.
+func (s *Server) sweepSaid() {
+	if s.directives.IsEmpty() && s.limits.IsEmpty() {
 		return
 	}
 	starts := map[string]bool{}
 	for _, server := range s.source.View().Fleet.Servers() {
 		starts[server.Start()] = true
 	}
-	s.directives.Sweep(func(start string) bool { return starts[start] })
+	isKnown := func(start string) bool { return starts[start] }
+	s.directives.Sweep(isKnown)
+	s.limits.Sweep(isKnown)
 }
 
 // serving returns the servers that may be sent a request of a service and model now: those
-// of the view without those that said that they want none. The caller must not change it.
+// of the view without those that said that they want none, or no more than they get. The
+// caller must not change it.
 func (s *Server) serving(service, model string) []fleet.Server {
 	known := s.source.View().Fleet.Serving(service, model)
-	if s.directives.IsEmpty() || !slices.ContainsFunc(known, s.wantsNone) {
+	if (s.directives.IsEmpty() && s.limits.IsEmpty()) || !slices.ContainsFunc(known, s.wantsNone) {
 		return known
 	}
 	return slices.DeleteFunc(slices.Clone(known), s.wantsNone)
 }
 
-// wantsNone tells whether a server has said that it wants no request now.
+// wantsNone tells whether a server has said that it wants no request of this daemon now.
 func (s *Server) wantsNone(server fleet.Server) bool {
-	return s.directives.Forbids(server.Start())
+	return s.directives.Forbids(server.Start()) || !s.hasRoom(server)
 }
 
-// firstPauseEnd returns in how long the first server of a service and model takes requests
-// again; 0 where one does so now, or where none will.
-func (s *Server) firstPauseEnd(service, model string) time.Duration {
+// withheld tells why no server of a service and model is sent a request now, though there
+// are some.
+type withheld struct {
+	// reason is ReasonPaused or ReasonLimited; none where a server takes requests.
+	reason request.Reason
+	// left is when the first one takes requests of this daemon again; 0: not known.
+	left time.Duration
+}
+
+// whyWithheld returns why the servers of a service and model are sent none, by the one that
+// takes requests again first.
+func (s *Server) whyWithheld(service, model string) withheld {
+	var first withheld
 	if len(s.serving(service, model)) > 0 {
-		return 0
+		return first
 	}
-	var first time.Duration
 	for _, server := range s.source.View().Fleet.Serving(service, model) {
-		left := s.directives.PauseLeft(server.Start())
-		if left > 0 && (first == 0 || left < first) {
-			first = left
+		one := withheld{
+			reason: request.ReasonPaused,
+			left:   s.directives.PauseLeft(server.Start()),
+		}
+		if !s.directives.Forbids(server.Start()) {
+			one.reason = request.ReasonLimited
+			one.left, _ = s.limits.Wait(server.Start(), s.source.LimitPlace(server))
+		}
+		if isLeaving := one.reason == request.ReasonPaused && one.left == 0; isLeaving {
+			continue
+		}
+		if first.reason == request.ReasonNone || first.left == 0 || (one.left > 0 && one.left < first.left) {
+			first = one
 		}
 	}
 	return first
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -81,6 +81,11 @@
 	IsTroubled(server fleet.Server) bool
 	// IsStill tells whether other daemons found that a member of its group is silent.
 	IsStill(server fleet.Server) bool
+	// LimitPlace is this daemon's place among those that may share the limit of a server.
+	LimitPlace(server fleet.Server) ratelimit.Place
+	// LimitHeard is told what an answer of a server says of its limit, where it names one or
+	// told that one is over.
+	LimitHeard(server fleet.Server, said ratelimit.Limit)
 	// Stalled is told of a server that stands still with requests under way.
 	Stalled(server fleet.Server)
 	// Ended is told of a server that ended with a request under way, of which all
@@ -113,7 +118,7 @@
 	directiveLines logline.Rarely
 	// limits are what servers said that they take from all daemons together; limitLines
 	// bounds the lines about them.
-	limits     ratelimit.Book
+	limits     *ratelimit.Book
 	limitLines logline.Rarely
 	// ledger knows which requests are held; underWay finds those that were sent before;
 	// checks find out which servers have ended.
@@ -161,7 +166,9 @@
 	Meter   *demand.Meter
 	Budgets *retry.Budgets
 	// Ledger knows which requests servers ended under.
-	Ledger   *quarantine.Ledger
+	Ledger *quarantine.Ledger
+	// Limits knows what servers take a second from all daemons together.
+	Limits   *ratelimit.Book
 	Registry metrics.Registry
 	Log      *zap.Logger
 	// Clock goes on while the machine is suspended, as clients' patience does.
@@ -189,12 +196,12 @@
 		backends:     &backend.Client{},
 		budgets:      options.Budgets,
 		ledger:       options.Ledger,
+		limits:       options.Limits,
 		listener:     listener,
 		stop:         stop,
 	}
 	server.directives.Clock = options.Clock
 	server.directiveLines.Every = directiveLineEvery
-	server.limits.Clock = options.Clock
 	server.limitLines.Every = directiveLineEvery
 	server.http = &fasthttp.Server{
 		Handler:                      server.handle,
@@ -283,7 +290,7 @@
 			isKnown := s.source.View().Fleet.IsUsable
 			s.backends.Sweep(isKnown)
 			s.tracker.Sweep(isKnown)
-			s.sweepDirectives()
+			s.sweepSaid()
 		}
 	}
 }
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"headcourse/core/demand"
 	"headcourse/core/fleet"
 	"headcourse/core/quarantine"
+	"headcourse/core/ratelimit"
 	"headcourse/core/retry"
 	"headcourse/io/gateway"
 	"headcourse/platform"
@@ -90,6 +91,16 @@
 // IsStill is never true.
 func (s *source) IsStill(fleet.Server) bool { return false }
 
+// LimitPlace is that of the only daemon.
+func (s *source) LimitPlace(fleet.Server) ratelimit.Place {
+	return ratelimit.Place{
+		Of: 1,
+	}
+}
+
+// LimitHeard notes nothing.
+func (s *source) LimitHeard(fleet.Server, ratelimit.Limit) {}
+
 // Stalled notes nothing.
 func (s *source) Stalled(fleet.Server) {}
 
@@ -111,6 +122,7 @@
 		Meter:    &demand.Meter{},
 		Budgets:  &retry.Budgets{},
 		Ledger:   &quarantine.Ledger{},
+		Limits:   &ratelimit.Book{},
 		Registry: metrics.NewRegistry(),
 		Log:      zap.NewNop(),
 	}
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -87,7 +87,9 @@
 
 	// sentAt is when the request was last sent; the rest measures a stream's
 	// events as the client gets them.
-	sentAt       time.Time
+	sentAt time.Time
+	// tookRoom is when the request was last sent by the server's clock, by which limits count.
+	tookRoom     time.Time
 	lastEventAt  time.Time
 	firstEvent   time.Duration
 	longestPause time.Duration
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -37,7 +37,7 @@
 // mayHaveArrived tells whether any of the request may have reached the server.
 func (t tried) mayHaveArrived() bool {
 	switch t.reason {
-	case request.ReasonConnect, request.ReasonPaused:
+	case request.ReasonConnect, request.ReasonPaused, request.ReasonLimited:
 		return t.mayHaveRun
 	default:
 		return true
@@ -64,12 +64,14 @@
 			reason: request.ReasonDeadline,
 		}
 	}
-	server, done, ok := j.pick()
+	chosen, ok := j.pick()
 	if !ok {
 		return tried{
 			reason: j.whyNoServer(),
 		}
 	}
+	defer chosen.room.Release()
+	server := chosen.server
 	j.sends++
 	j.sentAt = time.Now()
 	j.excluded[server.ID] = true
@@ -80,7 +82,7 @@
 		Priority:     j.level(),
 		LastEvent:    last,
 	})
-	result := j.exchangeWith(server, head)
+	result := j.exchangeWith(chosen, head)
 	result.server = server
 	if result.mayHaveRun || result.reason == request.ReasonNone {
 		j.runs++
@@ -89,9 +91,9 @@
 		j.arrivals++
 	}
 	if result.stream != nil {
-		result.stream.done = done
+		result.stream.done = chosen.done
 	} else {
-		done()
+		chosen.done()
 		j.hold(nil)
 	}
 	j.judge(server, result)
@@ -100,14 +102,19 @@
 }
 
 // exchangeWith sends the request and reads the answer.
-func (j *job) exchangeWith(server fleet.Server, head []byte) tried {
-	exchange, err := j.send(server, head)
-	if errors.Is(err, errWithheld) {
+func (j *job) exchangeWith(chosen choice, head []byte) tried {
+	server := chosen.server
+	exchange, err := j.send(chosen, head)
+	switch {
+	case errors.Is(err, errPaused):
 		return tried{
 			reason: request.ReasonPaused,
 		}
-	}
-	if err != nil {
+	case errors.Is(err, errLimited):
+		return tried{
+			reason: request.ReasonLimited,
+		}
+	case err != nil:
 		var failed *http1.Error
 		sent := errors.As(err, &failed) && failed.Sent
 		return tried{
@@ -144,22 +151,30 @@
 	}
 }
 
-// errWithheld reports that a request was not written: its server has said that it wants none.
-var errWithheld = errors.New("the server wants no request")
+// Errors of requests that were not written: errPaused where the server has said that it wants
+// none, errLimited where it gets as many as it takes.
+var (
+	errPaused  = errors.New("the server wants no request")
+	errLimited = errors.New("the server takes no more requests now")
+)
 
-// send writes the request to a server. It returns errWithheld where the server has said so
-// since it was chosen: on a busy machine, or where the connection was slow to come up, that
-// may be hundreds of milliseconds later.
-func (j *job) send(server fleet.Server, head []byte) (*backend.Exchange, error) {
+// send writes the request to a server. It returns errPaused or errLimited where the server has
+// said so since it was chosen: on a busy machine, or where the connection was slow to come up,
+// that may be hundreds of milliseconds later.
+func (j *job) send(chosen choice, head []byte) (*backend.Exchange, error) {
+	server := chosen.server
 	exchange, err := j.server.backends.Connect(server.ID, server.Address)
 	if err != nil {
 		return nil, err
 	}
-	if j.server.wantsNone(server) {
+	if j.server.directives.Forbids(server.Start()) {
+		exchange.Release()
+		return nil, errPaused
+	}
+	if !j.takeRoom(chosen) {
 		exchange.Release()
-		return nil, errWithheld
+		return nil, errLimited
 	}
-	j.noteLimited(server)
 	return exchange, exchange.Send(head, j.request.Body)
 }
 
@@ -194,7 +209,7 @@
 		}
 		answer = j.server.dialect.ReadAnswer(&head)
 		j.server.heed(server, answer.Directive)
-		j.server.heedLimit(server, answer.Limit)
+		j.heedLimit(server, answer)
 		if answer.ID == j.request.ID || answer.ID == "" {
 			return answer, isMisplaced, nil
 		}
--- a/lab/standin/limits.go
+++ b/lab/standin/limits.go
@@ -52,6 +52,16 @@
 	s.setLimit(&perSecond)
 }
 
+// ChangeLimit has a server that names a limit name another one.
+func (s *Server) ChangeLimit(perSecond float64) {
+	s.mutex.Lock()
+	isNamed := s.limit != nil
+	s.mutex.Unlock()
+	if isNamed {
+		s.NameLimit(perSecond)
+	}
+}
+
 // EndLimit has the server name no limit any more.
 func (s *Server) EndLimit() {
 	s.setLimit(nil)
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -154,6 +154,13 @@
 	return s.id
 }
 
+// Start returns what names this start of the server among those under its id.
+func (s *Server) Start() string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.id + "@" + strconv.FormatInt(s.state.Born, 10)
+}
+
 // Address returns the IP:port by which others reach the server.
 func (s *Server) Address() string {
 	return s.address
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -236,6 +237,19 @@
 	return rows
 }
 
+// Count returns how many rows of a table have keys that begin so.
+func (s *Store) Count(table, prefix string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for _, row := range s.table(table) {
+		if strings.HasPrefix(row.Key, prefix) {
+			count++
+		}
+	}
+	return count
+}
+
 // page returns the rows of one answer, from a key on as many as it may hold, and
 // whether there are more after them.
 func page(rows []wire.Row, from string) ([]wire.Row, bool) {
