Soak: servers name limits, steady, falling and rising

One, half or all servers of a service name limits of 0.3 to 20 requests a second for 6 to 12 seconds; the stand-in checks the sum over all daemons. Kept seeds draw from the rows of the table that there were when they were found, so that a new row does not change what they play.

--- a/lab/soak/directives.go
+++ b/lab/soak/directives.go
@@ -19,15 +19,7 @@
 // askForPauses has some servers of a service turn requests away for a while, all in step or
 // each with a pause of its own.
 func askForPauses(s *soak) func() {
-	service := []string{standin.ServicePlain, standin.ServiceModel}[s.random.IntN(2)]
-	servers := s.platform.Servers(service)
-	chosen := servers
-	switch s.random.IntN(3) {
-	case 0:
-		chosen = servers[:1]
-	case 1:
-		chosen = servers[:(len(servers)+1)/2]
-	}
+	chosen := s.someServers()
 	isInStep := s.random.IntN(2) == 0
 	pause := s.between(leastPause, mostPause)
 	for _, one := range chosen {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -20,7 +20,8 @@
 	begin func(s *soak) (end func())
 }
 
-// faults is the table of all troubles.
+// faults is the table of all troubles. A row is added at its end: seeds that are kept draw from
+// the rows that there were when they were found.
 var faults = []fault{
 	{
 		name:  "store of a daemon harmed",
@@ -110,6 +111,10 @@
 		name:  "request that crashes its servers comes again and again",
 		begin: crashServers,
 	},
+	{
+		name:  "servers name limits",
+		begin: nameLimits,
+	},
 }
 
 // Times between and of troubles.
@@ -128,7 +133,7 @@
 func (s *soak) disturb(until time.Time) {
 	for time.Now().Before(until) {
 		time.Sleep(s.between(leastGap, mostGap))
-		chosen := faults[s.random.IntN(len(faults))]
+		chosen := s.faults[s.random.IntN(len(s.faults))]
 		length := s.between(leastLength, mostLength)
 		end := chosen.begin(s)
 		s.say("%s (%s)", chosen.name, length.Round(time.Millisecond))
@@ -155,6 +160,7 @@
 	for _, service := range []string{standin.ServicePlain, standin.ServiceModel} {
 		for _, server := range s.platform.Servers(service) {
 			server.SetMood(standin.Good)
+			server.EndLimit()
 		}
 	}
 }
--- /dev/null
+++ b/lab/soak/limits.go
@@ -0,0 +1,60 @@
+package soak
+
+import (
+	"math"
+	"time"
+
+	"headcourse/lab/standin"
+)
+
+// Limits that servers name, in requests a second, and for how long: they count from three
+// seconds on, and are checked over four.
+const (
+	leastLimit, mostLimit         = 0.3, 20.0
+	leastLimitTime, mostLimitTime = 6 * time.Second, 12 * time.Second
+)
+
+// limitSteps is how many limits a server names one after the other where they change.
+const limitSteps = 6
+
+// nameLimits has some servers of a service name limits: one, half or all of them, each the same
+// or its own, steady, falling or rising.
+func nameLimits(s *soak) func() {
+	chosen := s.someServers()
+	isSame := s.random.IntN(2) == 0
+	limit := s.anyLimit()
+	// factor is by how much each limit differs from the one before.
+	factor := []float64{1, 0.6, 1.6}[s.random.IntN(3)]
+	length := s.between(leastLimitTime, mostLimitTime)
+	for _, one := range chosen {
+		if !isSame {
+			limit = s.anyLimit()
+		}
+		one.NameLimit(limit)
+		for step := 1; step < limitSteps; step++ {
+			later := min(max(leastLimit, limit*math.Pow(factor, float64(step))), mostLimit)
+			time.AfterFunc(length*time.Duration(step)/limitSteps, func() { one.ChangeLimit(later) })
+		}
+		time.AfterFunc(length, one.EndLimit)
+	}
+	return nil
+}
+
+// anyLimit draws a limit, small ones as often as large ones.
+func (s *soak) anyLimit() float64 {
+	return leastLimit * math.Pow(mostLimit/leastLimit, s.random.Float64())
+}
+
+// someServers draws one, half or all of the servers of a service.
+func (s *soak) someServers() []*standin.Server {
+	service := []string{standin.ServicePlain, standin.ServiceModel}[s.random.IntN(2)]
+	servers := s.platform.Servers(service)
+	switch s.random.IntN(3) {
+	case 0:
+		return servers[:1]
+	case 1:
+		return servers[:(len(servers)+1)/2]
+	default:
+		return servers
+	}
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -30,6 +30,8 @@
 	Seed    uint64
 	Length  time.Duration
 	Daemons int
+	// Faults is how many rows of the table of faults are drawn from; 0: all.
+	Faults int
 	// Dir takes settings files and process ids.
 	Dir string
 	Out io.Writer
@@ -60,6 +62,7 @@
 	options  Options
 	random   *rand.Rand
 	platform *standin.Platform
+	faults   []fault
 	daemons  []*daemon
 	// servers are the proxies before backend servers, by their addresses; servers that
 	// crash start again at any time.
@@ -78,11 +81,18 @@
 	s := &soak{
 		options: options,
 		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
+		faults:  faults,
 		servers: map[string]*proxy.Proxy{},
 		tally: tally{
 			counts: map[string]int{},
 		},
 	}
+	if options.Faults > len(faults) {
+		return nil, errors.Errorf("play soak: %d faults asked for, there are %d", options.Faults, len(faults))
+	}
+	if options.Faults > 0 {
+		s.faults = faults[:options.Faults]
+	}
 	if err := s.prepare(); err != nil {
 		return nil, err
 	}
@@ -108,6 +118,7 @@
 	s.say("%s", s.tally.String())
 	counts := s.platform.DirectiveCounts()
 	s.say("%d pauses asked, %d requests in them after what was under way; %d leaves said", counts.Pauses, counts.InPause, counts.Leaves)
+	s.say("%d daemons told of a limit, %d requests of theirs to servers that had one", counts.Limits, counts.Limited)
 	return append(broken, s.platform.Violations()...), nil
 }
 
--- a/labcommand/soak.go
+++ b/labcommand/soak.go
@@ -14,6 +14,7 @@
 	Seed    uint64        `name:"seed" default:"1" help:"Seed of all choices."`
 	Length  time.Duration `name:"length" default:"20s" help:"How long faults come."`
 	Daemons int           `name:"daemons" default:"4" help:"How many daemons there are."`
+	Faults  int           `name:"faults" default:"0" help:"How many rows of the table of faults are drawn from; 0: all."`
 	Dir     string        `name:"dir" required:"" help:"Folder for settings files and process ids, shared with the script that runs the daemons."`
 }
 
@@ -23,6 +24,7 @@
 		Seed:    c.Seed,
 		Length:  c.Length,
 		Daemons: c.Daemons,
+		Faults:  c.Faults,
 		Dir:     c.Dir,
 		Out:     streams.Out,
 	})
