Retries: parts of the burst add up to no more than it, with any number of daemons

Found by looking for bounds that are one for all daemons and kept by each for itself. Cause: each daemon was allowed one retry at least. With more daemons than 0.45 of the burst has retries (61 of 136), the sum of first retries is beyond the bound: 360 and 2,484 where 136 are allowed, by the test, which fails on the code before. A part below one now waits for what requests earn. With the deployments at hand parts are above one: nothing changes there (1.06 at 295 daemons with a burst of 696), but where rows of VMs that are gone make the list longer.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -19,6 +19,17 @@
 	Burst = 20.0
 )
 
+// burstPart is the part of a burst for all daemons that is divided: when all restart within a
+// window, each begins with a whole part again.
+const burstPart = 0.45
+
+// BurstPart returns one daemon's part of the burst that so many may make together. One below 1
+// allows no retry until requests have earned the rest of it: were each allowed one at least,
+// hundreds of daemons would retry more often than all may.
+func BurstPart(burst float64, daemons int) float64 {
+	return burstPart * burst / float64(max(1, daemons))
+}
+
 // Budget is a retry budget, safe for concurrent use. The zero value starts
 // with Burst retries and earns Share of a token a request.
 //
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -101,3 +101,38 @@
 		}
 	})
 }
+
+// Each of hundreds of daemons was allowed one retry at least, whatever its part of the burst: 300
+// retries at one moment where all together may make 136.
+func TestPartsOfAllDaemonsStayWithinTheBurst(t *testing.T) {
+	for _, daemons := range []int{1, 9, 89, 360, 2484} {
+		synctest.Test(t, func(t *testing.T) {
+			const share, burst, window = 0.2, 136.0, 10 * time.Second
+			var parts []*retry.Budget
+			for range daemons {
+				part := &retry.Budget{}
+				part.SetFigures(share, retry.BurstPart(burst, daemons), window)
+				parts = append(parts, part)
+			}
+			retries, requests := 0, 0
+			for _, part := range parts {
+				for part.Spend() {
+					retries++
+				}
+			}
+			qt.Check(t, float64(retries) <= burst, qt.IsTrue, qt.Commentf("%d daemons: %d", daemons, retries))
+			// What is below one is not lost.
+			for _, part := range parts {
+				for range 20 {
+					part.Earn()
+					requests++
+				}
+				for part.Spend() {
+					retries++
+				}
+			}
+			qt.Check(t, float64(retries) <= share*float64(requests)+burst, qt.IsTrue)
+			qt.Check(t, retries >= daemons, qt.IsTrue)
+		})
+	}
+}
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"headcourse/core/neighbours"
+	"headcourse/core/retry"
 	"headcourse/core/rowstore"
 	"headcourse/io/relay"
 )
@@ -29,9 +30,6 @@
 	// the list gives nothing else: when 89 daemons started while the store was away, each
 	// read and followed five tables itself, 1,447 calls in all.
 	listPatience = 6 * time.Second
-	// burstPart is the part of the burst that is divided: when all daemons restart
-	// within a window, each begins with a whole part again.
-	burstPart = 0.45
 	// sharePart is the part of the share of requests that is used: daemons and
 	// servers do not count in the same windows.
 	sharePart = 0.92
@@ -40,7 +38,7 @@
 // setBudgets gives this daemon its part of the retries, and returns the burst of
 // it.
 func (d *Daemon) setBudgets(daemons int) float64 {
-	burst := max(1, burstPart*d.settings.RetryBurst/float64(daemons))
+	burst := retry.BurstPart(d.settings.RetryBurst, daemons)
 	d.budgets.SetFigures(sharePart*d.settings.RetryShare, burst, d.settings.RetryWindow)
 	return burst
 }
