Loads: leaders of one window together keep to the weight store's bound

Found by looking for bounds that are one for all daemons and kept by each for itself. Cause: a new leader does not know which loads the one before it has just ordered, and used the whole bound of a window: 26 loads in 5 s where 25 may begin, by the test with leaders that change every 2 s, which fails on the code before. A leader now begins a sixth of them in its first window, and leaves as much to two successors.

--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -149,6 +149,9 @@
 	if world.Config == nil {
 		return plan
 	}
+	if c.began.IsZero() {
+		c.began = time.Now()
+	}
 	c.noteStarts(world, &plan)
 	c.noteHeadsBack(world.Fleet)
 	for _, name := range sortedNames(c.groups) {
--- a/core/assembly/convert.go
+++ b/core/assembly/convert.go
@@ -122,9 +122,6 @@
 // hears of it with its first feeds. Until then it would go by what the operator expects,
 // and one ended a group that was needed 20 ms after it had begun.
 func (c *Controller) hasGrounds(at *layout) bool {
-	if c.began.IsZero() {
-		c.began = time.Now()
-	}
 	for _, model := range at.service.Engine.Models {
 		if _, isKnown := at.demands[model.Name]; !isKnown {
 			return time.Since(c.began) > groundsTime
--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -18,6 +18,10 @@
 	loadSlack = 2
 	// loadMargin is added to the window: orders do not all travel alike.
 	loadMargin = 250 * time.Millisecond
+	// takeoverPart is the part of a window's loads that a leader may begin in its first
+	// window: it does not know what the one before has just begun. Each leaves as much to
+	// two successors.
+	takeoverPart = 1.0 / 6
 	// settleTime is how long no server must have come for all to count as there
 	// when the system starts: they write their first entries within one heartbeat.
 	settleTime = 350 * time.Millisecond
@@ -197,10 +201,22 @@
 	c.loads = slices.DeleteFunc(c.loads, func(at time.Time) bool {
 		return now.Sub(at) > world.LoadWindow+loadMargin
 	})
-	limit := int(engine.LoadsPerSecond*world.LoadWindow.Seconds()*max(1, world.LoadExcess)) + loadSlack
+	limit := c.loadLimit(engine, world, now)
 	return len(c.loads)+c.reserved()+loads <= max(limit, loads)
 }
 
+// loadLimit returns how many loads this leader may begin in a window. The weight store's bound
+// is for all leaders of a window together.
+func (c *Controller) loadLimit(engine *config.Engine, world World, now time.Time) int {
+	limit := int(engine.LoadsPerSecond*world.LoadWindow.Seconds()*max(1, world.LoadExcess)) + loadSlack
+	first := max(1, int(takeoverPart*float64(limit)))
+	if now.Sub(c.began) <= world.LoadWindow+loadMargin {
+		return first
+	}
+	const successors = 2
+	return limit - successors*first
+}
+
 // reserved counts the loads of groups being created, whose orders come next.
 func (c *Controller) reserved() int {
 	count := 0
--- a/core/assembly/stage_test.go
+++ b/core/assembly/stage_test.go
@@ -40,33 +40,70 @@
 	})
 }
 
+// A leader does not know which loads the one before it ordered. Where two led within one window
+// each used the whole bound: 26 loads and more where 25 may begin.
 func TestLoadsKeepTheBound(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newSim(12)
-		c := &assembly.Controller{}
-		var loads []time.Time
-		counting := func(order assembly.Order) fate {
-			one := s.servers[order.Server.ID]
-			isLoad := order.Kind == assembly.Stage || (order.Kind == assembly.Join && one.staged != order.Model && one.group != order.Group)
-			if isLoad {
-				loads = append(loads, time.Now())
-			}
-			return fate{}
+	for _, example := range []struct {
+		name string
+		// term is how long one leader leads.
+		term time.Duration
+		// most is how many loads are ordered in all: leaders order anew what they do not
+		// see done.
+		most int
+	}{
+		{
+			name: "one leader",
+			term: time.Hour,
+			most: 96,
+		},
+		{
+			name: "leaders change",
+			term: 2 * time.Second,
+			most: 96 * 5,
+		},
+	} {
+		t.Run(example.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				loads := checkLoads(t, example.term)
+				qt.Assert(t, loads >= 96 && loads <= example.most, qt.IsTrue, qt.Commentf("%d", loads))
+			})
+		})
+	}
+}
+
+// checkLoads plays a fleet without weights under leaders of some term, and counts the loads in
+// each window.
+func checkLoads(t *testing.T, term time.Duration) int {
+	t.Helper()
+	s := newSim(12)
+	c := &assembly.Controller{}
+	var loads []time.Time
+	elected := time.Now()
+	counting := func(order assembly.Order) fate {
+		one := s.servers[order.Server.ID]
+		isLoad := order.Kind == assembly.Stage || (order.Kind == assembly.Join && one.staged != order.Model && one.group != order.Group)
+		if isLoad {
+			loads = append(loads, time.Now())
 		}
-		for end := time.Now().Add(200 * time.Second); time.Now().Before(end); {
-			s.run(c, false, counting)
-			s.tick()
+		return fate{}
+	}
+	for end := time.Now().Add(200 * time.Second); time.Now().Before(end); {
+		if time.Since(elected) >= term {
+			elected = time.Now()
+			c = &assembly.Controller{}
 		}
-		const bound = 4*5*1.1 + 3
-		for i, first := range loads {
-			count := 0
-			for _, at := range loads[i:] {
-				if at.Sub(first) <= 5*time.Second {
-					count++
-				}
+		s.run(c, false, counting)
+		s.tick()
+	}
+	const bound = 4*5*1.1 + 3
+	for i, first := range loads {
+		count := 0
+		for _, at := range loads[i:] {
+			if at.Sub(first) <= 5*time.Second {
+				count++
 			}
-			qt.Assert(t, float64(count) <= bound, qt.IsTrue, qt.Commentf("%d loads", count))
 		}
-		qt.Assert(t, len(loads), qt.Equals, 96)
-	})
+		qt.Assert(t, float64(count) <= bound, qt.IsTrue, qt.Commentf("%d loads", count))
+	}
+	return len(loads)
 }
