Limits told by other daemons are written of and counted; a place is worked out for limited servers only

From the id of a request that was refused for the servers' limits its daemon's lines now lead to the row by which another daemon told it. The place among all daemons was worked out for each server that any request was sent to, though nearly none has a limit.

--- a/core/ratelimit/bucket.go
+++ b/core/ratelimit/bucket.go
@@ -13,9 +13,9 @@
 	reserved int
 }
 
-// fill adds the tokens that are due since a limit was learnt, or since the last time. A part that grew by another place begins empty: until all
-// know the list, others may still use it by the one before. One of another limit keeps its
-// tokens, as far as it can hold them.
+// fill adds the tokens that are due since the limit was learnt, or since the last time. A part
+// that grew by another place begins empty: until all know the list, others may still use it by
+// the one before. One of another limit keeps its tokens, as far as it can hold them.
 func (b *bucket) fill(limit Limit, place Place, now time.Time) {
 	part := limit.Part(place)
 	isNew := b.place == Place{}
--- a/core/ratelimit/notices.go
+++ b/core/ratelimit/notices.go
@@ -34,10 +34,11 @@
 	at    time.Time
 }
 
-// Take notes a notice that was read.
-func (n *Notices) Take(start string, limit Limit) {
+// Take notes a notice that was read, and tells whether it is another than before.
+func (n *Notices) Take(start string, limit Limit) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	isNews := n.told[start].limit != limit
 	if n.told == nil {
 		n.told = map[string]notice{}
 	}
@@ -45,13 +46,23 @@
 		limit: limit,
 		at:    time.Now(),
 	}
+	return isNews
 }
 
-// Remove notes that the notice of a start is gone.
-func (n *Notices) Remove(start string) {
+// Remove notes that the notice of a start is gone, and tells whether there was one.
+func (n *Notices) Remove(start string) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	_, isTold := n.told[start]
 	delete(n.told, start)
+	return isTold
+}
+
+// Len returns of how many starts there is a notice.
+func (n *Notices) Len() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return len(n.told)
 }
 
 // Others returns the starts of which there is a notice, but for some.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,6 +123,8 @@
 	// tell each other of them.
 	limits  ratelimit.Book
 	notices ratelimit.Notices
+	// limitLines bounds the lines about these.
+	limitLines logline.Rarely
 	// changed tells the leader that the view is another.
 	changed chan struct{}
 	// viewRead is set when configuration and servers were read for the first time.
@@ -180,6 +182,7 @@
 	d.limits.Clock = d.awake
 	d.fresh.Clock = d.awake
 	d.troubles.Every = troubleEvery
+	d.limitLines.Every = limitLineEvery
 	store := platform.NewStore(known.Store)
 	store.Called = func(call string, took time.Duration) {
 		metrics.GetOrRegisterCounter("store_calls."+call, d.registry).Inc(1)
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -66,6 +66,7 @@
 	suspected, held := d.ledger.Counts()
 	set("quarantine_suspected", int64(suspected))
 	set("quarantine_held", int64(held))
+	set("servers_limited", int64(d.notices.Len()))
 	opened, reused := d.gateway.Connections()
 	set("backend_connections.opened", opened)
 	set("backend_connections.reused", reused)
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"headcourse/core/fleet"
 	"headcourse/core/ratelimit"
 	"headcourse/core/rowstore"
@@ -17,6 +19,9 @@
 // it learns by the row's end only that it may use the server again. While no server names a
 // limit, all this costs no call.
 
+// limitLineEvery bounds the lines about what others tell: all servers of a service may be in need.
+const limitLineEvery = 200 * time.Millisecond
+
 // limitPrefix is the beginning of keys of such rows; names of groups have no slash.
 const limitPrefix = "limit/"
 
@@ -64,7 +69,7 @@
 func (d *Daemon) takeLimit(row rowstore.Row) {
 	start := limitStart(row)
 	if row.Deleted {
-		d.endLimit(start)
+		d.endLimit(start, row.Version)
 		return
 	}
 	limit, err := ratelimit.Decode(row.Value)
@@ -72,18 +77,36 @@
 		d.noteBadRow(toldTable, row, err)
 		return
 	}
-	d.notices.Take(start, limit)
+	if d.notices.Take(start, limit) {
+		d.noteTold(start, limit, row.Version)
+	}
 	d.limits.Told(start, limit)
 }
 
+// noteTold writes a line about what others told of a limit.
+func (d *Daemon) noteTold(start string, limit ratelimit.Limit, version int64) {
+	mayWrite, leftOut := d.limitLines.Pass(toldTable)
+	if !mayWrite {
+		return
+	}
+	d.log.Info("servers: limit told by another daemon",
+		zap.String("start", start),
+		zap.Bool("is_named", limit.IsNamed),
+		zap.Float64("per_second", limit.PerSecond),
+		zap.Int64("row_version", version),
+		zap.Int("lines_left_out", leftOut))
+}
+
 // endLimit notes that the row of a limit is gone.
-func (d *Daemon) endLimit(start string) {
-	d.notices.Remove(start)
+func (d *Daemon) endLimit(start string, version int64) {
+	if d.notices.Remove(start) {
+		d.noteTold(start, ratelimit.Limit{}, version)
+	}
 	d.limits.Told(start, ratelimit.Limit{})
 }
 
 // keepLimits notes that limits are over that are not among the rows of the whole table.
-func (d *Daemon) keepLimits(rows []rowstore.Row) {
+func (d *Daemon) keepLimits(rows []rowstore.Row, version int64) {
 	starts := map[string]bool{}
 	for _, row := range rows {
 		if isLimit(row) {
@@ -91,7 +114,7 @@
 		}
 	}
 	for _, start := range d.notices.Others(starts) {
-		d.endLimit(start)
+		d.endLimit(start, version)
 	}
 }
 
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -139,7 +139,7 @@
 func (d *Daemon) takeAllTold(rows []rowstore.Row, version int64, asOf time.Time) {
 	d.told.keep(rows)
 	d.keepEnds(rows)
-	d.keepLimits(rows)
+	d.keepLimits(rows, version)
 	d.takeTold(rows, version, asOf)
 	d.toldRead.Store(true)
 	d.noteKnown()
--- a/io/gateway/choose.go
+++ b/io/gateway/choose.go
@@ -46,7 +46,7 @@
 			return server.ID == chosen.ID
 		})
 		server := serving[at]
-		room, hasRoom := j.server.limits.Reserve(server.Start(), j.server.source.LimitPlace(server))
+		room, hasRoom := j.server.limits.Reserve(server.Start(), j.server.limitPlace(server))
 		if hasRoom {
 			return choice{
 				server: server,
--- a/io/gateway/limits.go
+++ b/io/gateway/limits.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"headcourse/core/fleet"
+	"headcourse/core/ratelimit"
 	"headcourse/core/request"
 )
 
@@ -61,10 +62,19 @@
 	return !s.limits.Has(start) || s.limits.HasRoom(start, s.source.LimitPlace(server))
 }
 
+// limitPlace returns this daemon's place for a server's limit. For one without a limit, as nearly
+// all are, it is not worked out: where the server names one meanwhile, there is no room.
+func (s *Server) limitPlace(server fleet.Server) ratelimit.Place {
+	if !s.limits.Has(server.Start()) {
+		return ratelimit.Place{}
+	}
+	return s.source.LimitPlace(server)
+}
+
 // takeRoom spends the room that was kept for the request, right before its first byte, and
 // tells whether it may be sent.
 func (j *job) takeRoom(chosen choice) bool {
-	sent, ok := chosen.room.Take(j.server.source.LimitPlace(chosen.server))
+	sent, ok := chosen.room.Take(j.server.limitPlace(chosen.server))
 	if !ok {
 		return false
 	}
