--- a/core/assembly/convert.go
+++ b/core/assembly/convert.go
@@ -28,8 +28,8 @@
 	// twice a second.
 	groundsTime = 3 * time.Second
 	// domainsPerConversion is how many domains there are for each conversion under way at
-	// once. One at a time is enough for six domains; with 25 a model that lacked seven of
-	// 28 groups waited a quarter of a minute for them.
+	// once: a model that lacks a quarter of its groups in tens of domains would wait for them
+	// one by one.
 	domainsPerConversion = 8
 )
 
@@ -119,8 +119,8 @@
 }
 
 // hasGrounds tells whether it is known what callers ask for, or will not be: a new leader
-// hears of it with its first feeds. Until then it would go by what the operator expects,
-// and one ended a group that was needed 20 ms after it had begun.
+// hears of it with its first feeds. Until then it would go by what the operator expects, and
+// end groups that are needed.
 func (c *Controller) hasGrounds(at *layout) bool {
 	for _, model := range at.service.Engine.Models {
 		if _, isKnown := at.demands[model.Name]; !isKnown {
--- a/core/assembly/need.go
+++ b/core/assembly/need.go
@@ -12,8 +12,8 @@
 // Figures of risk.
 const (
 	// memberRisk is the part of the time that a group is missing for each of its members.
-	// Two of 162 servers are lost every three seconds on the users' worst days, and a group
-	// is back 2 s after one of its members was: 0.008. Losses come together, so it is more.
+	// Where two of 160 servers are lost every three seconds, a group is back 2 s after one of its
+	// members was; and losses come together.
 	memberRisk = 0.012
 	// mostRisk bounds it for groups of very many.
 	mostRisk = 0.4
@@ -124,10 +124,7 @@
 // ease returns how well off a model is with so many groups: below 1 as the
 // part of its requests that its groups keep up with, from 1 on as the part of the way to
 // serving them in time, which is 2. It is not the part of the groups that the model needs:
-// one with a tenth less than it needs may be a little later, or not keep up at all. Four
-// fifths of the callers of 89 daemons asked for a model whose groups could
-// keep up with 8.8 and needed 10.4, by the reckoning of config.Engine; compared by the
-// part of its need it was left with 6 to 10, and 2,800 of its 15,500 requests were late.
+// one with a tenth less than it needs may be a little later, or not keep up at all.
 func (l *layout) ease(model config.Model, number int) float64 {
 	groups := float64(number)
 	least := l.least(model)
--- a/core/assembly/planned.go
+++ b/core/assembly/planned.go
@@ -16,9 +16,8 @@
 const nearly = 0.95
 
 // memberShare is how many more groups a model gets for each of a group's members: each is
-// one more whose loss takes the whole group away. By trial: without it, seven
-// or eight of eleven groups of eight served on a day with losses, and 16 to 21 of 21
-// groups of four; with twice as much, too few spares were left (docs/MEASURES.md).
+// one more whose loss takes the whole group away. More of it leaves too few spares
+// (docs/MEASURES.md).
 const memberShare = 0.015
 
 // planned returns how many groups a model should have.
--- a/core/assembly/signs.go
+++ b/core/assembly/signs.go
@@ -115,8 +115,8 @@
 }
 
 // hasAnswered tells whether a server answered so lately that it need not be asked again
-// yet. With 111 of 925 servers cut off from the store alone a leader on a small VM asked
-// 900 a second, answers came late for it, and 20 groups that worked ended within 2 s.
+// yet. Where many servers are cut off from the store alone, a leader on a small VM that asks
+// all of them at each step gets their answers too late, and ends groups that work.
 func (c *Controller) hasAnswered(id string) bool {
 	known := c.signs[id]
 	return known.last == Alive && time.Since(known.at) < probeValid/2
@@ -124,7 +124,7 @@
 
 // areAlive tells whether all servers answered a probe lately; others are asked, and
 // the answer is there some milliseconds later. An entry may be of a server that died
-// while the store was away: a group with such a member was found out after 3 s only.
+// while the store was away, and a group with such a member is found out only seconds later.
 func (c *Controller) areAlive(servers []fleet.Server, plan *Plan) bool {
 	areAlive := true
 	for _, server := range servers {
--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -142,8 +142,7 @@
 	// share is the part of the loads that the weight store serves at full speed up to which
 	// one for this purpose may begin. A load takes 12 s to 16 s and is not stopped, and one
 	// more than the store serves makes all of them take longer: so those that can wait
-	// leave room for those that cannot. When second models took 17 of 20, new servers
-	// stood empty for ten seconds.
+	// leave room for those that cannot, such as new servers, which stand empty meanwhile.
 	share float64
 }
 
--- a/core/balancer/preference.go
+++ b/core/balancer/preference.go
@@ -54,8 +54,7 @@
 		candidate.tier = p.tierOf(candidate, zone, isChosen)
 		if candidate.tier == elsewhere && len(subset) == len(ids) {
 			// A daemon that uses all servers of a zone sees a good part of their load, and
-			// leaves the zone by its own requests sooner than by what is asked everywhere:
-			// 0.016 of a day's worth with seven daemons (standard error 0.006).
+			// leaves the zone by its own requests sooner than by what is asked everywhere.
 			candidate.tier = inSubset
 			candidate.isFar = true
 		}
--- a/core/config/room.go
+++ b/core/config/room.go
@@ -19,8 +19,6 @@
 const (
 	// goalPart is the part of the goal within which the mean token's request is to begin.
 	// Prompts of up to four times the mean leave the other half to those that come badly.
-	// With six, five and three groups of twelve, 0.43, 0.46 and 0.77 of a goal of 0.4 s by
-	// this reckoning, no request, 15 in 100 and 40 to 70 in 100 were late on a user's day.
 	goalPart = 0.53
 	// leastSpare is how many times longer than at an idle group the first event may take
 	// at least: where reading the prompt alone takes most of the goal, groups without end
@@ -31,8 +29,7 @@
 	// deviations more still find one.
 	fullPlaces = 0.7
 	// mostPlaces and mostReading are the parts from which on chance alone makes requests
-	// wait for each other. With 8 groups of six serving, which were asked 0.96 of their
-	// places by this reckoning, half of all requests began after more than a second.
+	// wait for each other.
 	mostPlaces  = 0.88
 	mostReading = 0.95
 	// fullReading is the part of the time in which a group reads while it has room.
--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -43,13 +43,12 @@
 	lookEvery = 50 * time.Millisecond
 	// stagger is how much later each daemon of the list tries than the one
 	// before it, so that they do not all try at once; laterStagger is the same for those
-	// after the first staggered ones, of whom mostly one lives. Where all of hundreds
-	// beyond these tried at the same moment, a start of all cost 90 calls.
+	// after the first staggered ones, of whom mostly one lives.
 	stagger      = 60 * time.Millisecond
 	laterStagger = 15 * time.Millisecond
 	staggered    = 15
 	// ownAgain is the time between two tries for a lease that is this daemon's own: the
-	// store may turn it away alone for seconds, which cost 17 calls a second.
+	// store may turn it away alone for seconds.
 	ownAgain = 500 * time.Millisecond
 	// callTime bounds one call.
 	callTime = 900 * time.Millisecond
@@ -82,7 +81,7 @@
 	// Changed is told when this daemon gains or loses the lease, and why.
 	Changed func(isLeader bool, epoch int64, reason string)
 	// IsAway, if set, tells that the store cannot be reached: then the lease is not tried
-	// for. Sixty-eight daemons that did so spent 900 calls on an outage of eight seconds.
+	// for: all daemons would, for as long as an outage lasts.
 	IsAway func() bool
 
 	mutex sync.Mutex
--- a/core/locality/locality.go
+++ b/core/locality/locality.go
@@ -9,11 +9,10 @@
 // from the servers it sees and from what is asked in each zone; nothing is agreed. It
 // is what Envoy calls zone aware routing.
 //
-// It replaces a fixed preference for the own zone, by which a daemon compares the
-// servers' loads as far as it knows them. That works where a daemon sees a good part of
-// the requests; with hundreds of daemons each sees one at a time, so that nobody left a
-// zone that had lost groups: with 5 of 13 groups lost a tenth of its requests found all
-// places taken, and a hundredth does now (TestZoneThatLostServers).
+// A fixed preference for the own zone, by which a daemon compares the servers' loads as far as
+// it knows them, works where a daemon sees a good part of the requests. With hundreds of
+// daemons each sees one at a time, and nobody would leave a zone that has lost groups
+// (TestZoneThatLostServers).
 package locality
 
 // Zone is an availability zone as one kind of request sees it.
--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -11,7 +11,7 @@
 // The next daemons of the list stand by. The store may turn away all relays, or they may
 // be gone, while it serves others: then the standbys find out first, and the first of them
 // that is served follows the store for all. So one or two follow it, not everyone whom it
-// serves: of 89 daemons 57 did, with 80 to 90 calls each in eight seconds.
+// serves.
 package neighbours
 
 import (
@@ -32,9 +32,8 @@
 	// Relays is how many daemons follow the store for the others, at least: one
 	// may be gone, another cut off, and the third still serves.
 	Relays = 3
-	// daemonsPerRelay is how many daemons of a zone one relay serves. With 79 daemons the
-	// busiest relay of 16 used a twentieth of its VM's processor; each relay costs
-	// about 90 calls a minute to the store.
+	// daemonsPerRelay is how many daemons of a zone one relay serves. Serving few takes
+	// little of its VM's processor, but each relay costs calls to the store.
 	daemonsPerRelay = 32
 	// Standbys is how many daemons stand by. Of eight, each turned away by the store with
 	// a chance of a third, all are so once in 6,500 outages.
--- a/core/quarantine/digest.go
+++ b/core/quarantine/digest.go
@@ -12,8 +12,8 @@
 // a one-way hash.
 type Digest [16]byte
 
-// DigestOf returns the digest of a request. Reading 4 KB takes 3.0 to 3.6 µs, measured by
-// BenchmarkDigest, where passing on one event of an answer takes 26 to 47 µs.
+// DigestOf returns the digest of a request. It costs less than passing on one event of an answer
+// (BenchmarkDigest).
 func DigestOf(target, organisation string, body []byte) Digest {
 	hash := sha256.New()
 	// A hash never fails to be written.
--- a/core/rowstore/batcher.go
+++ b/core/rowstore/batcher.go
@@ -9,8 +9,8 @@
 )
 
 // Batcher writes rows of many daemons in few transactions: rows that come within a
-// moment are written together. 295 daemons that list themselves at a start of all cost
-// one call each without it. Rows are written without conditions; of two for one key the
+// moment are written together, such as those by which all daemons list themselves at a start
+// of the whole system. Rows are written without conditions; of two for one key the
 // later counts. Use NewBatcher.
 type Batcher struct {
 	store Store
--- a/core/rowstore/hub.go
+++ b/core/rowstore/hub.go
@@ -114,9 +114,9 @@
 }
 
 // firstCopyTime is how long a read waits for the first copy of a table. Daemons that
-// start together ask each other before any of them has read: 295 of them read
-// 618 tables from the store when they started. A store that answers does so in some
-// milliseconds, and a table of a thousand rows comes in some tens.
+// start together ask each other before any of them has read, and would all read from the
+// store. A store that answers does so in some milliseconds, and a table of a thousand rows
+// comes in some tens.
 const firstCopyTime = 200 * time.Millisecond
 
 // Read returns all rows of a table. It fails with ErrNoCopy where the first Take does
--- a/core/rowstore/restraint.go
+++ b/core/rowstore/restraint.go
@@ -19,15 +19,14 @@
 	behind = 6
 	// sharedGap is the time between two calls of all daemons together that hear of
 	// their relays that these have no copy: the relays try, and whoever else tries
-	// learns for itself alone. The pauses that each kept let 295 daemons make 250 calls
-	// a second; a day with an outage of eight seconds had 10,459 calls in all, 0.12 of
-	// its worth, and 1,836 since daemons ask each other.
+	// learns for itself alone. Pauses that each keeps by itself add up with hundreds of
+	// daemons.
 	sharedGap = 200 * time.Millisecond
 	// heardFor is how long a relay's word that it has no copy counts.
 	heardFor = 2 * time.Second
 	// fewSharing daemons try once at once when they hear it, since relays may be cut
 	// off alone; more of them try within firstTry, so that they do not all come at the
-	// same moment. It is short: the copy was 0.6 of the time old in which a configuration
+	// same moment. It is short: the copy may be 0.6 of the time old in which a configuration
 	// must be in force.
 	fewSharing = 16
 	firstTry   = 200 * time.Millisecond
--- a/core/subset/subset.go
+++ b/core/subset/subset.go
@@ -10,10 +10,9 @@
 // and take the servers in turn from a shuffled ring: each round of daemons covers each
 // server exactly once, and each round shuffles anew, so that what one daemon leaves behind
 // is spread over all. This is the deterministic subsetting of Beyer et al., "Site
-// Reliability Engineering" (2016), chapter 20, without its remainder. With 59 daemons
-// and 13 servers in a zone one request in 2,000 found its server full, against one in
-// 220 by chance over all of them, and one in 27 over subsets that each daemon draws by
-// itself (TestDaemonsSpreadOverServers).
+// Reliability Engineering" (2016), chapter 20, without its remainder. Fewer requests find
+// their server full so than by chance over all servers, and far fewer than over subsets that
+// each daemon draws by itself (TestDaemonsSpreadOverServers).
 package subset
 
 import (
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -27,8 +27,7 @@
 	listSettle = 250 * time.Millisecond
 	// listPatience is how long a starting daemon waits for the list before it reads
 	// the other tables. Without the list it knows no relay, and a store that does not give
-	// the list gives nothing else: when 89 daemons started while the store was away, each
-	// read and followed five tables itself, 1,447 calls in all.
+	// the list gives nothing else: each daemon would read and follow all tables itself.
 	listPatience = 6 * time.Second
 	// sharePart is the part of the share of requests that is used: daemons and
 	// servers do not count in the same windows.
@@ -234,8 +233,8 @@
 const unlistedRank = 20
 
 // notYetRank keeps daemons from trying for the lease before the list is whole, startSettle
-// after the last of them came to it: the leader is to be on one of the largest VMs. On one
-// with a fifth of a core it could not keep up with 925 servers.
+// after the last of them came to it: the leader is to be on one of the largest VMs, since a
+// small one cannot keep up with a thousand servers.
 const (
 	notYetRank  = 1000
 	startSettle = 500 * time.Millisecond
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -54,9 +54,9 @@
 	// nothing new.
 	serverWait = 1500 * time.Millisecond
 	// startPatience is how long a daemon waits for the others to have read a table when
-	// the whole system starts for the first time, seconds before the first client: 295
-	// daemons made 1,140 calls of the store when they started without it.
-	// It stays below what a follower allows for reading a table.
+	// the whole system starts for the first time, seconds before the first client, so that
+	// hundreds do not all read it from the store. It stays below what a follower allows for
+	// reading a table.
 	startPatience = time.Second
 	// serverSettle lets changes of servers come together: groups form by many
 	// small steps. Relays wait longer, since their calls are priced, but for one
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -201,9 +201,8 @@
 }
 
 // isFirstHand tells whether this daemon follows the store itself: the leader, and the
-// first relay. What all daemons see is written there only; 295 of them wrote a million
-// lines in the first 22 s, 3,300 each. A request's line has the version of the servers'
-// table that its daemon went by.
+// first relay. What all daemons see is written there only. A request's line has the version of
+// the servers' table that its daemon went by.
 func (d *Daemon) isFirstHand() bool {
 	return d.isLeading.Load() || d.isFirstRelay()
 }
--- a/entry/outages.go
+++ b/entry/outages.go
@@ -12,8 +12,8 @@
 )
 
 // troubleEvery is the time between two lines about failed calls for one table: while the
-// store is away five followers of a daemon fail three times a second each, which were
-// 4,700 lines a second of 295 daemons. The counters have them all.
+// store is away five followers of a daemon fail three times a second each. The counters have
+// them all.
 const troubleEvery = 5 * time.Second
 
 // noteTrouble notes a failed call of the store, or of the relays that stand for it.
--- a/io/gateway/await.go
+++ b/io/gateway/await.go
@@ -3,8 +3,8 @@
 import "time"
 
 // How long a request is held until the daemon has read what it serves by: at most
-// viewPatience, twice the 0.35 s that a start took until the first view, and a part of
-// the client's time.
+// viewPatience, longer than a start takes until the first view, and a part of the client's
+// time.
 const (
 	viewPatience = 700 * time.Millisecond
 	viewPart     = 4
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -205,7 +205,7 @@
 
 // payAhead pays for the next send out of the retry budget, and tells whether it could. A
 // server is not given up without: its silence may end, and a request that is broken off
-// and not sent again is lost. On a day with slow servers 413 of 39,000 requests were.
+// and not sent again is lost.
 func (j *job) payAhead() bool {
 	if j.isPaid.Load() || !j.server.budgets.Of(j.service).Spend() {
 		return j.isPaid.Load()
--- a/io/gateway/lane.go
+++ b/io/gateway/lane.go
@@ -9,7 +9,7 @@
 // Figures of the lane of late streams.
 const (
 	// laneShare is the part of the engines' places that late requests may take in the
-	// laneTime after a start, about twice what a backlog of clients took to be served.
+	// laneTime after a start, longer than a backlog of clients takes to be served.
 	laneShare = 0.3
 	laneTime  = 4 * time.Second
 	// lanePatience is how long one waits for its turn, lanePart the part of its time
--- a/io/relay/pack.go
+++ b/io/relay/pack.go
@@ -77,8 +77,8 @@
 const packRowsFrom = 32
 
 // bundles keeps rows that were packed together, each once for all who ask. When all
-// daemons start, dozens ask a relay for the same table at the same moment: packing a
-// thousand rows for each of them took 0.3 s of its VM. The zero value works.
+// daemons start, dozens ask a relay for the same table at the same moment, and packing it for
+// each of them would keep a small VM busy. The zero value works.
 type bundles struct {
 	mutex sync.Mutex
 	known map[string]tableBundles
