--- a/io/gateway/limits_test.go
+++ b/io/gateway/limits_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -173,3 +174,43 @@
 	qt.Assert(t, pause > 0 && pause <= 2*time.Second, qt.IsTrue, qt.Commentf("%s", pause))
 	qt.Assert(t, asked.Load(), qt.Equals, int64(1))
 }
+
+// A server may say both: that it wants nothing for a while, and how much it takes after that.
+func TestLimitHoldsAfterAPause(t *testing.T) {
+	const pause = time.Second
+	var asked atomic.Int64
+	addresses := backends(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderLimit, "0.5")
+		if asked.Add(1) == 1 {
+			turnAway(w, r, pause)
+			return
+		}
+		answerWhole(w, r)
+	})
+	_, address := listen(t, newSource(someServers(config.Safe, addresses...)), time.Minute)
+	askMany(t, address, 1)
+	var reasons []string
+	for asked.Load() == 1 {
+		reason := askReason(t, address)
+		if len(reasons) == 0 || reasons[len(reasons)-1] != reason {
+			reasons = append(reasons, reason)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, reasons[:2], qt.DeepEquals, []string{"servers_paused", "servers_limited"})
+}
+
+// askReason sends a request and returns why the daemon refused it; empty where a server answered.
+func askReason(t *testing.T, address string) string {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.Host = host
+	request.Header.Set(wire.HeaderID, "reason")
+	answer, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return strings.TrimSpace(string(body))
+}
--- a/lab/soak/limits.go
+++ b/lab/soak/limits.go
@@ -58,3 +58,30 @@
 		return servers
 	}
 }
+
+// calmLimitTime is how long servers name limits when the faults are over: longer than the time
+// after which requests count, and a window of the check.
+const calmLimitTime = 9 * time.Second
+
+// checkLimits has some servers name limits while nothing else happens, since troubles excuse
+// daemons for most of the time, and returns what must not be: that no daemon was told, or that
+// one does not serve again when the limits are over. The stand-in notes requests beyond them.
+func (s *soak) checkLimits() []string {
+	before := s.platform.DirectiveCounts()
+	chosen := s.someServers()
+	limit := s.anyLimit()
+	for _, one := range chosen {
+		one.NameLimit(limit)
+	}
+	time.Sleep(calmLimitTime)
+	for _, one := range chosen {
+		one.EndLimit()
+	}
+	after := s.platform.DirectiveCounts()
+	s.say("%d servers named %.2f a second: %d requests of daemons that had been told", len(chosen), limit, after.Limited-before.Limited)
+	broken := s.await("the end of limits", recoverPatience)
+	if after.Limits == before.Limits {
+		broken = append(broken, "no daemon was told of a limit")
+	}
+	return broken
+}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -113,6 +113,7 @@
 	s.healAll()
 	broken := s.await("recovery", recoverPatience)
 	broken = append(broken, s.checkCrashing()...)
+	broken = append(broken, s.checkLimits()...)
 	stop()
 	clients.Wait()
 	s.say("%s", s.tally.String())
