--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -195,19 +195,27 @@
 	return nil
 }
 
-// freePorts returns three ports that are free now; the daemon that gets them
-// keeps them over its restarts.
+// Ports of daemons. They are below those that the system gives to connections: a daemon keeps
+// its ports over its restarts, and while it is down a connection must not get one of them.
+const firstPort, lastPort = 12000, 30000
+
+// freePorts returns three ports that are free now.
 func freePorts() ([3]int, error) {
 	var ports [3]int
-	for i := range ports {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	const tries = 1000
+	found := 0
+	for range tries {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return ports, errors.Wrap(err, "find a free port")
+			continue
 		}
+		// Held until all are found, so that none is found twice.
 		defer func() { _ = listener.Close() }()
-		if address, ok := listener.Addr().(*net.TCPAddr); ok {
-			ports[i] = address.Port
+		ports[found] = port
+		if found++; found == len(ports) {
+			return ports, nil
 		}
 	}
-	return ports, nil
+	return ports, errors.Errorf("find free ports from %d to %d: %d of %d in %d tries", firstPort, lastPort, found, len(ports), tries)
 }
