A word of a limit that comes to the store after its end is removed again

Found by review, and by the test, which fails on the code before: a daemon told that a server has a limit while another had just told that it is over. The daemon that heard of the end had told it and told nothing again within two seconds; afterwards its answers were no news, so that the row stood, and daemons without a part left the server alone for a minute. Whoever hears of an end now looks at the row a few times more.

--- a/entry/limits.go
+++ b/entry/limits.go
@@ -38,6 +38,10 @@
 // LimitHeard has other daemons told of a limit, if they do not know it. It never waits.
 func (d *Daemon) LimitHeard(server fleet.Server, said ratelimit.Limit) {
 	start := server.Start()
+	if !said.IsNamed {
+		time.AfterFunc(rand.N(tellSpread), func() { d.tellEnd(start, endTries) })
+		return
+	}
 	if !d.notices.Wants(start, said) {
 		return
 	}
@@ -49,6 +53,25 @@
 	})
 }
 
+// Figures of telling that a limit is over: another daemon's word of it may come to the store
+// after that, so it is looked at again.
+const (
+	endTries = 5
+	endAgain = 2 * time.Second
+)
+
+// tellEnd has others told that a limit is over, as long as the store tells of it, and this daemon
+// knows no new one.
+func (d *Daemon) tellEnd(start string, tries int) {
+	if tries == 0 || d.limits.Has(start) {
+		return
+	}
+	if d.notices.Speak(start, ratelimit.Limit{}) {
+		d.tellLimit(start, ratelimit.Limit{})
+	}
+	time.AfterFunc(endAgain, func() { d.tellEnd(start, tries-1) })
+}
+
 // tellLimit has a limit's row written, or removed where the limit is over.
 func (d *Daemon) tellLimit(start string, limit ratelimit.Limit) {
 	one := word{
--- a/entry/limits_test.go
+++ b/entry/limits_test.go
@@ -130,3 +130,28 @@
 	}, func(answer standin.Answer) bool { return answer.Reason != "not_configured" })
 	qt.Assert(t, answer.Reason, qt.Equals, "servers_limited")
 }
+
+// A daemon writes that a server has a limit just as another one has heard that it is over. The row
+// is removed again, though only one daemon is asked for anything.
+func TestWordThatComesAfterTheEndOfALimitIsRemoved(t *testing.T) {
+	const limit = 20
+	s := newSite(t, 3)
+	server := s.platform.Servers(standin.ServicePlain)[0]
+	server.NameLimit(limit)
+	s.awaitTrue(func() bool {
+		get(s.client(0, standin.KeyOne))
+		return s.limitRows() == 1
+	})
+	server.EndLimit()
+	s.awaitTrue(func() bool {
+		get(s.client(0, standin.KeyOne))
+		return s.limitRows() == 0
+	})
+	encoded, err := ratelimit.Named(limit).Encode("front-z")
+	qt.Assert(t, err, qt.IsNil)
+	s.platform.Store.Write("told", "limit/"+server.Start(), encoded)
+	s.awaitTrue(func() bool {
+		get(s.client(0, standin.KeyOne))
+		return s.limitRows() == 0
+	})
+}
