--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -24,7 +24,7 @@
 // Figures of a ledger.
 const (
 	// suspectedFrom is how many starts of servers may end under a request before it is
-	// sent by trials only. One costs a group and all that runs in it, some 30 requests;
+	// sent only on trial. One costs a group and all that runs in it, some 30 requests;
 	// but one alone happens to 30 requests for each that crashes a server.
 	suspectedFrom = 2
 	// endsCounted is how many servers may end under a request before each further send
