Clients whose servers all have limits are not told longer times than others need

Cause: a client was told when this daemon has room again, 20 s and more for small parts, though other daemons have parts of the same limit.

--- a/io/gateway/comeback.go
+++ b/io/gateway/comeback.go
@@ -50,12 +50,12 @@
 		pause = groupPause
 	default:
 		why := j.server.whyWithheld(j.service, j.request.Model)
-		if why.left > 0 {
-			return afterPause(why.left)
-		}
-		if why.reason == request.ReasonLimited {
-			// This daemon has no part of what they take; others have.
+		switch {
+		case why.reason == request.ReasonLimited && (why.left == 0 || why.left > groupPause):
+			// Other daemons have a part of what the servers take too, and room sooner.
 			pause = groupPause
+		case why.left > 0:
+			return afterPause(why.left)
 		}
 	}
 	left := j.request.Wait - j.server.clock.Since(j.came)
