Soak: each port is given once, and nothing of a fault happens after all faults are over

Causes, in the logs: two daemons of one run had the same port, since a port counted as free until its daemon listened; and the end of a fault's limit ended the limit under check.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -146,6 +146,9 @@
 
 // healAll ends whatever harm is left.
 func (s *soak) healAll() {
+	for _, timer := range s.timers {
+		timer.Stop()
+	}
 	s.platform.Store.SetFault(standin.Well)
 	for _, one := range s.daemons {
 		one.store.Set(proxy.None)
--- a/lab/soak/limits.go
+++ b/lab/soak/limits.go
@@ -33,13 +33,32 @@
 		one.NameLimit(limit)
 		for step := 1; step < limitSteps; step++ {
 			later := min(max(leastLimit, limit*math.Pow(factor, float64(step))), mostLimit)
-			time.AfterFunc(length*time.Duration(step)/limitSteps, func() { one.ChangeLimit(later) })
+			s.later(length*time.Duration(step)/limitSteps, func() { one.ChangeLimit(later) })
 		}
-		time.AfterFunc(length, one.EndLimit)
+		s.later(length, one.EndLimit)
 	}
 	return nil
 }
 
+// later has something happen later, unless the faults are over before that.
+func (s *soak) later(after time.Duration, happen func()) {
+	s.timers = append(s.timers, time.AfterFunc(after, happen))
+}
+
+// someThatServe draws the plain servers or the heads of a model, one or all of them: the other
+// members of groups get no requests.
+func (s *soak) someThatServe() []*standin.Server {
+	serving := [][]*standin.Server{
+		s.platform.Servers(standin.ServicePlain),
+		s.platform.Heads(standin.ModelSmall),
+		s.platform.Heads(standin.ModelLarge),
+	}[s.random.IntN(3)]
+	if s.random.IntN(2) == 0 {
+		return serving[:1]
+	}
+	return serving
+}
+
 // anyLimit draws a limit, small ones as often as large ones.
 func (s *soak) anyLimit() float64 {
 	return leastLimit * math.Pow(mostLimit/leastLimit, s.random.Float64())
@@ -68,7 +87,7 @@
 // one does not serve again when the limits are over. The stand-in notes requests beyond them.
 func (s *soak) checkLimits() []string {
 	before := s.platform.DirectiveCounts()
-	chosen := s.someServers()
+	chosen := s.someThatServe()
 	limit := s.anyLimit()
 	for _, one := range chosen {
 		one.NameLimit(limit)
@@ -78,7 +97,7 @@
 		one.EndLimit()
 	}
 	after := s.platform.DirectiveCounts()
-	s.say("%d servers named %.2f a second: %d requests of daemons that had been told", len(chosen), limit, after.Limited-before.Limited)
+	s.say("%d servers named %.2f a second, the first %s: %d requests of daemons that had been told", len(chosen), limit, chosen[0].ID(), after.Limited-before.Limited)
 	broken := s.await("the end of limits", recoverPatience)
 	if after.Limits == before.Limits {
 		broken = append(broken, "no daemon was told of a limit")
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -68,8 +68,12 @@
 	// crash start again at any time.
 	serversMutex sync.Mutex
 	servers      map[string]*proxy.Proxy
-	keys         keyring
-	tally        tally
+	// ports are those that daemons were given.
+	ports map[int]bool
+	keys  keyring
+	tally tally
+	// timers are what is still to happen while there are faults.
+	timers []*time.Timer
 	// crashing are the paths of the requests that crash servers, in the order in which
 	// they came first; crashers are what sends them.
 	crashing []string
@@ -83,6 +87,7 @@
 		random:  rand.New(rand.NewPCG(options.Seed, options.Seed)),
 		faults:  faults,
 		servers: map[string]*proxy.Proxy{},
+		ports:   map[int]bool{},
 		tally: tally{
 			counts: map[string]int{},
 		},
@@ -171,7 +176,7 @@
 // addDaemon writes the settings of a daemon, whose store and clients are led
 // through proxies.
 func (s *soak) addDaemon(name string) error {
-	ports, err := freePorts()
+	ports, err := s.freePorts()
 	if err != nil {
 		return err
 	}
@@ -199,19 +204,24 @@
 // its ports over its restarts, and while it is down a connection must not get one of them.
 const firstPort, lastPort = 12000, 30000
 
-// freePorts returns three ports that are free now.
-func freePorts() ([3]int, error) {
+// freePorts returns three ports that are free now and no other daemon has been given.
+func (s *soak) freePorts() ([3]int, error) {
 	var ports [3]int
 	const tries = 1000
 	found := 0
 	for range tries {
 		port := firstPort + rand.IntN(lastPort-firstPort)
+		if s.ports[port] {
+			continue
+		}
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			continue
 		}
-		// Held until all are found, so that none is found twice.
-		defer func() { _ = listener.Close() }()
+		if err = listener.Close(); err != nil {
+			return ports, errors.Wrapf(err, "free port %d", port)
+		}
+		s.ports[port] = true
 		ports[found] = port
 		if found++; found == len(ports) {
 			return ports, nil
