--- a/core/directive/directive.go
+++ b/core/directive/directive.go
@@ -1,7 +1,7 @@
 // Package directive keeps what backend servers told this daemon about sending to them: for
 // how long one wants no request, and that one leaves.
 //
-// What a server says itself is a limit and holds until the time is over, whatever this daemon
+// What a server says itself is binding and holds until the time is over, whatever this daemon
 // sees of it meanwhile. What a daemon concludes from failures and silence is a preference,
 // and stands in package balancer. A directive is for one daemon and one start of a server.
 package directive
