Answers of the store that are not taken are recorded, with the era that they are of

A follower dropped an answer of a lower version without a word, so that three hypotheses of the incident looked alike: dropped answers, a clock that went back, no answers at all. The adapter now reads Store-Era; what is done with answers is as before.

--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -40,6 +40,8 @@
 	Changed func(rows []Row, version int64, asOf time.Time)
 	// Hub, if set, is given every result, so that other daemons can follow it.
 	Hub *Hub
+	// Dropped, if set, is told each answer that is not taken, and what was known.
+	Dropped func(answer Result, known int64)
 	// Failed is told each failed call, Restored the first good one after it.
 	Failed   func(err error)
 	Restored func(away time.Duration)
@@ -78,6 +80,9 @@
 	f.noteSuccess()
 	asOf := f.asOf(sent, result)
 	if result.Version < f.version {
+		if f.Dropped != nil {
+			f.Dropped(result, f.version)
+		}
 		return retryWait
 	}
 	f.version = result.Version
--- a/core/rowstore/rowstore.go
+++ b/core/rowstore/rowstore.go
@@ -73,8 +73,9 @@
 // Result is what a read or a feed returned.
 type Result struct {
 	Rows []Row
-	// Version is the newest version; Now is the store's steady clock when the
-	// rows were so.
+	// Era is the store's era and Version its newest version; Now is the store's
+	// steady clock when the rows were so.
+	Era     int64
 	Version int64
 	Now     time.Duration
 	// IsRelayed tells that another daemon answered from its copy, so that Now
--- a/entry/control.go
+++ b/entry/control.go
@@ -69,6 +69,7 @@
 		Hub:      &d.hub,
 		Failed:   d.noteTrouble(leader.Table),
 		Restored: d.noteRestored(leader.Table),
+		Dropped:  d.recordDropped(leader.Table),
 		Clock:    &d.clock,
 	}
 }
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -86,6 +86,7 @@
 		Hub:      &d.hub,
 		Failed:   d.noteListTrouble,
 		Restored: d.noteRestored(neighbours.Table),
+		Dropped:  d.recordDropped(neighbours.Table),
 		Clock:    &d.clock,
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -188,6 +188,7 @@
 		metrics.GetOrRegisterCounter("store_calls."+call, d.registry).Inc(1)
 		d.observe("store_call_ms."+call, took)
 	}
+	store.EraChanged = d.recordEra
 	d.store = store
 	d.rows = rowstore.NewBatcher(store, commitRows)
 	limits := map[string]time.Duration{
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -34,6 +34,7 @@
 		Changed:  take,
 		Failed:   d.noteOutage(platform.ConfigTable),
 		Restored: d.noteReturn(platform.ConfigTable),
+		Dropped:  d.recordDropped(platform.ConfigTable),
 		Clock:    &d.clock,
 	}
 }
@@ -96,6 +97,7 @@
 		Changed:  d.takeServerChanges,
 		Failed:   d.noteOutage(platform.ServerTable),
 		Restored: d.noteReturn(platform.ServerTable),
+		Dropped:  d.recordDropped(platform.ServerTable),
 		Clock:    &d.clock,
 	}
 }
--- a/entry/outages.go
+++ b/entry/outages.go
@@ -36,6 +36,31 @@
 	}
 }
 
+// recordDropped records an answer about a table that was not taken.
+func (d *Daemon) recordDropped(table string) func(rowstore.Result, int64) {
+	return func(answer rowstore.Result, known int64) {
+		metrics.GetOrRegisterCounter("store_answers_dropped."+table, d.registry).Inc(1)
+		mayWrite, leftOut := d.troubles.Pass("dropped answers of " + table)
+		if !mayWrite {
+			return
+		}
+		d.log.Warn("store: answer not taken, it is older than what is known",
+			zap.String("table", table),
+			zap.Int64("era", answer.Era),
+			zap.Int64("version", answer.Version),
+			zap.Int64("known_version", known),
+			zap.Int64("store_clock_ms", answer.Now.Milliseconds()),
+			zap.Bool("is_relayed", answer.IsRelayed),
+			zap.Int("lines_left_out", leftOut))
+	}
+}
+
+// recordEra records that the store answers in another era than before.
+func (d *Daemon) recordEra(former, next int64) {
+	metrics.GetOrRegisterGauge("store_era", d.registry).Update(next)
+	d.log.Info("store: era changed", zap.Int64("era", next), zap.Int64("former_era", former))
+}
+
 // noteOutage notes that a table that is always followed cannot be.
 func (d *Daemon) noteOutage(table string) func(error) {
 	return func(err error) {
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -122,6 +122,7 @@
 		Hub:      &d.hub,
 		Failed:   d.noteToldTrouble,
 		Restored: d.noteRestored(toldTable),
+		Dropped:  d.recordDropped(toldTable),
 		Clock:    &d.clock,
 	}
 }
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -185,9 +185,34 @@
 	return i.Conn.Write(source)
 }
 
+// Reply is a copy of a whole answer.
+type Reply struct {
+	Status int
+	Body   []byte
+	header fasthttp.ResponseHeader
+}
+
+// Header returns all values of a header, in their order.
+func (r *Reply) Header(name string) []string {
+	var values []string
+	for _, value := range r.header.PeekAll(name) {
+		values = append(values, string(value))
+	}
+	return values
+}
+
 // JSON posts body, or gets where body is nil, and returns the status and a
 // copy of the whole answer.
 func (c *Client) JSON(address, path string, body []byte) (status int, answer []byte, err error) {
+	reply, err := c.Call(address, path, body)
+	if err != nil {
+		return 0, nil, err
+	}
+	return reply.Status, reply.Body, nil
+}
+
+// Call posts body, or gets where body is nil, and returns the whole answer.
+func (c *Client) Call(address, path string, body []byte) (*Reply, error) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
 	response := fasthttp.AcquireResponse()
@@ -198,8 +223,13 @@
 		request.Header.SetContentType("application/json")
 		request.SetBody(body)
 	}
-	if err = c.Do(address, request, response, false, false); err != nil {
-		return 0, nil, err
+	if err := c.Do(address, request, response, false, false); err != nil {
+		return nil, err
+	}
+	reply := &Reply{
+		Status: response.StatusCode(),
+		Body:   append([]byte(nil), response.Body()...),
 	}
-	return response.StatusCode(), append([]byte(nil), response.Body()...), nil
+	response.Header.CopyTo(&reply.header)
+	return reply, nil
 }
