--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -182,6 +182,14 @@
 	s.tell()
 }
 
+// DrainByEntry has the server say that it leaves by its entry alone, not by its answers.
+func (s *Server) DrainByEntry() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.state.State = wire.StateDraining
+	s.tell()
+}
+
 // Leave has the server say that it leaves, and ends it some time later.
 func (s *Server) Leave() {
 	s.Drain()
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -29,12 +29,14 @@
 type Fault int
 
 // The faults of the store: Well has none; Refusing answers 503; Silent takes
-// calls and says nothing; Lossy does writes and does not answer.
+// calls and says nothing; Lossy does writes and does not answer; Late says nothing either,
+// and does writes once the fault is over, if their conditions hold then.
 const (
 	Well Fault = iota
 	Refusing
 	Silent
 	Lossy
+	Late
 )
 
 // Bounds of calls, as the platform's pages say.
@@ -54,9 +56,14 @@
 	mutex   sync.Mutex
 	rows    map[rowKey]wire.Row
 	history []wire.Row
+	// era counts the restores from older copies; version orders changes within one era.
+	era     int64
 	version int64
 	floor   int64
 	fault   Fault
+	// own are the last writes of operators and servers, ownWrites counts them.
+	own       map[rowKey]ownWrite
+	ownWrites int64
 	// silent is a table about which nothing is answered; empty: none.
 	silent  string
 	changed chan struct{}
@@ -78,6 +85,8 @@
 		address: listener.Addr().String(),
 		started: time.Now(),
 		rows:    map[rowKey]wire.Row{},
+		own:     map[rowKey]ownWrite{},
+		era:     1,
 		version: 1,
 		changed: make(chan struct{}),
 	}
@@ -129,6 +138,19 @@
 func (s *Store) put(table, key string, value []byte) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.ownWrites++
+	s.own[rowKey{
+		table: table,
+		key:   key,
+	}] = ownWrite{
+		value:  value,
+		number: s.ownWrites,
+	}
+	s.putAgain(table, key, value)
+}
+
+// putAgain writes a row that operators or servers have written before. The mutex is held.
+func (s *Store) putAgain(table, key string, value []byte) {
 	s.version++
 	s.apply(table, key, value)
 	s.wake()
@@ -180,11 +202,11 @@
 		fault = Silent
 	}
 	s.mutex.Unlock()
-	switch fault {
-	case Refusing:
-		w.WriteHeader(http.StatusServiceUnavailable)
+	switch {
+	case fault == Refusing:
+		s.refuse(w, http.StatusServiceUnavailable)
 		return false
-	case Silent:
+	case fault == Silent, fault == Late && r.Method == http.MethodGet:
 		<-r.Context().Done()
 		return false
 	default:
@@ -192,21 +214,40 @@
 	}
 }
 
+// result is an answer and the era that it is of.
+type result struct {
+	wire.Result
+	era int64
+}
+
 // result returns a result with some rows. The mutex is held.
-func (s *Store) result(rows []wire.Row) wire.Result {
-	return wire.Result{
-		Rows:    rows,
-		Version: s.version,
-		NowMs:   float64(time.Since(s.started).Microseconds()) / 1000,
+func (s *Store) result(rows []wire.Row) result {
+	return result{
+		Result: wire.Result{
+			Rows:    rows,
+			Version: s.version,
+			NowMs:   float64(time.Since(s.started).Microseconds()) / 1000,
+		},
+		era: s.era,
 	}
 }
 
+// refuse answers with a status alone.
+func (s *Store) refuse(w http.ResponseWriter, status int) {
+	s.mutex.Lock()
+	era := s.era
+	s.mutex.Unlock()
+	w.Header().Set(wire.HeaderEra, strconv.FormatInt(era, 10))
+	w.WriteHeader(status)
+}
+
 // answer writes a result.
-func answer(w http.ResponseWriter, status int, result wire.Result) {
+func answer(w http.ResponseWriter, status int, result result) {
+	w.Header().Set(wire.HeaderEra, strconv.FormatInt(result.era, 10))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// Whoever went away gets nothing.
-	_ = json.NewEncoder(w).Encode(result)
+	_ = json.NewEncoder(w).Encode(result.Result)
 }
 
 // handleRead returns a table.
@@ -271,18 +312,18 @@
 	query := r.URL.Query()
 	since, err := strconv.ParseInt(query.Get("SinceRev"), 10, 64)
 	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+		s.refuse(w, http.StatusBadRequest)
 		return
 	}
 	wait, err := strconv.Atoi(query.Get("WaitMs"))
 	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+		s.refuse(w, http.StatusBadRequest)
 		return
 	}
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for isLast := false; ; {
 		s.mutex.Lock()
-		isGone, isWell := since < s.floor, s.fault == Well || s.fault == Lossy
+		isGone, isWell := since < s.floor || since > s.version, s.fault == Well || s.fault == Lossy
 		news, changed := s.since(query.Get("Table"), since), s.changed
 		result := s.result(news)
 		s.mutex.Unlock()
@@ -292,7 +333,7 @@
 				return
 			}
 		case isGone:
-			w.WriteHeader(http.StatusGone)
+			s.refuse(w, http.StatusGone)
 			return
 		case len(news) > 0 || isLast:
 			answer(w, http.StatusOK, result)
@@ -330,26 +371,40 @@
 	}
 	var transaction wire.Transaction
 	if err := json.NewDecoder(r.Body).Decode(&transaction); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+		s.refuse(w, http.StatusBadRequest)
 		return
 	}
 	if len(transaction.Conditions)+len(transaction.Writes)+len(transaction.Removes) > maxEntries {
-		w.WriteHeader(http.StatusBadRequest)
+		s.refuse(w, http.StatusBadRequest)
 		return
 	}
+	isLate := s.awaitFault(Late)
 	s.mutex.Lock()
 	status, result := s.commit(transaction)
-	fault := s.fault
+	isLost := isLate || s.fault == Lossy
 	s.mutex.Unlock()
-	if fault == Lossy {
+	if isLost {
 		<-r.Context().Done()
 		return
 	}
 	answer(w, status, result)
 }
 
+// awaitFault waits while the store has a fault, and tells whether it had to.
+func (s *Store) awaitFault(fault Fault) bool {
+	for hasWaited := false; ; hasWaited = true {
+		s.mutex.Lock()
+		changed, isOver := s.changed, s.fault != fault
+		s.mutex.Unlock()
+		if isOver {
+			return hasWaited
+		}
+		<-changed
+	}
+}
+
 // commit does a transaction if its conditions hold. The mutex is held.
-func (s *Store) commit(transaction wire.Transaction) (int, wire.Result) {
+func (s *Store) commit(transaction wire.Transaction) (int, result) {
 	var found []wire.Row
 	holds := true
 	for _, condition := range transaction.Conditions {
