Groups outlive a restore of the store: epochs count eras, and groups that serve are adopted

What callers would see: after a restore a new leader finds servers in groups that have no record and has all of them leave, and new groups get epochs that were given out before, which members refuse, or take for another group's. Cause: the epoch of a group was the version of its record's row, taken for a number that only grows.

An epoch is now the ordinal of a revision, era first (as in ZooKeeper's zxid). Groups of a former era that serve whole get a record again under the epoch that their members know; those that did not serve yet end, since orders of the former era may still come. Names have the era too. A record carries the era in which it was written.

--- /dev/null
+++ b/core/assembly/adopt.go
@@ -0,0 +1,78 @@
+package assembly
+
+import (
+	"headcourse/core/fleet"
+	"headcourse/core/rowstore"
+)
+
+// adopt plans records for groups of former eras that serve whole and have none: the store was
+// restored from a copy that lacks them. They go on under the epoch that their members know.
+// Groups that were not open yet leave, and form anew.
+func (c *Controller) adopt(world World, plan *Plan) {
+	for _, head := range world.Fleet.Servers() {
+		if !c.mayAdopt(head, world) {
+			continue
+		}
+		members, isWhole := wholeGroup(head, world)
+		if !isWhole {
+			continue
+		}
+		record := Record{
+			Name:    head.Membership.Group,
+			Era:     world.Era,
+			Epoch:   head.Membership.Epoch,
+			Service: head.Service,
+			Model:   head.Models[0],
+			Members: idsOf(members),
+		}
+		if c.creating == nil {
+			c.creating = map[string]Record{}
+		}
+		c.creating[record.Name] = record
+		plan.Create = append(plan.Create, record)
+		plan.Notes = append(plan.Notes, Note{
+			Group:  record.Name,
+			Epoch:  record.Epoch,
+			Model:  record.Model,
+			What:   "group adopted",
+			Reason: "it serves, and the restored store has no record of it",
+		})
+	}
+}
+
+// mayAdopt tells whether a server is the head of an open group of a former era that has no
+// record, and none is being written.
+func (c *Controller) mayAdopt(head fleet.Server, world World) bool {
+	m := head.Membership
+	_, hasRecord := c.groups[m.Group]
+	isOpenHead := m.State == fleet.Open && m.Rank == 0 && len(head.Models) > 0
+	isFormer := rowstore.EraOf(m.Epoch) < world.Era
+	return isOpenHead && isFormer && isEngineOf(world.Config, head) && !hasRecord && !c.isAdopting(m)
+}
+
+// isAdopting tells whether the record of a membership's group is being written.
+func (c *Controller) isAdopting(m fleet.Membership) bool {
+	record, ok := c.creating[m.Group]
+	return ok && record.Epoch == m.Epoch
+}
+
+// wholeGroup returns the members of a head's group in their order, and whether each of as
+// many as the model takes says that it is in it.
+func wholeGroup(head fleet.Server, world World) ([]fleet.Server, bool) {
+	model, isKnown := world.Config.Service(head.Service).Engine.Model(head.Models[0])
+	if !isKnown {
+		return nil, false
+	}
+	members := make([]fleet.Server, model.Size)
+	count := 0
+	for _, server := range world.Fleet.Members(head.Membership) {
+		m := server.Membership
+		isMember := m.Rank >= 0 && m.Rank < len(members) && (m.Rank == 0 || m.State == fleet.Ready)
+		if !isMember || members[m.Rank].ID != "" {
+			return nil, false
+		}
+		members[m.Rank] = server
+		count++
+	}
+	return members, count == len(members)
+}
--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -1,8 +1,9 @@
 // Package assembly decides how model engines form groups, and how groups end.
 //
 // A group is a record in the platform's store and a membership at each of its
-// servers. The record is written first; its version is the group's epoch, so
-// epochs rise over daemons, restarts and outages. Then every member is ordered
+// servers. The record is written first; the store's era and the version of its row make the
+// group's epoch, so epochs rise over daemons, restarts, outages, and restores of the store
+// from older copies. Then every member is ordered
 // to join; the head is ordered to open only when every member itself tells that
 // it is ready under that name and epoch. What servers tell decides, never the
 // answer to an order: an answer may be lost, and an order may be carried out
@@ -20,7 +21,8 @@
 // A step decides in this order, each in files of its own: which groups serve on, form or
 // must end (check, suspect, late); how those that end do so safely (finish); what callers
 // ask for (demand) and how many groups that takes, for whom (need, planned); what is there (layout);
-// which groups form (form), or end for others (convert); and which weights servers load
+// which groups form (form), or end for others (convert); which serve without a record, since
+// the store was restored (adopt); and which weights servers load
 // meanwhile (warm, stage, second). signs is what probes found, recent what the store keeps
 // of loads, plan what a step returns.
 //
@@ -42,6 +44,7 @@
 
 	"headcourse/core/config"
 	"headcourse/core/fleet"
+	"headcourse/core/rowstore"
 	"headcourse/core/usage"
 )
 
@@ -51,8 +54,11 @@
 // Record is a group as the store keeps it.
 type Record struct {
 	Name string `json:"name"`
-	// Epoch is the version of the record's row, which the store gives.
-	Epoch   int64  `json:"-"`
+	// Era is the store's when the record was written.
+	Era int64 `json:"era,omitempty"`
+	// Epoch is written for a group that is older than its record only; else it follows
+	// from the era and the version of the record's row.
+	Epoch   int64  `json:"epoch,omitempty"`
 	Service string `json:"service"`
 	Model   string `json:"model"`
 	// Members are server IDs, the head first.
@@ -77,8 +83,18 @@
 	if record.Name == "" || len(record.Members) == 0 {
 		return Record{}, errors.Errorf("decode record of group %q: it has no name or no members", record.Name)
 	}
-	record.Epoch = version
-	return record, nil
+	return record.WithVersion(version), nil
+}
+
+// WithVersion returns the record as it stands in a row of a version.
+func (r Record) WithVersion(version int64) Record {
+	if r.Epoch == 0 {
+		r.Epoch = rowstore.Revision{
+			Era:     r.Era,
+			Version: version,
+		}.Ordinal()
+	}
+	return r
 }
 
 // Kind is what an order asks of a server.
@@ -138,6 +154,8 @@
 type World struct {
 	Config *config.Config
 	Fleet  fleet.View
+	// Era is the store's in which this daemon leads.
+	Era int64
 	// IsSteady tells that the store has worked for long enough that a missing
 	// entry means a missing server.
 	IsSteady bool
--- a/core/assembly/check.go
+++ b/core/assembly/check.go
@@ -5,6 +5,7 @@
 
 	"headcourse/core/config"
 	"headcourse/core/fleet"
+	"headcourse/core/rowstore"
 )
 
 // formSlack is how much longer than its load a group may take to form.
@@ -23,7 +24,7 @@
 	if !ok {
 		return
 	}
-	if head.Membership.In(g.record.Name, g.record.Epoch) && head.Membership.State == fleet.Open {
+	if isHeadOpen(g, head) {
 		if !g.wasOpen {
 			g.note("group open", "the head tells so", plan)
 		}
@@ -89,6 +90,10 @@
 			return reason, isGentle
 		}
 	}
+	if !g.wasOpen && !isHeadOpen(g, head) && rowstore.EraOf(g.record.Epoch) < world.Era {
+		// Its record may have been removed since, and orders of then may still come.
+		return "the store was restored before it served", false
+	}
 	if !g.wasOpen && time.Since(g.since) > formTime(world.Config, g.record) {
 		return "it took too long to form", false
 	}
@@ -98,6 +103,11 @@
 	return c.whySuspected(g, world, plan)
 }
 
+// isHeadOpen tells whether a group's head says that it serves.
+func isHeadOpen(g *group, head fleet.Server) bool {
+	return head.Membership.In(g.record.Name, g.record.Epoch) && head.Membership.State == fleet.Open
+}
+
 // formTime returns how long a group may take to form: its members may wait for
 // each other's loads.
 func formTime(known *config.Config, record Record) time.Duration {
--- a/core/assembly/controller.go
+++ b/core/assembly/controller.go
@@ -92,14 +92,13 @@
 }
 
 // Created notes that records were written at a version.
-func (c *Controller) Created(records []Record, epoch int64) {
+func (c *Controller) Created(records []Record, version int64) {
 	if c.groups == nil {
 		c.groups = map[string]*group{}
 	}
 	for _, record := range records {
 		delete(c.creating, record.Name)
-		record.Epoch = epoch
-		c.groups[record.Name] = newGroup(record)
+		c.groups[record.Name] = newGroup(record.WithVersion(version))
 	}
 }
 
@@ -163,6 +162,7 @@
 			c.finish(g, world, &plan)
 		}
 	}
+	c.adopt(world, &plan)
 	c.endOrphans(world, &plan)
 	c.form(world, &plan)
 	return plan
--- a/core/assembly/finish.go
+++ b/core/assembly/finish.go
@@ -153,7 +153,7 @@
 			// An entry for a service that is not configured may be anybody's.
 			continue
 		}
-		if m.State == fleet.NoGroup || c.hasRecord(m.Group, m.Epoch) || c.isClosed(m) {
+		if m.State == fleet.NoGroup || c.hasRecord(m.Group, m.Epoch) || c.isAdopting(m) || c.isClosed(m) {
 			continue
 		}
 		if time.Since(c.orphans[server.ID]) < askAgain {
--- a/core/assembly/form.go
+++ b/core/assembly/form.go
@@ -9,6 +9,7 @@
 
 	"headcourse/core/config"
 	"headcourse/core/fleet"
+	"headcourse/core/rowstore"
 )
 
 // Figures of planning.
@@ -118,7 +119,11 @@
 // create plans the record of a group of free servers.
 func (c *Controller) create(record Record, at *layout, members []fleet.Server, world World, plan *Plan) {
 	c.number++
-	record.Name = groupName(world.Fleet.Version, c.number)
+	record.Era = world.Era
+	record.Name = groupName(rowstore.Revision{
+		Era:     world.Era,
+		Version: world.Fleet.Version,
+	}, c.number)
 	record.Service = at.service.Name
 	record.Members = idsOf(members)
 	for _, id := range record.Members {
@@ -138,11 +143,11 @@
 	return ids
 }
 
-// groupName returns a name that no other group has or had: versions of the
+// groupName returns a name that no other group has or had: revisions of the
 // store never repeat, and a controller counts its own.
-func groupName(version int64, number int) string {
+func groupName(at rowstore.Revision, number int) string {
 	const base = 36
-	return "g" + strconv.FormatInt(version, base) + "-" + strconv.Itoa(number)
+	return "g" + strconv.FormatInt(at.Ordinal(), base) + "-" + strconv.Itoa(number)
 }
 
 // choice is the servers that would form a group soonest.
--- a/core/assembly/fuzz_test.go
+++ b/core/assembly/fuzz_test.go
@@ -51,6 +51,13 @@
 
 // fuzzFleet plays up to so many steps on a fleet.
 func fuzzFleet(rt *rapid.T, s *simFleet, c *assembly.Controller, mostSteps int) {
+	fuzzFleetWith(rt, s, c, mostSteps, func(c *assembly.Controller) *assembly.Controller {
+		return c
+	})
+}
+
+// fuzzFleetWith is fuzzFleet with something more at each step, which returns who leads then.
+func fuzzFleetWith(rt *rapid.T, s *simFleet, c *assembly.Controller, mostSteps int, more func(*assembly.Controller) *assembly.Controller) {
 	former := &assembly.Controller{}
 	former.Load(s.stored())
 	steps := rapid.IntRange(50, mostSteps).Draw(rt, "steps")
@@ -67,6 +74,7 @@
 	}
 	for range steps {
 		disturb(rt, s, c, &former)
+		c = more(c)
 		s.run(c, false, fateOf)
 		s.tick()
 		if len(s.violated) > 0 {
--- a/core/assembly/sim_test.go
+++ b/core/assembly/sim_test.go
@@ -35,6 +35,7 @@
 	servers  map[string]*simServer
 	records  map[string]assembly.Record
 	epoch    int64
+	era      int64
 	next     int
 	late     []lateOrder
 	violated []string
@@ -257,6 +258,7 @@
 	plan := c.Step(assembly.World{
 		Config:     s.config,
 		Fleet:      s.look(),
+		Era:        s.era,
 		IsSteady:   true,
 		IsStart:    isStart,
 		StallTime:  simStall,
@@ -281,8 +283,7 @@
 	if len(plan.Create) > 0 {
 		s.epoch++
 		for _, record := range plan.Create {
-			record.Epoch = s.epoch
-			s.records[record.Name] = record
+			s.records[record.Name] = record.WithVersion(s.epoch)
 		}
 		c.Created(plan.Create, s.epoch)
 	}
