--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -231,6 +231,40 @@
 	return v.WithChanges(version, changes, lostUntil)
 }
 
+// Reconciled returns the servers that a table tells of which was restored from an older copy,
+// but for what this view knows to be later: a start that was gone stays so, one that leaves
+// goes on leaving, and a newer group or start replaces an older one. This holds until the
+// servers have written again.
+func (v View) Reconciled(read []Server) []Server {
+	reconciled := make([]Server, 0, len(read))
+	for _, server := range read {
+		if lost, isLost := v.lost[server.ID]; isLost && lost.server.Born >= server.Born {
+			continue
+		}
+		if known, isKnown := v.servers[server.ID]; isKnown {
+			server = server.reconciled(known)
+		}
+		reconciled = append(reconciled, server)
+	}
+	return reconciled
+}
+
+// reconciled returns the server with what is known to be later than its entry.
+func (s Server) reconciled(known Server) Server {
+	switch {
+	case known.Born > s.Born:
+		return known
+	case known.Born < s.Born:
+		return s
+	}
+	s.Draining = s.Draining || known.Draining
+	if s.Membership.State != NoGroup && known.Membership.Epoch > s.Membership.Epoch {
+		s.Membership = known.Membership
+		s.Models = known.Models
+	}
+	return s
+}
+
 // Server returns a server whose entry is in the table.
 func (v View) Server(id string) (Server, bool) {
 	server, ok := v.servers[id]
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -180,3 +180,37 @@
 		qt.Assert(t, time.Until(outage.LostUntil(usual)) < time.Second, qt.IsTrue)
 	})
 }
+
+// Guards against a server that leaves getting requests again by its entry in a restored table.
+func TestRestoredTableTakesNothingBackThatIsKnownOfAStart(t *testing.T) {
+	leaving, gone, moved, anew := plain("a"), plain("b"), member("c", 0, fleet.Open), plain("d")
+	anew.Born = 1
+	view := fleet.View{}.WithAll(9, []fleet.Server{leaving, gone, moved, anew}, time.Now())
+	later := moved
+	later.Membership.Epoch = 8
+	drained := leaving
+	drained.Draining = true
+	second := anew
+	second.Born = 2
+	view = view.WithChanges(12, append(changes(drained, later, second), fleet.Change{
+		ID:   "b",
+		Gone: true,
+	}), time.Now())
+
+	reconciled := view.Reconciled([]fleet.Server{leaving, gone, moved, anew, plain("e")})
+	qt.Assert(t, ids(reconciled), qt.DeepEquals, []string{"a", "c", "d", "e"})
+	qt.Assert(t, reconciled[0].Draining, qt.IsTrue)
+	qt.Assert(t, reconciled[1].Membership.Epoch, qt.Equals, int64(8))
+	qt.Assert(t, reconciled[2].Born, qt.Equals, int64(2))
+}
+
+// Guards against news of a restored table that are not taken for what is known.
+func TestRestoredTableTellsOfLaterStates(t *testing.T) {
+	view := fleet.View{}.WithAll(9, []fleet.Server{plain("a"), member("c", 0, fleet.Open), plain("d")}, time.Now())
+	leaving, left, third := plain("a"), member("c", 0, fleet.Open), plain("d")
+	leaving.Draining = true
+	left.Membership = fleet.Membership{}
+	third.Born = 3
+	read := []fleet.Server{leaving, left, third}
+	qt.Assert(t, view.Reconciled(read), qt.DeepEquals, read)
+}
--- a/core/fleet/grace.go
+++ b/core/fleet/grace.go
@@ -21,6 +21,9 @@
 	// lapseHeartbeats is how many heartbeats the shortest outage lasts during which
 	// an entry can lapse: three are missed in a little more than two.
 	lapseHeartbeats = 1.6
+	// rewriteHeartbeats is how many heartbeats it takes after a restore of the store until
+	// each server that lives has written its entry again, and each other has lapsed.
+	rewriteHeartbeats = 3
 	// usualLapse is assumed where the time between heartbeats is not known.
 	usualLapse = 2 * time.Second
 )
@@ -56,6 +59,15 @@
 	return time.Duration(lapseHeartbeats * float64(g.Heartbeat))
 }
 
+// Rewritten returns how long after a restore of the store entries may still be those of the
+// older copy.
+func (g Grace) Rewritten() time.Duration {
+	if g.Heartbeat == 0 {
+		return rewriteHeartbeats * usualLapse
+	}
+	return rewriteHeartbeats * g.Heartbeat
+}
+
 // Outage is the last time that the store was away. The zero value is none.
 type Outage struct {
 	Began time.Time
