--- a/core/leader/leader.go
+++ b/core/leader/leader.go
@@ -11,11 +11,17 @@
 // All daemons follow the row, most of them through relays, so waiting for the
 // lease costs no calls. An old view does no harm: taking the lease is conditional
 // on the version seen.
+//
+// A store that is restored from an older copy gives versions out again, so each era has a
+// row of its own: what depends on the row of a former era fails once that is removed. The
+// lease of a former era may hold for a term after the restore, and is waited for.
 package leader
 
 import (
 	"context"
 	"encoding/json"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,11 +33,17 @@
 
 // Where the lease stands.
 const (
-	// Table is the table of the lease and key its row.
-	Table = "control"
-	key   = "lease"
+	// Table is the table of the lease and keyPrefix the beginning of its row's key, which
+	// ends with the era.
+	Table     = "control"
+	keyPrefix = "lease/"
 )
 
+// keyOf returns the key of the lease of an era.
+func keyOf(era int64) string {
+	return keyPrefix + strconv.FormatInt(era, 10)
+}
+
 // Times of the lease.
 const (
 	// Term is how long a lease holds after its last rewrite. It bounds how long
@@ -79,49 +91,95 @@
 	// Clock goes on while the machine is suspended.
 	Clock boottime.Clock
 	// Changed is told when this daemon gains or loses the lease, and why.
-	Changed func(isLeader bool, epoch int64, reason string)
+	Changed func(isLeader bool, lease rowstore.Revision, reason string)
 	// IsAway, if set, tells that the store cannot be reached: then the lease is not tried
 	// for: all daemons would, for as long as an outage lasts.
 	IsAway func() bool
 
 	mutex sync.Mutex
-	// seen is the row's version as last seen, since seenSince; version 0: there
+	// seen is the row's revision as last seen, since seenSince; version 0: there
 	// is none. holder is who holds it; isKnown that it was seen at all.
-	seen      int64
+	seen      rowstore.Revision
 	seenSince time.Time
 	holder    string
 	isKnown   bool
+	// former are keys of leases of former eras; restored is when this era was first seen,
+	// if it is known to follow another.
+	former   []string
+	restored time.Time
 	// failedAt is when a try last failed.
 	failedAt time.Time
 	// wasAway tells that the store was away when it was last time to try.
 	wasAway bool
 }
 
-// See takes the rows of Table as a follower tells them; isWhole tells that they
+// See takes the rows of Table as a follower tells them, in an era; isWhole tells that they
 // are all there are.
-func (e *Elector) See(rows []rowstore.Row, isWhole bool) error {
+func (e *Elector) See(rows []rowstore.Row, era int64, isWhole bool) error {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if isWhole && !e.isKnown {
-		e.isKnown = true
-		e.seenSince = time.Now()
+	if isWhole && era >= e.seen.Era {
+		e.begin(rows, era)
+	}
+	if era != e.seen.Era {
+		return nil
 	}
 	var failed error
 	for _, row := range rows {
-		if row.Key != key || row.Deleted || row.Version <= e.seen {
+		if row.Key != keyOf(era) || row.Deleted || row.Version <= e.seen.Version {
 			continue
 		}
 		held, err := decode(row.Value)
 		if err != nil {
 			failed = err
 		}
-		e.seen = row.Version
+		e.seen.Version = row.Version
 		e.seenSince = time.Now()
 		e.holder = held.Holder
 	}
 	return failed
 }
 
+// begin takes the whole table for the first time in an era. Whoever held the lease of the
+// former one may not know yet that it is over. The mutex is held.
+func (e *Elector) begin(rows []rowstore.Row, era int64) {
+	if e.isKnown && era == e.seen.Era {
+		return
+	}
+	e.former = formerKeys(rows, era)
+	e.holder = ""
+	e.seenSince = time.Now()
+	if e.isKnown || len(e.former) > 0 {
+		e.holder = formerHolder
+		e.restored = e.seenSince
+	}
+	e.isKnown = true
+	e.seen = rowstore.Revision{
+		Era: era,
+	}
+}
+
+// restoredAt returns when the era was first seen, if it is known to follow another.
+func (e *Elector) restoredAt() time.Time {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.restored
+}
+
+// formerKeys returns the keys of leases of other eras.
+func formerKeys(rows []rowstore.Row, era int64) []string {
+	var former []string
+	for _, row := range rows {
+		if strings.HasPrefix(row.Key, keyPrefix) && row.Key != keyOf(era) {
+			former = append(former, row.Key)
+		}
+	}
+	return former
+}
+
+// formerHolder stands for whoever held the lease of a former era.
+const formerHolder = "\x01"
+
 // unreadableHolder holds a lease that cannot be read: another writer has overwritten it. It
 // is taken when it was not rewritten for a term, as if its holder had gone; else nobody
 // would lead again.
@@ -138,23 +196,23 @@
 	return held, nil
 }
 
-// mayTake returns the version of the row on which taking the lease depends, and
+// mayTake returns the revision of the row on which taking the lease depends, and
 // whether it is time to try: it is free, was this daemon's own before a restart,
 // or was not rewritten for a term.
-func (e *Elector) mayTake() (int64, bool) {
+func (e *Elector) mayTake() (rowstore.Revision, bool) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if !e.isKnown {
-		return 0, false
+		return rowstore.Revision{}, false
 	}
-	if e.seen != 0 && e.holder == e.Name {
+	if e.holder == e.Name {
 		return e.seen, time.Since(e.failedAt) >= ownAgain
 	}
 	if e.isAway() {
-		return 0, false
+		return rowstore.Revision{}, false
 	}
 	wait := turnOf(e.Rank())
-	if e.seen != 0 && e.holder != "" {
+	if e.holder != "" {
 		wait += Term
 	}
 	return e.seen, time.Since(e.seenSince) >= wait
@@ -167,14 +225,14 @@
 }
 
 // isAway tells whether the store is away. At its return the lease counts as not
-// rewritten for a term, but no longer: daemons try one after the other. The mutex is
-// held.
+// rewritten for a term, but no longer: daemons try one after the other. One of a former era
+// is waited for from when the new era was seen. The mutex is held.
 func (e *Elector) isAway() bool {
 	if e.IsAway != nil && e.IsAway() {
 		e.wasAway = true
 		return true
 	}
-	if e.wasAway {
+	if e.wasAway && e.holder != formerHolder {
 		e.wasAway = false
 		if long := time.Now().Add(-Term); e.seenSince.Before(long) {
 			e.seenSince = long
@@ -200,7 +258,7 @@
 			sleep(ctx, lookEvery)
 			continue
 		}
-		e.Changed(true, lease.version, "taken")
+		e.Changed(true, lease.revision(), "taken")
 		e.serve(ctx, lease, lead)
 	}
 }
@@ -221,10 +279,15 @@
 			reason = "its term ended"
 			break
 		}
+		if e.era() != lease.revision().Era {
+			reason = "the store was restored"
+			lease.lose()
+			break
+		}
 		if lease.age() < renewEvery {
 			continue
 		}
-		if err := lease.Commit(leading, nil, nil, nil); errors.Is(err, ErrLost) {
+		if _, err := lease.Commit(leading, nil, nil); errors.Is(err, ErrLost) {
 			reason = "another daemon holds it"
 			break
 		}
@@ -234,7 +297,14 @@
 	if ctx.Err() != nil {
 		lease.release()
 	}
-	e.Changed(false, lease.version, reason)
+	e.Changed(false, lease.revision(), reason)
+}
+
+// era returns the newest era that was seen.
+func (e *Elector) era() int64 {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.seen.Era
 }
 
 // sleep waits, or until ctx ends.
@@ -245,23 +315,42 @@
 	}
 }
 
-// take tries to take the lease if it is time.
+// take tries to take the lease if it is time. Those of former eras end with it.
 func (e *Elector) take(ctx context.Context) *Lease {
-	version, isTime := e.mayTake()
+	seen, isTime := e.mayTake()
 	if !isTime {
 		return nil
 	}
 	lease := &Lease{
-		store:   e.Store,
-		holder:  e.Name,
-		start:   e.Start,
-		version: version,
-		clock:   e.Clock,
-		granted: e.Clock.Now(),
+		store:    e.Store,
+		holder:   e.Name,
+		start:    e.Start,
+		era:      seen.Era,
+		version:  seen.Version,
+		restored: e.restoredAt(),
+		clock:    e.Clock,
+		granted:  e.Clock.Now(),
 	}
-	if err := lease.Commit(ctx, nil, nil, nil); err != nil {
+	if _, err := lease.Commit(ctx, nil, e.formerRows()); err != nil {
 		e.putOff()
 		return nil
 	}
+	e.mutex.Lock()
+	e.former = nil
+	e.mutex.Unlock()
 	return lease
 }
+
+// formerRows returns the rows of the leases of former eras.
+func (e *Elector) formerRows() []rowstore.Row {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	var rows []rowstore.Row
+	for _, key := range e.former {
+		rows = append(rows, rowstore.Row{
+			Table: Table,
+			Key:   key,
+		})
+	}
+	return rows
+}
--- a/core/leader/leader_test.go
+++ b/core/leader/leader_test.go
@@ -20,6 +20,7 @@
 type fakeStore struct {
 	mutex     sync.Mutex
 	rows      map[string]rowstore.Row
+	era       int64
 	version   int64
 	isDown    bool
 	loseNext  bool
@@ -42,6 +43,7 @@
 		return rowstore.Result{}, rowstore.ErrRefused
 	}
 	result := rowstore.Result{
+		Era:     f.era,
 		Version: f.version,
 	}
 	for _, row := range f.rows {
@@ -53,40 +55,44 @@
 }
 
 // Feed is not used: the tests tell electors of rows themselves.
-func (f *fakeStore) Feed(context.Context, string, int64, time.Duration) (rowstore.Result, error) {
+func (f *fakeStore) Feed(context.Context, string, rowstore.Revision, time.Duration) (rowstore.Result, error) {
 	return rowstore.Result{}, rowstore.ErrRefused
 }
 
 // Commit does a transaction.
-func (f *fakeStore) Commit(_ context.Context, transaction rowstore.Transaction) (int64, error) {
+func (f *fakeStore) Commit(_ context.Context, transaction rowstore.Transaction) (rowstore.Revision, error) {
 	f.mutex.Lock()
 	isDown, isLost, late := f.isDown, f.loseNext, f.lateNext
 	f.loseNext, f.lateNext = false, 0
 	f.mutex.Unlock()
 	switch {
 	case isDown:
-		return 0, rowstore.ErrRefused
+		return rowstore.Revision{}, rowstore.ErrRefused
 	case late > 0:
 		go func() {
 			time.Sleep(late)
 			_, _ = f.apply(transaction)
 		}()
-		return 0, rowstore.ErrUnknown
+		return rowstore.Revision{}, rowstore.ErrUnknown
 	case isLost:
 		_, _ = f.apply(transaction)
-		return 0, rowstore.ErrUnknown
+		return rowstore.Revision{}, rowstore.ErrUnknown
 	default:
-		return f.apply(transaction)
+		at, err := f.apply(transaction)
+		if err == nil && at.Era != transaction.Era {
+			return rowstore.Revision{}, rowstore.ErrRestored
+		}
+		return at, err
 	}
 }
 
 // apply does a transaction if its conditions hold.
-func (f *fakeStore) apply(transaction rowstore.Transaction) (int64, error) {
+func (f *fakeStore) apply(transaction rowstore.Transaction) (rowstore.Revision, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, condition := range transaction.Conditions {
 		if f.rows[condition.Key].Version != condition.Version {
-			return 0, &rowstore.Conflict{}
+			return rowstore.Revision{}, &rowstore.Conflict{}
 		}
 	}
 	f.version++
@@ -100,14 +106,17 @@
 	for _, row := range transaction.Removes {
 		delete(f.rows, row.Key)
 	}
-	return f.version, nil
+	return rowstore.Revision{
+		Era:     f.era,
+		Version: f.version,
+	}, nil
 }
 
-// value returns a row's value; "" where there is none.
-func (f *fakeStore) value(key string) string {
+// written returns the value of the row that leaders write; "" where there is none.
+func (f *fakeStore) written() string {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return string(f.rows[key].Value)
+	return string(f.rows["g1"].Value)
 }
 
 // set changes how the store behaves.
@@ -145,13 +154,13 @@
 			},
 			Changed: c.changed(name),
 		}
-		_ = elector.See(nil, true)
+		_ = elector.See(nil, 0, true)
 		c.electors = append(c.electors, elector)
 	}
 	c.store.delivered = func(row rowstore.Row) {
 		for _, elector := range c.electors {
 			if !c.cut[elector.Name] {
-				_ = elector.See([]rowstore.Row{row}, false)
+				_ = elector.See([]rowstore.Row{row}, c.store.era, false)
 			}
 		}
 	}
@@ -159,8 +168,8 @@
 }
 
 // changed notes who leads.
-func (c *cluster) changed(name string) func(bool, int64, string) {
-	return func(isLeader bool, _ int64, _ string) {
+func (c *cluster) changed(name string) func(bool, rowstore.Revision, string) {
+	return func(isLeader bool, _ rowstore.Revision, _ string) {
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		if isLeader && len(c.leading) > 0 {
@@ -292,12 +301,12 @@
 }
 
 // Feed follows the store in use.
-func (s *switched) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
+func (s *switched) Feed(ctx context.Context, table string, since rowstore.Revision, wait time.Duration) (rowstore.Result, error) {
 	return s.current().Feed(ctx, table, since, wait)
 }
 
 // Commit writes to the store in use.
-func (s *switched) Commit(ctx context.Context, transaction rowstore.Transaction) (int64, error) {
+func (s *switched) Commit(ctx context.Context, transaction rowstore.Transaction) (rowstore.Revision, error) {
 	return s.current().Commit(ctx, transaction)
 }
 
@@ -340,9 +349,9 @@
 		c.store.set(func(f *fakeStore) {
 			f.loseNext = true
 		})
-		err := lease.Commit(ctx, record("1"), nil, nil)
+		_, err := lease.Commit(ctx, record("1"), nil)
 		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrUnknown)
-		qt.Assert(t, c.store.value("g1"), qt.Equals, "1")
+		qt.Assert(t, c.store.written(), qt.Equals, "1")
 		qt.Assert(t, lease.Holds(), qt.IsTrue)
 	})
 }
@@ -356,11 +365,12 @@
 		c.store.set(func(f *fakeStore) {
 			f.lateNext = 3 * time.Second
 		})
-		err := lease.Commit(ctx, record("late"), nil, nil)
+		_, err := lease.Commit(ctx, record("late"), nil)
 		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrUnknown)
-		qt.Assert(t, lease.Commit(ctx, record("next"), nil, nil), qt.IsNil)
+		_, err = lease.Commit(ctx, record("next"), nil)
+		qt.Assert(t, err, qt.IsNil)
 		time.Sleep(5 * time.Second)
-		qt.Assert(t, c.store.value("g1"), qt.Equals, "next")
+		qt.Assert(t, c.store.written(), qt.Equals, "next")
 	})
 }
 
@@ -397,9 +407,9 @@
 		c.run(ctx, 1)
 		time.Sleep(2 * leader.Term)
 		qt.Assert(t, former.Holds(), qt.IsFalse)
-		err := former.Commit(ctx, record("old"), nil, nil)
+		_, err := former.Commit(ctx, record("old"), nil)
 		qt.Assert(t, err, qt.ErrorIs, leader.ErrLost)
-		qt.Assert(t, c.store.value("g1"), qt.Equals, "")
+		qt.Assert(t, c.store.written(), qt.Equals, "")
 		wake()
 	})
 }
@@ -411,7 +421,7 @@
 			Writes: []rowstore.Row{
 				{
 					Table: leader.Table,
-					Key:   "lease",
+					Key:   "lease/0",
 					Value: []byte(`{"holder":"b","start":"b/0","count":7}`),
 				},
 			},
@@ -431,7 +441,7 @@
 }
 
 // Commit counts and commits.
-func (c countingStore) Commit(ctx context.Context, transaction rowstore.Transaction) (int64, error) {
+func (c countingStore) Commit(ctx context.Context, transaction rowstore.Transaction) (rowstore.Revision, error) {
 	c.tries.Add(1)
 	return c.Store.Commit(ctx, transaction)
 }
--- a/core/quarantine/forget.go
+++ b/core/quarantine/forget.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"headcourse/core/rowstore"
+)
 
 // makeRoom forgets the digest under which a server ended longest ago, of those that are
 // not held first, where there are too many. The mutex is held.
@@ -56,13 +60,13 @@
 // forgetTrials forgets the trials and how they ended.
 func (s *suspect) forgetTrials() {
 	s.trials = 0
-	s.version = 0
+	s.at = rowstore.Revision{}
 	s.failed = 0
 }
 
 // dropIfEmpty forgets a suspect of which nothing is known any more. The mutex is held.
 func (l *Ledger) dropIfEmpty(digest Digest, one *suspect) {
-	if len(one.ends) == 0 && one.version == 0 {
+	if len(one.ends) == 0 && !one.hasTrial() {
 		delete(l.suspects, digest)
 	}
 }
@@ -95,7 +99,7 @@
 				delete(one.ends, start)
 			}
 		}
-		if one.version > 0 && !isTried[digest] {
+		if one.hasTrial() && !isTried[digest] {
 			one.forgetTrials()
 		}
 		l.dropIfEmpty(digest, one)
--- a/core/quarantine/ledger.go
+++ b/core/quarantine/ledger.go
@@ -19,6 +19,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"headcourse/core/rowstore"
 )
 
 // Figures of a ledger.
@@ -71,11 +73,11 @@
 }
 
 // Trial is one send of a suspected request. All daemons agree on it by a row of the store:
-// After is the version of the row of the trial before, 0 where there was none.
+// After is the revision of the row of the trial before, zero where there was none.
 type Trial struct {
 	Digest Digest
 	Number int
-	After  int64
+	After  rowstore.Revision
 }
 
 // Step is what may be done with a request.
@@ -102,10 +104,10 @@
 	ends map[string]endKnown
 	// last is when an end or a trial became known last.
 	last time.Time
-	// trials is the number of the last trial, version its row's, triedAt when it became
+	// trials is the number of the last trial, at its row's revision, triedAt when it became
 	// known; failed is the number of the last one under which a server ended.
 	trials  int
-	version int64
+	at      rowstore.Revision
 	triedAt time.Time
 	failed  int
 }
@@ -122,6 +124,11 @@
 	return ok && known.at.Before(s.triedAt)
 }
 
+// hasTrial tells whether the store tells of a trial.
+func (s *suspect) hasTrial() bool {
+	return s.at != rowstore.Revision{}
+}
+
 // hasFailed tells whether a server ended under the last trial. Words of both may come in
 // any order.
 func (s *suspect) hasFailed() bool {
@@ -145,7 +152,7 @@
 		Trial: Trial{
 			Digest: digest,
 			Number: max(s.trials, s.failed) + 1,
-			After:  s.version,
+			After:  s.at,
 		},
 	}
 }
@@ -258,17 +265,17 @@
 	return one
 }
 
-// Tried notes a trial, of this daemon or, by the store, of another, with the version of
+// Tried notes a trial, of this daemon or, by the store, of another, with the revision of
 // its row. Like Told, it returns false where this daemon knows better.
-func (l *Ledger) Tried(trial Trial, version int64) bool {
+func (l *Ledger) Tried(trial Trial, at rowstore.Revision) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.answered.has(trial.Digest, time.Now()) {
 		return false
 	}
 	one := l.suspect(trial.Digest)
-	if version > one.version {
-		one.version = version
+	if at.Compare(one.at) > 0 {
+		one.at = at
 		one.trials = trial.Number
 		one.triedAt = time.Now()
 		one.last = one.triedAt
@@ -294,7 +301,7 @@
 func (s *suspect) told(digest Digest) Cleared {
 	cleared := Cleared{
 		Digest:   digest,
-		HasTrial: s.version > 0,
+		HasTrial: s.hasTrial(),
 	}
 	for _, start := range slices.Sorted(maps.Keys(s.ends)) {
 		if s.ends[start].isTold {
--- a/core/quarantine/ledger_test.go
+++ b/core/quarantine/ledger_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"headcourse/core/quarantine"
+	"headcourse/core/rowstore"
 )
 
 // digestOf returns the digest of a body.
@@ -46,6 +47,13 @@
 	return ledger.Decide(digestOf(body)).Step
 }
 
+// revision returns a revision of era 0.
+func revision(version int) rowstore.Revision {
+	return rowstore.Revision{
+		Version: int64(version),
+	}
+}
+
 func TestRequestIsSentByTrialsOnlyWhenTwoServersEndedUnderIt(t *testing.T) {
 	var ledger quarantine.Ledger
 	qt.Assert(t, ledger.Note(endAt("bad", "a")), qt.IsTrue)
@@ -78,8 +86,7 @@
 			decision := ledger.Decide(digestOf("bad"))
 			qt.Assert(t, decision.Step, qt.Equals, quarantine.Try)
 			qt.Assert(t, decision.Trial.Number, qt.Equals, number+1)
-			version := int64(100 + number)
-			qt.Assert(t, ledger.Tried(decision.Trial, version), qt.IsTrue)
+			qt.Assert(t, ledger.Tried(decision.Trial, revision(100+number)), qt.IsTrue)
 			qt.Assert(t, step(ledger, "bad"), qt.Equals, quarantine.Hold)
 
 			qt.Assert(t, ledger.Note(trialEnd(fmt.Sprintf("trial %d", number), number+1)), qt.IsTrue)
@@ -103,7 +110,7 @@
 		for number := range 3 {
 			decision := ledger.Decide(digestOf("quiet"))
 			qt.Assert(t, decision.Trial.Number, qt.Equals, number+1)
-			ledger.Tried(decision.Trial, int64(100+number))
+			ledger.Tried(decision.Trial, revision(100+number))
 			qt.Assert(t, step(ledger, "quiet"), qt.Equals, quarantine.Hold)
 			time.Sleep(3 * time.Second)
 		}
@@ -125,7 +132,7 @@
 func TestTrialGoesOnWhileNoServerEndsUnderIt(t *testing.T) {
 	ledger := suspected("quiet")
 	trial := ledger.Decide(digestOf("quiet")).Trial
-	ledger.Tried(trial, 7)
+	ledger.Tried(trial, revision(7))
 	qt.Assert(t, step(ledger, "quiet"), qt.Equals, quarantine.Hold)
 	qt.Assert(t, ledger.MayGoOn(digestOf("quiet"), trial.Number), qt.IsTrue)
 	qt.Assert(t, ledger.MayGoOn(digestOf("quiet"), trial.Number+1), qt.IsFalse)
@@ -139,7 +146,7 @@
 	ledger.Tried(quarantine.Trial{
 		Digest: digestOf("bad"),
 		Number: 1,
-	}, 7)
+	}, revision(7))
 	ledger.Note(trialEnd("c", 1))
 	qt.Assert(t, ledger.MayGoOn(digestOf("bad"), 1), qt.IsFalse)
 	_, held := ledger.Counts()
@@ -154,7 +161,7 @@
 	ledger.Tried(quarantine.Trial{
 		Digest: digestOf("dashboard"),
 		Number: 1,
-	}, 7)
+	}, revision(7))
 	// What the store tells is to be removed there, for the others.
 	qt.Assert(t, ledger.Answered(digestOf("dashboard")), qt.DeepEquals, quarantine.Cleared{
 		Digest:   digestOf("dashboard"),
@@ -168,7 +175,7 @@
 	qt.Assert(t, ledger.Tried(quarantine.Trial{
 		Digest: digestOf("dashboard"),
 		Number: 2,
-	}, 8), qt.IsFalse)
+	}, revision(8)), qt.IsFalse)
 	qt.Assert(t, step(ledger, "dashboard"), qt.Equals, quarantine.Send)
 	qt.Assert(t, ledger.Answered(digestOf("dashboard")).IsAny(), qt.IsFalse)
 }
@@ -192,7 +199,7 @@
 	ledger.Tried(quarantine.Trial{
 		Digest: digestOf("bad"),
 		Number: 1,
-	}, 7)
+	}, revision(7))
 	ledger.Told(trialEnd("c", 1))
 	qt.Assert(t, step(ledger, "bad"), qt.Equals, quarantine.Hold)
 	ledger.RemovedTrial(digestOf("bad"))
@@ -244,7 +251,7 @@
 				ledger.Tried(quarantine.Trial{
 					Digest: digestOf("x"),
 					Number: number + 1,
-				}, int64(10+number))
+				}, revision(10+number))
 			})
 		}
 		var decisions []quarantine.Decision
@@ -270,7 +277,7 @@
 		ledger := suspected("bad")
 		time.Sleep(time.Second)
 		trial := ledger.Decide(digestOf("bad")).Trial
-		qt.Assert(t, ledger.Tried(trial, 7), qt.IsTrue)
+		qt.Assert(t, ledger.Tried(trial, revision(7)), qt.IsTrue)
 		time.Sleep(time.Millisecond)
 		qt.Assert(t, ledger.Note(trialEnd("b", trial.Number)), qt.IsFalse)
 		qt.Assert(t, ledger.MayGoOn(digestOf("bad"), trial.Number), qt.IsTrue)
--- a/core/rowstore/batcher_test.go
+++ b/core/rowstore/batcher_test.go
@@ -19,9 +19,11 @@
 }
 
 // Commit notes the rows written.
-func (c *committing) Commit(_ context.Context, transaction rowstore.Transaction) (int64, error) {
+func (c *committing) Commit(_ context.Context, transaction rowstore.Transaction) (rowstore.Revision, error) {
 	c.rows = append(c.rows, transaction.Writes)
-	return int64(len(c.rows)), c.err
+	return rowstore.Revision{
+		Version: int64(len(c.rows)),
+	}, c.err
 }
 
 // writeAll writes rows of so many keys at the same moment, and returns the errors.
--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -26,8 +26,12 @@
 	readRelays = 2
 )
 
-// errStale reports that a relay's copy is too old.
-var errStale = errors.Wrap(ErrNoCopy, "its copy is too old")
+// errStale reports that a relay's copy is too old, errFormerEra that it is of before a
+// restore of the store that this daemon knows of.
+var (
+	errStale     = errors.Wrap(ErrNoCopy, "its copy is too old")
+	errFormerEra = errors.Wrap(ErrNoCopy, "its copy is of a former era")
+)
 
 // Chain reads tables from the first relay that answers with a young copy, and
 // from the store itself where there is none, or this daemon is a relay. Standbys are
@@ -212,7 +216,7 @@
 
 // Feed follows a table. A relay whose copy must be young is asked for half of
 // the limit at most, so that one that is cut off is noticed in time.
-func (c *Chain) Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error) {
+func (c *Chain) Feed(ctx context.Context, table string, since Revision, wait time.Duration) (Result, error) {
 	relayed := min(wait, longestRelayed)
 	if limit, ok := c.limits[table]; ok {
 		relayed = min(wait, limit/2)
@@ -347,7 +351,7 @@
 // the relay was asked.
 func (c *Chain) date(sent time.Time, result Result) {
 	if result.Latest > 0 {
-		c.clock.Prove(sent, result.Latest)
+		c.clock.Prove(result.Era, sent, result.Latest)
 	}
 }
 
@@ -391,13 +395,17 @@
 	c.restraint.failed(time.Now())
 }
 
-// checkAge returns errStale for a copy that is too old, or cannot be dated.
+// checkAge returns errFormerEra for a copy of a former era, and errStale for one that is
+// too old, or cannot be dated.
 func (c *Chain) checkAge(table string, result Result) error {
+	if result.Era < c.clock.Era() {
+		return errFormerEra
+	}
 	limit, ok := c.limits[table]
 	if !ok {
 		return nil
 	}
-	when := c.clock.When(result.Now)
+	when := c.clock.When(result.Era, result.Now)
 	if when.IsZero() || c.clock.Since(when) > limit {
 		return errStale
 	}
--- a/core/rowstore/chain_test.go
+++ b/core/rowstore/chain_test.go
@@ -24,7 +24,7 @@
 }
 
 // Feed counts and follows.
-func (c countingReader) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
+func (c countingReader) Feed(ctx context.Context, table string, since rowstore.Revision, wait time.Duration) (rowstore.Result, error) {
 	*c.calls++
 	return c.Reader.Feed(ctx, table, since, wait)
 }
@@ -134,7 +134,7 @@
 }
 
 // Feed refuses or follows.
-func (l lateReader) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
+func (l lateReader) Feed(ctx context.Context, table string, since rowstore.Revision, wait time.Duration) (rowstore.Result, error) {
 	if time.Now().Before(l.upAt) {
 		time.Sleep(connecting)
 		return rowstore.Result{}, rowstore.ErrRefused
@@ -345,7 +345,7 @@
 }
 
 // Feed fails for the table.
-func (f failingTable) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
+func (f failingTable) Feed(ctx context.Context, table string, since rowstore.Revision, wait time.Duration) (rowstore.Result, error) {
 	if table == f.table && f.isSilent.Load() {
 		select {
 		case <-ctx.Done():
--- a/core/rowstore/fake_test.go
+++ b/core/rowstore/fake_test.go
@@ -15,6 +15,7 @@
 	started time.Time
 	rows    map[string]rowstore.Row
 	history []rowstore.Row
+	era     int64
 	version int64
 	floor   int64
 	isDown  bool
@@ -97,6 +98,7 @@
 func (f *fakeStore) result(rows []rowstore.Row) rowstore.Result {
 	return rowstore.Result{
 		Rows:      rows,
+		Era:       f.era,
 		Version:   f.version - f.stale,
 		Now:       time.Since(f.started),
 		IsRelayed: f.isRelayed,
@@ -118,20 +120,20 @@
 }
 
 // Feed returns changes.
-func (f *fakeStore) Feed(ctx context.Context, _ string, since int64, wait time.Duration) (rowstore.Result, error) {
+func (f *fakeStore) Feed(ctx context.Context, _ string, since rowstore.Revision, wait time.Duration) (rowstore.Result, error) {
 	if err := f.begin(ctx); err != nil {
 		return rowstore.Result{}, err
 	}
 	deadline := time.After(wait)
 	for {
 		f.mutex.Lock()
-		if since < f.floor {
+		if since.Era != f.era || since.Version < f.floor {
 			f.mutex.Unlock()
 			return rowstore.Result{}, rowstore.ErrCompacted
 		}
 		var news []rowstore.Row
 		for _, row := range f.history {
-			if row.Version > since {
+			if row.Version > since.Version {
 				news = append(news, row)
 			}
 		}
--- a/core/rowstore/fleet_test.go
+++ b/core/rowstore/fleet_test.go
@@ -61,7 +61,7 @@
 }
 
 // Feed follows a table.
-func (d *door) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
+func (d *door) Feed(ctx context.Context, table string, since rowstore.Revision, wait time.Duration) (rowstore.Result, error) {
 	if err := d.pass(ctx); err != nil {
 		return rowstore.Result{}, err
 	}
@@ -125,7 +125,7 @@
 func (f *fleet) start(ctx context.Context, daemon neighbours.Daemon) {
 	one := f.named[daemon.Name]
 	clock := &rowstore.Freshness{}
-	clock.Prove(time.Now(), time.Since(f.store.started))
+	clock.Prove(0, time.Now(), time.Since(f.store.started))
 	one.hub.Clock = clock
 	chain := rowstore.NewChain(one.door, clock, map[string]time.Duration{
 		"t": limit,
@@ -139,7 +139,7 @@
 	chain.Sharing = func() int {
 		return f.list.Sharing(daemon.Name)
 	}
-	note := func(rows []rowstore.Row, _ int64, _ time.Time) {
+	note := func(rows []rowstore.Row, _ rowstore.Revision, _ time.Time) {
 		for _, row := range rows {
 			one.value = string(row.Value)
 		}
@@ -152,8 +152,8 @@
 			Store:   chain,
 			Table:   table,
 			Wait:    wait,
-			Whole:   func([]rowstore.Row, int64, time.Time) {},
-			Changed: func([]rowstore.Row, int64, time.Time) {},
+			Whole:   func([]rowstore.Row, rowstore.Revision, time.Time) {},
+			Changed: func([]rowstore.Row, rowstore.Revision, time.Time) {},
 			Hub:     &one.hub,
 			Clock:   clock,
 		}
--- a/core/rowstore/hub.go
+++ b/core/rowstore/hub.go
@@ -32,6 +32,7 @@
 type copied struct {
 	rows    map[string]Row
 	gone    []Row
+	era     int64
 	version int64
 	now     time.Duration
 	// floor is the version from which on all changes are known.
@@ -46,7 +47,7 @@
 // changes reads the table.
 const keepGone = 2000
 
-// Take takes the result of a read, or of a feed, into the copy.
+// Take takes the result of a read, or of a feed in the same era, into the copy.
 func (h *Hub) Take(table string, result Result, isWhole bool, asOf time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -59,6 +60,7 @@
 	for _, row := range result.Rows {
 		known.apply(row)
 	}
+	known.era = result.Era
 	known.version = result.Version
 	known.now = result.Now
 	if asOf.After(h.contact) {
@@ -97,12 +99,13 @@
 	}
 }
 
-// isGood tells whether a copy is there for others, and the store was heard lately. The mutex
-// is held.
+// isGood tells whether a copy is there for others, of the newest era that is known, and the
+// store was heard lately. The mutex is held.
 func (h *Hub) isGood(known *copied) bool {
 	isInContact := h.ContactLimit == 0 || h.sinceContact() <= h.ContactLimit
 	isOwn := h.IsSecondHand == nil || !h.IsSecondHand()
-	return known.rows != nil && isInContact && isOwn
+	isOfEra := h.Clock == nil || known.era >= h.Clock.Era()
+	return known.rows != nil && isInContact && isOwn && isOfEra
 }
 
 // sinceContact returns how long ago the store was heard. The mutex is held.
@@ -155,9 +158,9 @@
 	}
 }
 
-// Feed returns the rows that changed since a version, as soon as there is one,
+// Feed returns the rows that changed since a revision, as soon as there is one,
 // or nothing after wait.
-func (h *Hub) Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error) {
+func (h *Hub) Feed(ctx context.Context, table string, since Revision, wait time.Duration) (Result, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	look := time.NewTicker(lookAgain)
@@ -179,26 +182,26 @@
 	}
 }
 
-// since returns the changes since a version, and what is closed at the next
-// change.
-func (h *Hub) since(table string, since int64) (Result, <-chan struct{}, error) {
+// since returns the changes since a revision, and what is closed at the next
+// change. Whoever knows a newer era than the copy's must ask another.
+func (h *Hub) since(table string, since Revision) (Result, <-chan struct{}, error) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	known := h.table(table)
-	if !h.isGood(known) {
+	if !h.isGood(known) || since.Era > known.era {
 		return Result{}, known.changed, ErrNoCopy
 	}
-	if since < known.floor {
+	if since.Era < known.era || since.Version < known.floor {
 		return Result{}, known.changed, ErrCompacted
 	}
 	result := h.result(known)
 	for _, row := range known.rows {
-		if row.Version > since {
+		if row.Version > since.Version {
 			result.Rows = append(result.Rows, row)
 		}
 	}
 	for _, row := range known.gone {
-		if _, isBack := known.rows[row.Key]; row.Version > since && !isBack {
+		if _, isBack := known.rows[row.Key]; row.Version > since.Version && !isBack {
 			result.Rows = append(result.Rows, row)
 		}
 	}
@@ -211,6 +214,7 @@
 // result returns a result of a copy, without rows.
 func (h *Hub) result(known *copied) Result {
 	result := Result{
+		Era:       known.era,
 		Version:   known.version,
 		Now:       known.now,
 		IsRelayed: true,
@@ -218,7 +222,7 @@
 	if h.Clock == nil {
 		return result
 	}
-	if latest, isProved := h.Clock.Latest(); isProved {
+	if latest, isProved := h.Clock.Latest(known.era); isProved {
 		result.Latest = latest
 	}
 	return result
--- a/core/rowstore/rowstore.go
+++ b/core/rowstore/rowstore.go
@@ -1,6 +1,10 @@
 // Package rowstore names what the platform's table store does for headcourse:
 // rows that are written under conditions, read, and followed as they change.
 //
+// The store may be restored from a snapshot, which begins a new era. Whoever keeps what
+// it read orders it by Revision, never by version alone, and reads tables anew in a new
+// era; conditions of a write hold in the era in which their versions were read.
+//
 // A write has three outcomes. ErrRefused and *Conflict say that nothing was
 // done. ErrUnknown says that the write may have been done, or may be done yet
 // if its conditions still hold; whoever sees it reads the rows again before it
@@ -30,8 +34,12 @@
 	// ErrNoCopy reports that a relay answers but has no copy, or one that is too old:
 	// it may be cut off from the store itself.
 	ErrNoCopy = errors.New("relay has no young copy")
-	// ErrCompacted reports that the history asked for is gone; read the table.
+	// ErrCompacted reports that the history asked for is gone, also by a restore of the
+	// store; read the table.
 	ErrCompacted = errors.New("store has forgotten the history")
+	// ErrRestored reports that the store was restored since the versions that a write
+	// depends on were read. The write may have been done by versions given out again.
+	ErrRestored = errors.New("store was restored from an older copy")
 )
 
 // Conflict reports that a condition of a write did not hold, so that nothing
@@ -50,7 +58,7 @@
 	Table string
 	Key   string
 	Value []byte
-	// Version rises with every change of any row. 0 means: not there.
+	// Version rises with every change of any row within an era. 0 means: not there.
 	Version int64
 	// Deleted rows are told by Feed only.
 	Deleted bool
@@ -65,6 +73,8 @@
 
 // Transaction is a set of changes, all done or none.
 type Transaction struct {
+	// Era is that in which the versions of the conditions were read.
+	Era        int64
 	Conditions []Condition
 	Writes     []Row
 	Removes    []Row
@@ -86,20 +96,28 @@
 	Latest time.Duration
 }
 
+// Revision returns the state of the store that the result shows.
+func (r Result) Revision() Revision {
+	return Revision{
+		Era:     r.Era,
+		Version: r.Version,
+	}
+}
+
 // Reader reads tables and follows their changes: the store itself, or a copy.
 type Reader interface {
 	// Read returns all rows of a table. All changes up to the result's version are
 	// in them; some rows may be newer.
 	Read(ctx context.Context, table string) (Result, error)
-	// Feed returns the rows that changed since a version, as soon as there is
-	// one, or nothing after wait. It fails with ErrCompacted.
-	Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error)
+	// Feed returns the rows that changed since a revision, as soon as there is
+	// one, or nothing after wait. It fails with ErrCompacted, also in another era.
+	Feed(ctx context.Context, table string, since Revision, wait time.Duration) (Result, error)
 }
 
 // Store is the table store. Implementations are safe for concurrent use.
 type Store interface {
 	Reader
-	// Commit does a transaction and returns the version of its rows. It fails
-	// with *Conflict, ErrRefused or ErrUnknown.
-	Commit(ctx context.Context, transaction Transaction) (int64, error)
+	// Commit does a transaction and returns the revision of its rows. It fails
+	// with *Conflict, ErrRefused, ErrUnknown or ErrRestored.
+	Commit(ctx context.Context, transaction Transaction) (Revision, error)
 }
--- a/core/rowstore/rowstore_test.go
+++ b/core/rowstore/rowstore_test.go
@@ -52,18 +52,18 @@
 		Store: source,
 		Table: table,
 		Wait:  wait,
-		Whole: func(rows []rowstore.Row, _ int64, asOf time.Time) {
+		Whole: func(rows []rowstore.Row, _ rowstore.Revision, asOf time.Time) {
 			w.wholes++
 			w.rows = map[string]string{}
 			apply(rows, asOf)
 		},
-		Changed: func(rows []rowstore.Row, _ int64, asOf time.Time) {
+		Changed: func(rows []rowstore.Row, _ rowstore.Revision, asOf time.Time) {
 			apply(rows, asOf)
 		},
 		Failed: func(error) {
 			w.failures++
 		},
-		Restored: func(time.Duration) {
+		Recovered: func(time.Duration) {
 			w.restored++
 		},
 		Hub:   &w.hub,
@@ -167,10 +167,10 @@
 		var clock rowstore.Freshness
 		start := time.Now()
 		const offset = time.Hour
-		clock.Prove(time.Now(), offset)
+		clock.Prove(0, time.Now(), offset)
 		pause(10 * time.Second)
 		// An answer produced 3 s after the start arrives only now.
-		asOf := clock.Prove(start.Add(2*time.Second), offset+3*time.Second)
+		asOf := clock.Prove(0, start.Add(2*time.Second), offset+3*time.Second)
 		qt.Assert(t, asOf.After(start.Add(3*time.Second)), qt.IsFalse)
 		clock.Confirm(asOf)
 		age, isKnown := clock.Age()
@@ -190,19 +190,19 @@
 			},
 		}
 		const offset = time.Hour
-		clock.Confirm(clock.Prove(clock.Now(), offset))
+		clock.Confirm(clock.Prove(0, clock.Now(), offset))
 		pause(time.Second)
 		suspended += 5 * time.Second
 		age, _ := clock.Age()
 		qt.Assert(t, age, qt.Equals, 6*time.Second)
 
 		// A copy of another daemon, of 4 s ago by the store's clock, is dated so.
-		when := clock.When(offset + 2*time.Second)
+		when := clock.When(0, offset+2*time.Second)
 		qt.Assert(t, clock.Since(when), qt.Equals, 4*time.Second)
 		// A call that the sleep interrupted proves no more than before it.
 		sent := clock.Now()
 		suspended += 5 * time.Second
-		clock.Confirm(clock.Prove(sent, offset+6*time.Second))
+		clock.Confirm(clock.Prove(0, sent, offset+6*time.Second))
 		age, _ = clock.Age()
 		qt.Assert(t, age, qt.Equals, 5*time.Second)
 	})
@@ -222,7 +222,7 @@
 // chainedTo is chained with another way to the store.
 func chainedTo(way rowstore.Reader, store *fakeStore, relays ...rowstore.Relay) (*rowstore.Chain, *rowstore.Freshness) {
 	clock := &rowstore.Freshness{}
-	clock.Prove(time.Now(), time.Since(store.started))
+	clock.Prove(0, time.Now(), time.Since(store.started))
 	chain := rowstore.NewChain(way, clock, map[string]time.Duration{
 		"t": 900 * time.Millisecond,
 	})
@@ -292,7 +292,7 @@
 }
 
 // Feed waits for the context.
-func (silentReader) Feed(ctx context.Context, _ string, _ int64, _ time.Duration) (rowstore.Result, error) {
+func (silentReader) Feed(ctx context.Context, _ string, _ rowstore.Revision, _ time.Duration) (rowstore.Result, error) {
 	<-ctx.Done()
 	return rowstore.Result{}, rowstore.ErrUnknown
 }
@@ -370,11 +370,11 @@
 		first, err := relay.hub.Read(ctx, "t")
 		qt.Assert(t, err, qt.IsNil)
 		store.put("a", "")
-		result, err := relay.hub.Feed(ctx, "t", first.Version, time.Second)
+		result, err := relay.hub.Feed(ctx, "t", first.Revision(), time.Second)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, result.Rows, qt.HasLen, 1)
 		qt.Assert(t, result.Rows[0].Deleted, qt.IsTrue)
-		_, err = relay.hub.Feed(ctx, "t", 0, time.Second)
+		_, err = relay.hub.Feed(ctx, "t", rowstore.Revision{}, time.Second)
 		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrCompacted)
 		_, err = relay.hub.Read(ctx, "unknown")
 		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrNoCopy)
--- a/core/rowstore/turns.go
+++ b/core/rowstore/turns.go
@@ -26,7 +26,7 @@
 }
 
 // Feed follows a table through the first reader that answers.
-func (t turns) Feed(ctx context.Context, table string, since int64, wait time.Duration) (Result, error) {
+func (t turns) Feed(ctx context.Context, table string, since Revision, wait time.Duration) (Result, error) {
 	return t.ask(ctx, func(from Reader) (Result, error) {
 		return from.Feed(ctx, table, since, wait)
 	})
--- a/core/rowstore/turns_test.go
+++ b/core/rowstore/turns_test.go
@@ -25,7 +25,7 @@
 }
 
 // Feed refuses before the start.
-func (l startingReader) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
+func (l startingReader) Feed(ctx context.Context, table string, since rowstore.Revision, wait time.Duration) (rowstore.Result, error) {
 	if time.Now().Before(l.starts) {
 		return rowstore.Result{}, rowstore.ErrRefused
 	}
@@ -155,8 +155,8 @@
 		pause(2 * time.Second)
 		qt.Assert(t, behind.rows["a"], qt.Equals, "1")
 		qt.Assert(t, asked, qt.Equals, 0)
-		truth, _ := relayClock.Latest()
-		latest, isProved := clock.Latest()
+		truth, _ := relayClock.Latest(0)
+		latest, isProved := clock.Latest(0)
 		qt.Assert(t, isProved, qt.IsTrue)
 		qt.Assert(t, latest >= truth, qt.IsTrue, qt.Commentf("%v before %v", latest, truth))
 	})
--- a/entry/control.go
+++ b/entry/control.go
@@ -45,32 +45,37 @@
 		IsAway: func() bool {
 			return d.outage.Load().IsUnderWay()
 		},
-		Changed: func(isLeader bool, epoch int64, reason string) {
-			d.log.Info("control: lease changed", zap.Bool("is_leader", isLeader), zap.Int64("lease_version", epoch), zap.String("reason", reason))
+		Changed: func(isLeader bool, lease rowstore.Revision, reason string) {
+			d.log.Info("control: lease changed",
+				zap.Bool("is_leader", isLeader),
+				zap.Int64("era", lease.Era),
+				zap.Int64("lease_version", lease.Version),
+				zap.String("reason", reason))
 		},
 	}
 }
 
 // leaseFollower follows the lease.
 func (d *Daemon) leaseFollower(elector *leader.Elector) *rowstore.Follower {
-	see := func(isWhole bool) func([]rowstore.Row, int64, time.Time) {
-		return func(rows []rowstore.Row, _ int64, _ time.Time) {
-			if err := elector.See(rows, isWhole); err != nil {
+	see := func(isWhole bool) func([]rowstore.Row, rowstore.Revision, time.Time) {
+		return func(rows []rowstore.Row, at rowstore.Revision, _ time.Time) {
+			if err := elector.See(rows, at.Era, isWhole); err != nil {
 				d.log.Error("control: lease not taken notice of", logline.Err(err))
 			}
 		}
 	}
 	return &rowstore.Follower{
-		Store:    d.chain,
-		Table:    leader.Table,
-		Wait:     leaseWait,
-		Whole:    see(true),
-		Changed:  see(false),
-		Hub:      &d.hub,
-		Failed:   d.noteTrouble(leader.Table),
-		Restored: d.noteRestored(leader.Table),
-		Dropped:  d.recordDropped(leader.Table),
-		Clock:    &d.clock,
+		Store:      d.chain,
+		Table:      leader.Table,
+		Wait:       leaseWait,
+		Whole:      see(true),
+		Changed:    see(false),
+		Hub:        &d.hub,
+		Failed:     d.noteTrouble(leader.Table),
+		Recovered:  d.recordRecovered(leader.Table),
+		EraChanged: d.recordEra(leader.Table),
+		Dropped:    d.recordDropped(leader.Table),
+		Clock:      &d.clock,
 	}
 }
 
@@ -145,15 +150,16 @@
 }
 
 // step decides once and does what was decided. Nothing is ordered unless the
-// lease holds and the records are known.
+// lease holds and the records are known, nor while entries may be those of an older copy
+// of the store: a server that seems to be free may be a member of a group that serves.
 func (t *term) step(ctx context.Context) {
-	if !t.lease.Holds() || !t.daemon.serversRead.Load() {
+	if !t.lease.Holds() || !t.daemon.serversRead.Load() || !t.lease.HasSettled(t.daemon.grace().Rewritten()) {
 		return
 	}
 	if t.mustLoad && (t.isCommitting || !t.load(ctx)) {
 		return
 	}
-	plan := t.controller.Step(t.daemon.world())
+	plan := t.controller.Step(t.world())
 	for _, note := range plan.Notes {
 		t.daemon.log.Info("groups: "+note.What, zap.String("group", note.Group), zap.Int64("epoch", note.Epoch), zap.String("model", note.Model), zap.String("reason", note.Reason))
 	}
@@ -168,11 +174,13 @@
 }
 
 // world returns what the controller decides by.
-func (d *Daemon) world() assembly.World {
+func (t *term) world() assembly.World {
+	d := t.daemon
 	view := d.view.Load()
 	return assembly.World{
 		Config:     view.Config,
 		Fleet:      view.Fleet,
+		Era:        t.lease.Era(),
 		IsSteady:   d.outage.Load().IsSteady(),
 		IsStart:    d.settings.IsFirstStart && !d.gateway.HadRequests() && time.Since(d.began) < startTime,
 		StallTime:  d.settings.StallTime,
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -111,12 +111,18 @@
 		Key:   trialKey(trial.Digest),
 		Value: encoded,
 	}
-	version, err := d.store.Commit(ctx, rowstore.Transaction{
+	era := d.toldEra.Load()
+	if trial.After.Version != 0 && trial.After.Era != era {
+		// What is known of the trial before is of another era: it will be told again.
+		return false
+	}
+	at, err := d.store.Commit(ctx, rowstore.Transaction{
+		Era: era,
 		Conditions: []rowstore.Condition{
 			{
 				Table:   row.Table,
 				Key:     row.Key,
-				Version: trial.After,
+				Version: trial.After.Version,
 			},
 		},
 		Writes: []rowstore.Row{row},
@@ -124,7 +130,7 @@
 	var conflict *rowstore.Conflict
 	switch {
 	case err == nil:
-		if !d.ledger.Tried(trial, version) {
+		if !d.ledger.Tried(trial, at) {
 			// It was answered whole meanwhile: there is nothing left to try.
 			d.Cleared(quarantine.Cleared{
 				Digest:   trial.Digest,
@@ -133,7 +139,9 @@
 		}
 		return true
 	case errors.As(err, &conflict):
-		d.takeTold(conflict.Rows, 0, time.Time{})
+		d.takeTold(conflict.Rows, rowstore.Revision{
+			Era: era,
+		}, time.Time{})
 	default:
 		d.noteTrouble(toldTable)(err)
 	}
@@ -165,8 +173,8 @@
 	}
 }
 
-// takeTrial takes the row of a request's trials.
-func (d *Daemon) takeTrial(row rowstore.Row) {
+// takeTrial takes the row of a request's trials, in an era.
+func (d *Daemon) takeTrial(row rowstore.Row, era int64) {
 	digest, err := quarantine.ParseDigest(strings.TrimPrefix(row.Key, trialPrefix))
 	if err != nil {
 		d.noteBadRow(toldTable, row, err)
@@ -184,7 +192,10 @@
 	isTaken := d.ledger.Tried(quarantine.Trial{
 		Digest: digest,
 		Number: told.Number,
-	}, row.Version)
+	}, rowstore.Revision{
+		Era:     era,
+		Version: row.Version,
+	})
 	if !isTaken {
 		d.Cleared(quarantine.Cleared{
 			Digest:   digest,
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -60,6 +60,8 @@
 	clients map[string]*relay.Client
 	// fallbacks are clients of the same daemons that tell them nothing.
 	fallbacks map[string]*relay.Client
+	// isLost tells that a restored list lacks this daemon.
+	isLost bool
 	// relays are the names of those that this daemon asks, in order, for the log.
 	relays []string
 }
@@ -75,22 +77,45 @@
 		Settle: func() time.Duration {
 			return listSettle
 		},
-		Whole: func(rows []rowstore.Row, _ int64, _ time.Time) {
+		Whole: func(rows []rowstore.Row, _ rowstore.Revision, _ time.Time) {
 			d.takeList(rows, true)
 		},
-		Changed: func(rows []rowstore.Row, _ int64, _ time.Time) {
+		// Daemons that a restored list lacks list themselves again. Until then they count:
+		// what all share must not add up to more.
+		Restored: func(rows []rowstore.Row, _ rowstore.Revision, _ time.Time) {
+			d.takeList(rows, false)
+			d.noteIfLost(rows)
+		},
+		Rewrite: d.relistTime,
+		Changed: func(rows []rowstore.Row, _ rowstore.Revision, _ time.Time) {
 			if len(rows) > 0 {
 				d.takeList(rows, false)
 			}
 		},
-		Hub:      &d.hub,
-		Failed:   d.noteListTrouble,
-		Restored: d.noteRestored(neighbours.Table),
-		Dropped:  d.recordDropped(neighbours.Table),
-		Clock:    &d.clock,
+		Hub:        &d.hub,
+		Failed:     d.noteListTrouble,
+		Recovered:  d.recordRecovered(neighbours.Table),
+		EraChanged: d.recordEra(neighbours.Table),
+		Dropped:    d.recordDropped(neighbours.Table),
+		Clock:      &d.clock,
 	}
 }
 
+// noteIfLost notes whether a restored list lacks this daemon.
+func (d *Daemon) noteIfLost(rows []rowstore.Row) {
+	isThere := slices.ContainsFunc(rows, func(row rowstore.Row) bool {
+		return row.Key == d.settings.Name
+	})
+	d.roster.mutex.Lock()
+	defer d.roster.mutex.Unlock()
+	d.roster.isLost = !isThere
+}
+
+// relistTime returns how long after a restore of the store the list may lack daemons.
+func (d *Daemon) relistTime() time.Duration {
+	return 2 * listLater
+}
+
 // noteListTrouble notes a failed call for the list. Until it was read, nothing else is.
 func (d *Daemon) noteListTrouble(err error) {
 	if d.awaitsList(neighbours.Table) {
@@ -121,6 +146,9 @@
 			continue
 		}
 		r.known[row.Key] = daemon
+		if row.Key == d.settings.Name {
+			r.isLost = false
+		}
 	}
 	d.chooseRelays()
 	if isWhole {
@@ -288,5 +316,5 @@
 func (d *Daemon) isListed() bool {
 	d.roster.mutex.Lock()
 	defer d.roster.mutex.Unlock()
-	return d.roster.list.Has(d.self())
+	return !d.roster.isLost && d.roster.list.Has(d.self())
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,6 +110,12 @@
 	// read once.
 	serversRead atomic.Bool
 	toldRead    atomic.Bool
+	// toldEra is the era of the store in which the latter was read last, storeEra the newest
+	// in which any table was read anew.
+	toldEra  atomic.Int64
+	storeEra atomic.Int64
+	// configRow is the row of the configuration in force.
+	configRow atomic.Pointer[rowstore.Row]
 	// outage is the last time that the servers' table could not be followed.
 	outage atomic.Pointer[fleet.Outage]
 	// stalls are heads at which requests stand still, to be looked into; told are the
@@ -119,6 +125,8 @@
 	// ledger knows under which requests servers ended; words are to be told to all daemons.
 	ledger quarantine.Ledger
 	words  chan word
+	// written are words that the store has taken lately.
+	written writtenWords
 	// limits are what servers take a second from all daemons together, notices what daemons
 	// tell each other of them.
 	limits  ratelimit.Book
@@ -188,7 +196,7 @@
 		metrics.GetOrRegisterCounter("store_calls."+call, d.registry).Inc(1)
 		d.observe("store_call_ms."+call, took)
 	}
-	store.EraChanged = d.recordEra
+	store.EraRefused = d.recordEraRefused
 	d.store = store
 	d.rows = rowstore.NewBatcher(store, commitRows)
 	limits := map[string]time.Duration{
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -28,9 +28,11 @@
 type site struct {
 	t        *testing.T
 	platform *standin.Platform
-	daemons  []*entry.Daemon
-	logs     *observer.ObservedLogs
-	log      *zap.Logger
+	// first is a copy of the store from before there was any daemon.
+	first   standin.Snapshot
+	daemons []*entry.Daemon
+	logs    *observer.ObservedLogs
+	log     *zap.Logger
 }
 
 // newSite starts a platform and daemons, and waits until groups of both models
@@ -47,6 +49,7 @@
 	s := &site{
 		t:        t,
 		platform: platformStandin,
+		first:    platformStandin.Store.Snapshot(),
 		logs:     logs,
 		log:      zap.New(core),
 	}
--- a/entry/figures.go
+++ b/entry/figures.go
@@ -57,6 +57,7 @@
 	set("config_version", versionOf(view.Config))
 	set("config_age_ms", d.Age().Milliseconds())
 	set("servers_version", view.Fleet.Version)
+	set("store_era", d.clock.Era())
 	set("servers_known", int64(len(view.Fleet.Servers())))
 	set("suspended_ms", d.sleep.Suspended().Milliseconds())
 	set("requests_open", d.gateway.Open())
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -16,7 +16,7 @@
 
 // configFollower follows the operator's configuration.
 func (d *Daemon) configFollower() *rowstore.Follower {
-	take := func(rows []rowstore.Row, _ int64, asOf time.Time) {
+	take := func(rows []rowstore.Row, _ rowstore.Revision, asOf time.Time) {
 		for _, row := range rows {
 			if platform.IsConfig(row.Key) && !row.Deleted {
 				d.takeConfig(row)
@@ -26,16 +26,18 @@
 		d.noteKnown()
 	}
 	return &rowstore.Follower{
-		Store:    d.chain,
-		Hub:      &d.hub,
-		Table:    platform.ConfigTable,
-		Wait:     part(d.settings.ApplyWithin, waitPart),
-		Whole:    take,
-		Changed:  take,
-		Failed:   d.noteOutage(platform.ConfigTable),
-		Restored: d.noteReturn(platform.ConfigTable),
-		Dropped:  d.recordDropped(platform.ConfigTable),
-		Clock:    &d.clock,
+		Store:      d.chain,
+		Hub:        &d.hub,
+		Table:      platform.ConfigTable,
+		Wait:       part(d.settings.ApplyWithin, waitPart),
+		Whole:      take,
+		Changed:    take,
+		Merge:      d.keepNewestConfig,
+		Failed:     d.noteOutage(platform.ConfigTable),
+		Recovered:  d.noteReturn(platform.ConfigTable),
+		EraChanged: d.recordEra(platform.ConfigTable),
+		Dropped:    d.recordDropped(platform.ConfigTable),
+		Clock:      &d.clock,
 	}
 }
 
@@ -51,6 +53,7 @@
 	if former != nil && read.Version <= former.Version {
 		return
 	}
+	d.configRow.Store(&row)
 	d.change(func(view *gateway.View) {
 		view.Config = read
 	})
@@ -88,17 +91,20 @@
 // serverFollower follows the servers' entries.
 func (d *Daemon) serverFollower() *rowstore.Follower {
 	return &rowstore.Follower{
-		Store:    d.chain,
-		Hub:      &d.hub,
-		Table:    platform.ServerTable,
-		Wait:     serverWait,
-		Settle:   d.serverSettle,
-		Whole:    d.takeServers,
-		Changed:  d.takeServerChanges,
-		Failed:   d.noteOutage(platform.ServerTable),
-		Restored: d.noteReturn(platform.ServerTable),
-		Dropped:  d.recordDropped(platform.ServerTable),
-		Clock:    &d.clock,
+		Store:      d.chain,
+		Hub:        &d.hub,
+		Table:      platform.ServerTable,
+		Wait:       serverWait,
+		Settle:     d.serverSettle,
+		Whole:      d.takeServers,
+		Restored:   d.takeRestoredServers,
+		Rewrite:    d.rewriteTime,
+		Changed:    d.takeServerChanges,
+		Failed:     d.noteOutage(platform.ServerTable),
+		Recovered:  d.noteReturn(platform.ServerTable),
+		EraChanged: d.recordEra(platform.ServerTable),
+		Dropped:    d.recordDropped(platform.ServerTable),
+		Clock:      &d.clock,
 	}
 }
 
@@ -111,7 +117,18 @@
 }
 
 // takeServers replaces the view of the servers.
-func (d *Daemon) takeServers(rows []rowstore.Row, version int64, _ time.Time) {
+func (d *Daemon) takeServers(rows []rowstore.Row, at rowstore.Revision, _ time.Time) {
+	d.replaceServers(rows, at, false)
+}
+
+// takeRestoredServers does so from a restored table: what is known to be later stays until
+// the servers have written again.
+func (d *Daemon) takeRestoredServers(rows []rowstore.Row, at rowstore.Revision, _ time.Time) {
+	d.replaceServers(rows, at, true)
+}
+
+// replaceServers replaces the view of the servers by rows.
+func (d *Daemon) replaceServers(rows []rowstore.Row, at rowstore.Revision, isRestored bool) {
 	servers := make([]fleet.Server, 0, len(rows))
 	var void []string
 	for _, row := range rows {
@@ -122,19 +139,26 @@
 		}
 	}
 	former := d.view.Load().Fleet
+	if isRestored {
+		servers = former.Reconciled(servers)
+	}
 	for _, server := range servers {
 		d.noteStart(former, server)
 	}
 	d.change(func(view *gateway.View) {
-		view.Fleet = view.Fleet.WithAll(version, servers, d.outage.Load().LostUntil(d.grace()), void...)
+		view.Fleet = view.Fleet.WithAll(at.Version, servers, d.outage.Load().LostUntil(d.grace()), void...)
 	})
 	d.serversRead.Store(true)
 	d.noteKnown()
-	d.log.Info("servers: read", zap.Int("servers", len(servers)), zap.Int64("table_version", version))
+	d.log.Info("servers: read",
+		zap.Int("servers", len(servers)),
+		zap.Int64("era", at.Era),
+		zap.Int64("table_version", at.Version),
+		zap.Bool("is_restored", isRestored))
 }
 
 // takeServerChanges takes changed entries.
-func (d *Daemon) takeServerChanges(rows []rowstore.Row, version int64, _ time.Time) {
+func (d *Daemon) takeServerChanges(rows []rowstore.Row, at rowstore.Revision, _ time.Time) {
 	if len(rows) == 0 {
 		return
 	}
@@ -160,7 +184,7 @@
 		d.noteStart(former, change.Server)
 	}
 	d.change(func(view *gateway.View) {
-		view.Fleet = view.Fleet.WithChanges(version, changes, d.outage.Load().LostUntil(d.grace()))
+		view.Fleet = view.Fleet.WithChanges(at.Version, changes, d.outage.Load().LostUntil(d.grace()))
 	})
 	if d.isFirstHand() {
 		d.logChanges(former, changes)
@@ -192,6 +216,12 @@
 	}
 }
 
+// rewriteTime returns how long after a restore of the store rows may still be those of the
+// older copy.
+func (d *Daemon) rewriteTime() time.Duration {
+	return d.grace().Rewritten()
+}
+
 // decodeServer decodes an entry; one that cannot be read names no server.
 func (d *Daemon) decodeServer(row rowstore.Row) (fleet.Server, bool) {
 	server, err := platform.DecodeServer(row.Key, row.Value)
--- a/entry/listing.go
+++ b/entry/listing.go
@@ -13,8 +13,8 @@
 
 // Figures of listing.
 const (
-	// listAgain is the time between two tries to list itself, listLater that after one
-	// which the store has taken: the list comes back through relays.
+	// listAgain is the time between two tries to list itself, listLater that between two
+	// looks at the list after one which the store has taken: it comes back through relays.
 	listAgain = time.Second
 	listLater = 5 * time.Second
 )
@@ -38,12 +38,13 @@
 	}
 }
 
-// listSelf writes this daemon into the list, until it is there.
+// listSelf writes this daemon into the list whenever it is not there: at its start, or when
+// the store was restored from a copy that lacks it.
 func (d *Daemon) listSelf(ctx context.Context) {
-	for ctx.Err() == nil && !d.isListed() {
-		pause := listAgain
-		if d.writeSelf(ctx) {
-			pause = listLater
+	for ctx.Err() == nil {
+		pause := listLater
+		if !d.isListed() && !d.writeSelf(ctx) {
+			pause = listAgain
 		}
 		select {
 		case <-ctx.Done():
--- a/entry/outages.go
+++ b/entry/outages.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// noteRestored notes that the store answers again.
-func (d *Daemon) noteRestored(table string) func(time.Duration) {
+// recordRecovered records that the store answers again.
+func (d *Daemon) recordRecovered(table string) func(time.Duration) {
 	return func(away time.Duration) {
 		leftOut := d.troubles.End(table)
 		d.log.Info("store: answers again", zap.String("table", table), zap.Int64("away_ms", away.Milliseconds()), zap.Int("lines_left_out", leftOut))
@@ -37,8 +37,8 @@
 }
 
 // recordDropped records an answer about a table that was not taken.
-func (d *Daemon) recordDropped(table string) func(rowstore.Result, int64) {
-	return func(answer rowstore.Result, known int64) {
+func (d *Daemon) recordDropped(table string) func(rowstore.Result, rowstore.Revision) {
+	return func(answer rowstore.Result, known rowstore.Revision) {
 		metrics.GetOrRegisterCounter("store_answers_dropped."+table, d.registry).Inc(1)
 		mayWrite, leftOut := d.troubles.Pass("dropped answers of " + table)
 		if !mayWrite {
@@ -48,17 +48,22 @@
 			zap.String("table", table),
 			zap.Int64("era", answer.Era),
 			zap.Int64("version", answer.Version),
-			zap.Int64("known_version", known),
+			zap.Int64("known_era", known.Era),
+			zap.Int64("known_version", known.Version),
 			zap.Int64("store_clock_ms", answer.Now.Milliseconds()),
 			zap.Bool("is_relayed", answer.IsRelayed),
 			zap.Int("lines_left_out", leftOut))
 	}
 }
 
-// recordEra records that the store answers in another era than before.
-func (d *Daemon) recordEra(former, next int64) {
-	metrics.GetOrRegisterGauge("store_era", d.registry).Update(next)
-	d.log.Info("store: era changed", zap.Int64("era", next), zap.Int64("former_era", former))
+// recordEraRefused records an answer whose era cannot be read, or is a former one.
+func (d *Daemon) recordEraRefused(err error) {
+	metrics.GetOrRegisterCounter("store_eras_refused", d.registry).Inc(1)
+	mayWrite, leftOut := d.troubles.Pass("eras")
+	if !mayWrite {
+		return
+	}
+	d.log.Warn("store: answer not taken for its era", logline.Err(err), zap.Int("lines_left_out", leftOut))
 }
 
 // noteOutage notes that a table that is always followed cannot be.
@@ -83,7 +88,7 @@
 			Began: now.Add(-away),
 			Ended: now,
 		})
-		d.noteRestored(table)(away)
+		d.recordRecovered(table)(away)
 	}
 }
 
--- a/entry/records.go
+++ b/entry/records.go
@@ -37,26 +37,27 @@
 	t.pending = rest
 	t.isCommitting = true
 	go func() {
-		version, err := t.commit(ctx, plan)
+		at, err := t.commit(ctx, plan)
 		t.tell(ctx, func() {
 			t.isCommitting = false
-			t.committed(plan, version, err)
+			t.committed(plan, at, err)
 		})
 	}()
 }
 
 // committed takes what became of a change.
-func (t *term) committed(plan assembly.Plan, version int64, err error) {
+func (t *term) committed(plan assembly.Plan, at rowstore.Revision, err error) {
 	if err != nil {
 		t.mustLoad = true
 		t.pending = assembly.Plan{}
 		t.daemon.log.Warn("groups: change not confirmed, records are read again", logline.Err(err))
 		return
 	}
-	t.controller.Created(plan.Create, version)
+	t.controller.Created(plan.Create, at.Version)
 	t.controller.Removed(plan.Remove)
 	for _, record := range plan.Create {
-		t.daemon.log.Info("groups: created", zap.String("group", record.Name), zap.Int64("epoch", version), zap.String("model", record.Model), zap.Strings("members", record.Members))
+		epoch := record.WithVersion(at.Version).Epoch
+		t.daemon.log.Info("groups: created", zap.String("group", record.Name), zap.Int64("epoch", epoch), zap.String("model", record.Model), zap.Strings("members", record.Members))
 	}
 }
 
@@ -85,6 +86,9 @@
 	if !t.loadRecent(ctx) {
 		return false
 	}
+	if result.Era != t.lease.Era() {
+		return false
+	}
 	t.controller.Load(records)
 	t.mustLoad = false
 	t.daemon.log.Info("groups: records read", zap.Int("groups", len(records)), zap.Int64("table_version", result.Version))
@@ -113,13 +117,13 @@
 	return true
 }
 
-// commit writes and removes records, and returns the version of those written.
-func (t *term) commit(ctx context.Context, plan assembly.Plan) (int64, error) {
+// commit writes and removes records, and returns the revision of those written.
+func (t *term) commit(ctx context.Context, plan assembly.Plan) (rowstore.Revision, error) {
 	var writes, removes []rowstore.Row
 	for _, record := range plan.Create {
 		value, err := record.Encode()
 		if err != nil {
-			return 0, err
+			return rowstore.Revision{}, err
 		}
 		writes = append(writes, rowstore.Row{
 			Table: assembly.Table,
@@ -130,7 +134,7 @@
 	for _, recent := range lastOfEach(plan.Recent) {
 		value, err := recent.Encode()
 		if err != nil {
-			return 0, err
+			return rowstore.Revision{}, err
 		}
 		writes = append(writes, rowstore.Row{
 			Table: assembly.RecentTable,
@@ -153,9 +157,7 @@
 			Key:   name,
 		})
 	}
-	var version int64
-	err := t.lease.Commit(ctx, writes, removes, &version)
-	return version, err
+	return t.lease.Commit(ctx, writes, removes)
 }
 
 // lastOfEach returns the last of each domain's.
--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -95,7 +96,87 @@
 	s.restore(snapshot, standin.Restoring{})
 	leaving.DrainByEntry()
 	s.awaitTrue(func() bool {
-		return len(s.lines("servers: leaving")) > 0
+		known, _ := s.daemons[0].View().Fleet.Server(leaving.ID())
+		return known.Draining
 	})
 	s.getsNothing(leaving, client)
 }
+
+// Guards against a withdrawn key that works again by the configuration of a restored store, at
+// daemons that know better, and at one that starts before the operator has written again.
+func TestWithdrawnKeyStaysDeadOverARestore(t *testing.T) {
+	s := newSite(t, 2)
+	snapshot := s.platform.Store.Snapshot()
+	s.changeKey("new-key")
+	s.restore(snapshot, standin.Restoring{
+		RewriteWithin: time.Hour,
+	})
+	s.daemons = append(s.daemons, s.startDaemon("front-c"))
+	for i := range s.daemons {
+		s.await(func() standin.Answer {
+			return get(s.client(i, "new-key"))
+		}, isWhole)
+		qt.Assert(t, get(s.client(i, standin.KeyOne)).Status, qt.Equals, http.StatusUnauthorized)
+	}
+}
+
+// Guards against requests to a server that leaves, whose entry of before is back in a restored
+// store until the server has written again.
+func TestServerThatLeftBeforeARestoreGetsNothingNew(t *testing.T) {
+	s := newSite(t, 1)
+	snapshot := s.platform.Store.Snapshot()
+	leaving := s.platform.Servers(standin.ServicePlain)[0]
+	leaving.DrainByEntry()
+	s.awaitTrue(func() bool {
+		known, _ := s.daemons[0].View().Fleet.Server(leaving.ID())
+		return known.Draining
+	})
+	s.restore(snapshot, standin.Restoring{
+		RewriteWithin: 500 * time.Millisecond,
+	})
+	client := s.client(0, standin.KeyOne)
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); {
+		s.getsNothing(leaving, client)
+	}
+}
+
+// Guards against groups that serve being ended since a restored store has no record of them, and
+// against a fleet that is not looked after any more.
+func TestGroupsServeOnWhenARestoreHasLostTheirRecords(t *testing.T) {
+	s := newSite(t, 3)
+	heads := len(s.platform.Heads(standin.ModelLarge))
+	s.restore(s.first, standin.Restoring{
+		RewriteWithin: 500 * time.Millisecond,
+	})
+	s.awaitTrue(func() bool {
+		return len(s.lines("group adopted")) > 0
+	})
+	qt.Assert(t, len(s.platform.Heads(standin.ModelLarge)), qt.Equals, heads)
+	s.awaitGroups()
+
+	s.platform.Members(s.platform.Heads(standin.ModelLarge)[0])[1].Kill()
+	s.awaitTrue(func() bool {
+		return len(s.platform.Heads(standin.ModelLarge)) < heads
+	})
+	s.awaitTrue(func() bool {
+		return len(s.platform.Heads(standin.ModelLarge)) == heads
+	})
+}
+
+// Guards against rows of daemons that nobody writes again after a restore.
+func TestDaemonsWriteAgainWhatARestoreHasLost(t *testing.T) {
+	s := newSite(t, 3)
+	limited := s.platform.Servers(standin.ServicePlain)[0]
+	limited.NameLimit(1)
+	s.awaitTrue(func() bool {
+		get(s.client(0, standin.KeyOne))
+		return s.limitRows() > 0
+	})
+	s.restore(s.first, standin.Restoring{})
+	s.awaitTrue(func() bool {
+		return s.limitRows() > 0
+	})
+	s.awaitTrue(func() bool {
+		return s.platform.Store.Count("daemons", "") == len(s.daemons)
+	})
+}
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -114,16 +114,19 @@
 // toldFollower follows what daemons tell of servers.
 func (d *Daemon) toldFollower() *rowstore.Follower {
 	return &rowstore.Follower{
-		Store:    d.chain,
-		Table:    toldTable,
-		Wait:     toldWait,
-		Whole:    d.takeAllTold,
-		Changed:  d.takeTold,
-		Hub:      &d.hub,
-		Failed:   d.noteToldTrouble,
-		Restored: d.noteRestored(toldTable),
-		Dropped:  d.recordDropped(toldTable),
-		Clock:    &d.clock,
+		Store:      d.chain,
+		Table:      toldTable,
+		Wait:       toldWait,
+		Whole:      d.takeAllTold,
+		Restored:   d.takeRestoredTold,
+		Rewrite:    d.rewriteTime,
+		Changed:    d.takeTold,
+		Hub:        &d.hub,
+		Failed:     d.noteToldTrouble,
+		Recovered:  d.recordRecovered(toldTable),
+		EraChanged: d.recordEra(toldTable),
+		Dropped:    d.recordDropped(toldTable),
+		Clock:      &d.clock,
 	}
 }
 
@@ -137,23 +140,31 @@
 }
 
 // takeAllTold takes the whole table: what is not in it does not hold any more.
-func (d *Daemon) takeAllTold(rows []rowstore.Row, version int64, asOf time.Time) {
+func (d *Daemon) takeAllTold(rows []rowstore.Row, at rowstore.Revision, asOf time.Time) {
 	d.told.keep(rows)
 	d.keepEnds(rows)
-	d.keepLimits(rows, version)
-	d.takeTold(rows, version, asOf)
+	d.keepLimits(rows, at.Version)
+	d.takeRestoredTold(rows, at, asOf)
+}
+
+// takeRestoredTold does so from a restored table, which may lack what daemons are about to
+// write again.
+func (d *Daemon) takeRestoredTold(rows []rowstore.Row, at rowstore.Revision, asOf time.Time) {
+	d.toldEra.Store(at.Era)
+	d.takeTold(rows, at, asOf)
 	d.toldRead.Store(true)
 	d.noteKnown()
 }
 
 // takeTold takes rows of toldTable.
-func (d *Daemon) takeTold(rows []rowstore.Row, _ int64, _ time.Time) {
+func (d *Daemon) takeTold(rows []rowstore.Row, at rowstore.Revision, _ time.Time) {
 	for _, row := range rows {
+		d.written.observe(row)
 		switch {
 		case isEnd(row):
 			d.takeEnd(row)
 		case isTrial(row):
-			d.takeTrial(row)
+			d.takeTrial(row, at.Era)
 		case isLimit(row):
 			d.takeLimit(row)
 		default:
--- a/entry/symptoms.go
+++ b/entry/symptoms.go
@@ -152,6 +152,7 @@
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
 	defer cancel()
 	_, err = d.store.Commit(ctx, rowstore.Transaction{
+		Era: d.toldEra.Load(),
 		Conditions: []rowstore.Condition{
 			{
 				Table: toldTable,
--- a/entry/words.go
+++ b/entry/words.go
@@ -108,6 +108,7 @@
 			return
 		}
 		for _, key := range keys {
+			d.written.add(waiting[key])
 			delete(waiting, key)
 		}
 	}
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -48,11 +48,12 @@
 	})
 }
 
-// Feed returns the rows that changed since a version.
-func (c *Client) Feed(ctx context.Context, table string, since int64, wait time.Duration) (rowstore.Result, error) {
+// Feed returns the rows that changed since a revision.
+func (c *Client) Feed(ctx context.Context, table string, since rowstore.Revision, wait time.Duration) (rowstore.Result, error) {
 	return c.call(ctx, callFeed, c.telling(question{
 		Table:  table,
-		Since:  since,
+		Era:    since.Era,
+		Since:  since.Version,
 		WaitMS: wait.Milliseconds(),
 	}))
 }
--- a/io/relay/pack.go
+++ b/io/relay/pack.go
@@ -8,6 +8,8 @@
 
 	"github.com/klauspost/compress/gzip"
 	"github.com/pkg/errors"
+
+	"headcourse/core/rowstore"
 )
 
 // packFrom is the size from which a value is sent packed: a configuration of a
@@ -26,19 +28,19 @@
 
 // packed is a row's packed value.
 type packed struct {
-	version int64
-	value   []byte
+	at    rowstore.Revision
+	value []byte
 }
 
 // pack returns the packed value of a row, or nil where it is short.
-func (p *packer) pack(table, key string, version int64, value []byte) ([]byte, error) {
+func (p *packer) pack(table, key string, at rowstore.Revision, value []byte) ([]byte, error) {
 	if len(value) < packFrom {
 		return nil, nil
 	}
 	name := table + "/" + key
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if found, ok := p.known[name]; ok && found.version == version {
+	if found, ok := p.known[name]; ok && found.at == at {
 		return found.value, nil
 	}
 	content, err := compress(value)
@@ -49,8 +51,8 @@
 		p.known = map[string]packed{}
 	}
 	p.known[name] = packed{
-		version: version,
-		value:   content,
+		at:    at,
+		value: content,
 	}
 	return content, nil
 }
@@ -84,11 +86,11 @@
 	known map[string]tableBundles
 }
 
-// tableBundles are the bundles of a table at a version, by the version since which the
+// tableBundles are the bundles of a table at a revision, by the version since which the
 // rows changed.
 type tableBundles struct {
-	version int64
-	since   map[int64][]byte
+	at    rowstore.Revision
+	since map[int64][]byte
 }
 
 // whole stands for a table read whole, in place of a version since which it changed.
@@ -102,10 +104,14 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	known := b.known[table]
-	if known.version != a.Version || known.since == nil {
+	at := rowstore.Revision{
+		Era:     a.Era,
+		Version: a.Version,
+	}
+	if known.at != at || known.since == nil {
 		known = tableBundles{
-			version: a.Version,
-			since:   map[int64][]byte{},
+			at:    at,
+			since: map[int64][]byte{},
 		}
 	}
 	content, isKnown := known.since[since]
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// version returns a revision of era 0.
+func version(number int64) rowstore.Revision {
+	return rowstore.Revision{
+		Version: number,
+	}
+}
+
 func TestTableIsReadThroughAnotherDaemon(t *testing.T) {
 	_, _, client := serve(t, row("a", "1", 4), row("b", "2", 9))
 	result, err := client.Read(context.Background(), "t")
@@ -75,7 +82,7 @@
 			Version: 11,
 		}, false, time.Now())
 	}()
-	result, err := client.Feed(context.Background(), "t", 10, wait)
+	result, err := client.Feed(context.Background(), "t", version(10), wait)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, result.Rows, qt.HasLen, 1)
 	qt.Assert(t, result.Rows[0].Deleted, qt.IsTrue)
@@ -83,7 +90,7 @@
 
 func TestForgottenHistoryAndMissingTablesAreTold(t *testing.T) {
 	_, _, client := serve(t)
-	_, err := client.Feed(context.Background(), "t", 3, wait)
+	_, err := client.Feed(context.Background(), "t", version(3), wait)
 	qt.Assert(t, err, qt.ErrorIs, rowstore.ErrCompacted)
 	_, err = client.Read(context.Background(), "nothing")
 	qt.Assert(t, err, qt.ErrorIs, rowstore.ErrNoCopy)
@@ -219,10 +226,10 @@
 	result, err := first.Read(context.Background(), "t")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, result.Rows, qt.DeepEquals, rows)
-	fed, err := second.Feed(context.Background(), "t", 10, 0)
+	fed, err := second.Feed(context.Background(), "t", version(10), 0)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, fed.Rows, qt.DeepEquals, []rowstore.Row{changed})
-	fed, err = second.Feed(context.Background(), "t", 8, 0)
+	fed, err = second.Feed(context.Background(), "t", version(8), 0)
 	qt.Assert(t, err, qt.ErrorIs, rowstore.ErrCompacted)
 	qt.Assert(t, fed.Rows, qt.HasLen, 0)
 }
@@ -266,7 +273,7 @@
 	meter := &demand.Meter{}
 	meter.Note(kind, 400, usage.Rate{})
 	client, told, refused := serveBoard(t, "front-a", meter)
-	_, err := client.Feed(context.Background(), "t", 10, 0)
+	_, err := client.Feed(context.Background(), "t", version(10), 0)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, told.ByZone(kind)["quito-a"] > 0, qt.IsTrue)
 	qt.Assert(t, client.Board.ByZone(kind)["quito-a"] > 0, qt.IsTrue)
@@ -281,7 +288,7 @@
 		Model: "a model of no service",
 	}, 400, usage.Rate{})
 	client, told, refused := serveBoard(t, "front-a", meter)
-	_, err := client.Feed(context.Background(), "t", 10, 0)
+	_, err := client.Feed(context.Background(), "t", version(10), 0)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, <-refused, qt.Equals, `front-a: check demand: entry 0 of zone "quito-a" has no service`)
 	qt.Assert(t, told.ByZone(demand.Kind{}), qt.IsNil)
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -43,7 +43,9 @@
 // question is what both calls ask.
 type question struct {
 	Table string `json:"table"`
-	Since int64  `json:"since,omitempty"`
+	// Era and Since are the revision since which changes are asked for.
+	Era   int64 `json:"era,omitempty"`
+	Since int64 `json:"since,omitempty"`
 	// WaitMS is a time in milliseconds.
 	WaitMS int64 `json:"wait_ms,omitempty"`
 	// From is the daemon that asks, Asked what is asked of it and of those that follow
@@ -59,6 +61,7 @@
 // answer is what both calls answer.
 type answer struct {
 	Rows    []row `json:"rows,omitempty"`
+	Era     int64 `json:"era,omitempty"`
 	Version int64 `json:"version"`
 	// NowUS is the store's clock, in microseconds, as of which the rows are true;
 	// LatestUS what it shows at the latest, 0: not known.
@@ -172,7 +175,10 @@
 func (s *Server) feed(ctx context.Context, asked question) (any, error) {
 	all := s.told(asked)
 	wait := min(time.Duration(asked.WaitMS)*time.Millisecond, longestWait)
-	result, err := s.reader.Feed(ctx, asked.Table, asked.Since, wait)
+	result, err := s.reader.Feed(ctx, asked.Table, rowstore.Revision{
+		Era:     asked.Era,
+		Version: asked.Since,
+	}, wait)
 	if err != nil {
 		s.retract(asked, err)
 		return nil, encodeError(err)
@@ -215,12 +221,16 @@
 // version, or for the whole.
 func (s *Server) encode(table string, since int64, result rowstore.Result) (answer, error) {
 	encoded := answer{
+		Era:      result.Era,
 		Version:  result.Version,
 		NowUS:    result.Now.Microseconds(),
 		LatestUS: result.Latest.Microseconds(),
 	}
 	for _, one := range result.Rows {
-		packed, err := s.packer.pack(table, one.Key, one.Version, one.Value)
+		packed, err := s.packer.pack(table, one.Key, rowstore.Revision{
+			Era:     result.Era,
+			Version: one.Version,
+		}, one.Value)
 		if err != nil {
 			return answer{}, err
 		}
@@ -242,6 +252,7 @@
 // decode returns a result as it was sent.
 func decode(table string, encoded answer) (rowstore.Result, error) {
 	result := rowstore.Result{
+		Era:       encoded.Era,
 		Version:   encoded.Version,
 		Now:       time.Duration(encoded.NowUS) * time.Microsecond,
 		Latest:    time.Duration(encoded.LatestUS) * time.Microsecond,
