Soak: the store is restored from older copies

Away for 0.1 s to 2.5 s, refusing, silent or doing writes late; the copy up to 10 s old; once or twice in a row; operators and servers write again within 0.8 s; the clock goes back or on.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -115,6 +115,10 @@
 		name:  "servers name limits",
 		begin: nameLimits,
 	},
+	{
+		name:  "store restored from an older copy",
+		begin: restoreStore,
+	},
 }
 
 // Times between and of troubles.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -78,6 +78,7 @@
 	// they came first; crashers are what sends them.
 	crashing []string
 	crashers sync.WaitGroup
+	copies   copies
 }
 
 // Play plays a soak and returns what must not have happened.
@@ -108,6 +109,9 @@
 		return broken, nil
 	}
 	s.say("all daemons serve")
+	copied := make(chan struct{})
+	var copier sync.WaitGroup
+	copier.Go(func() { s.copyStore(copied) })
 	var clients sync.WaitGroup
 	for i := range s.daemons {
 		for range clientsOfDaemon {
@@ -119,6 +123,9 @@
 	broken := s.await("recovery", recoverPatience)
 	broken = append(broken, s.checkCrashing()...)
 	broken = append(broken, s.checkLimits()...)
+	broken = append(broken, s.checkRestore()...)
+	close(copied)
+	copier.Wait()
 	stop()
 	clients.Wait()
 	s.say("%s", s.tally.String())
