Names: errors of the store are recorded, relays lack copies

noteTrouble, noteOutage, noteReturn and noteBadRow of entry, hear and hears of rowstore's restraint have the field's words; the soak's wait has one bound. Nothing else changes.

--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -140,7 +140,7 @@
 func (c *Chain) usableStandbys() []Relay {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.restraint.hears(time.Now()) {
+	if !c.restraint.lacksCopies(time.Now()) {
 		return nil
 	}
 	return c.withoutAvoided(c.peers.Standbys)
@@ -174,7 +174,7 @@
 	c.avoid.note(relay, err)
 	switch {
 	case errors.Is(err, ErrNoCopy):
-		c.restraint.hear(time.Now())
+		c.restraint.observeNoCopy(time.Now())
 	case err == nil:
 		c.relayed++
 	}
--- a/core/rowstore/restraint.go
+++ b/core/rowstore/restraint.go
@@ -22,8 +22,8 @@
 	// learns for itself alone. Pauses that each keeps by itself add up with hundreds of
 	// daemons.
 	sharedGap = 200 * time.Millisecond
-	// heardFor is how long a relay's word that it has no copy counts.
-	heardFor = 2 * time.Second
+	// noCopyFor is how long a relay's answer that it has no copy counts.
+	noCopyFor = 2 * time.Second
 	// fewSharing daemons try once at once when they hear it, since relays may be cut
 	// off alone; more of them try within firstTry, so that they do not all come at the
 	// same moment. It is short: the copy may be 0.6 of the time old in which a configuration
@@ -42,11 +42,11 @@
 	// failedAt is when the store last failed a call, directAt when it was last asked.
 	failedAt time.Time
 	directAt time.Time
-	// heardAt is when a relay last said that it has no copy. Meanwhile the store may be
+	// noCopyAt is when a relay last said that it has no copy. Meanwhile the store may be
 	// asked from nextTry on, zero: not drawn yet, until a call fails: isOpen tells that
 	// none has. A feed that waits for changes has not failed, so the other tables need
 	// not wait for its end. tryAgain is the time from a failed call to the next one.
-	heardAt  time.Time
+	noCopyAt time.Time
 	nextTry  time.Time
 	tryAgain time.Duration
 	isOpen   bool
@@ -86,7 +86,7 @@
 
 // isTime tells whether it is time to ask the store.
 func (r *restraint) isTime(now time.Time, around surroundings) bool {
-	if r.hears(now) {
+	if r.lacksCopies(now) {
 		return r.isTurn(now, around)
 	}
 	return now.Sub(r.failedAt) >= failedFor || now.Sub(r.directAt) >= around.gap()
@@ -115,18 +115,18 @@
 	}
 }
 
-// hears tells whether a relay said lately that it has no copy.
-func (r *restraint) hears(now time.Time) bool {
-	return now.Sub(r.heardAt) < heardFor
+// lacksCopies tells whether a relay answered lately that it has no copy.
+func (r *restraint) lacksCopies(now time.Time) bool {
+	return now.Sub(r.noCopyAt) < noCopyFor
 }
 
-// hear notes that a relay has no copy.
-func (r *restraint) hear(now time.Time) {
-	if !r.hears(now) {
+// observeNoCopy records that a relay has no copy.
+func (r *restraint) observeNoCopy(now time.Time) {
+	if !r.lacksCopies(now) {
 		r.nextTry = time.Time{}
 		r.isOpen = false
 	}
-	r.heardAt = now
+	r.noCopyAt = now
 }
 
 // answered notes that the store answered: calls for other tables that failed meanwhile
--- a/entry/control.go
+++ b/entry/control.go
@@ -71,7 +71,7 @@
 		Whole:      see(true),
 		Changed:    see(false),
 		Hub:        &d.hub,
-		Failed:     d.noteTrouble(leader.Table),
+		Failed:     d.recordStoreError(leader.Table),
 		Recovered:  d.recordRecovered(leader.Table),
 		EraChanged: d.recordEra(leader.Table),
 		Dropped:    d.recordDropped(leader.Table),
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -143,7 +143,7 @@
 			Era: era,
 		}, time.Time{})
 	default:
-		d.noteTrouble(toldTable)(err)
+		d.recordStoreError(toldTable)(err)
 	}
 	return false
 }
@@ -152,7 +152,7 @@
 func (d *Daemon) takeEnd(row rowstore.Row) {
 	end, err := parseEnd(row.Key)
 	if err != nil {
-		d.noteBadRow(toldTable, row, err)
+		d.recordBadRow(toldTable, row, err)
 		return
 	}
 	if row.Deleted {
@@ -161,7 +161,7 @@
 	}
 	var told toldEnd
 	if err = json.Unmarshal(row.Value, &told); err != nil {
-		d.noteBadRow(toldTable, row, errors.Wrap(err, "decode end"))
+		d.recordBadRow(toldTable, row, errors.Wrap(err, "decode end"))
 		return
 	}
 	end.Trial = told.Trial
@@ -177,7 +177,7 @@
 func (d *Daemon) takeTrial(row rowstore.Row, era int64) {
 	digest, err := quarantine.ParseDigest(strings.TrimPrefix(row.Key, trialPrefix))
 	if err != nil {
-		d.noteBadRow(toldTable, row, err)
+		d.recordBadRow(toldTable, row, err)
 		return
 	}
 	if row.Deleted {
@@ -186,7 +186,7 @@
 	}
 	var told toldTrial
 	if err = json.Unmarshal(row.Value, &told); err != nil {
-		d.noteBadRow(toldTable, row, errors.Wrap(err, "decode trial"))
+		d.recordBadRow(toldTable, row, errors.Wrap(err, "decode trial"))
 		return
 	}
 	isTaken := d.ledger.Tried(quarantine.Trial{
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -93,7 +93,7 @@
 			}
 		},
 		Hub:        &d.hub,
-		Failed:     d.noteListTrouble,
+		Failed:     d.recordListError,
 		Recovered:  d.recordRecovered(neighbours.Table),
 		EraChanged: d.recordEra(neighbours.Table),
 		Dropped:    d.recordDropped(neighbours.Table),
@@ -116,13 +116,13 @@
 	return 2 * listLater
 }
 
-// noteListTrouble notes a failed call for the list. Until it was read, nothing else is.
-func (d *Daemon) noteListTrouble(err error) {
+// recordListError records a failed call for the list. Until it was read, nothing else is.
+func (d *Daemon) recordListError(err error) {
 	if d.awaitsList(neighbours.Table) {
-		d.noteOutage(neighbours.Table)(err)
+		d.recordOutage(neighbours.Table)(err)
 		return
 	}
-	d.noteTrouble(neighbours.Table)(err)
+	d.recordStoreError(neighbours.Table)(err)
 }
 
 // takeList takes rows of the list and chooses the relays anew.
@@ -142,7 +142,7 @@
 		if err != nil {
 			// It names no daemon, whatever it named before.
 			delete(r.known, row.Key)
-			d.noteBadRow(neighbours.Table, row, err)
+			d.recordBadRow(neighbours.Table, row, err)
 			continue
 		}
 		r.known[row.Key] = daemon
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -91,8 +91,8 @@
 	chain  *rowstore.Chain
 	hub    rowstore.Hub
 	relays *relay.Server
-	// troubles bounds the lines about failed calls.
-	troubles logline.Rarely
+	// errorLines bounds the lines about failed calls.
+	errorLines logline.Rarely
 	// roster is the list of all daemons, by which relays are chosen; place is where this
 	// one stands in it.
 	roster roster
@@ -189,7 +189,7 @@
 	d.clock.Clock = d.awake
 	d.limits.Clock = d.awake
 	d.fresh.Clock = d.awake
-	d.troubles.Every = troubleEvery
+	d.errorLines.Every = errorLinesEvery
 	d.limitLines.Every = limitLineEvery
 	store := platform.NewStore(known.Store)
 	store.Called = func(call string, took time.Duration) {
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -33,8 +33,8 @@
 		Whole:      take,
 		Changed:    take,
 		Merge:      d.keepNewestConfig,
-		Failed:     d.noteOutage(platform.ConfigTable),
-		Recovered:  d.noteReturn(platform.ConfigTable),
+		Failed:     d.recordOutage(platform.ConfigTable),
+		Recovered:  d.recordReturn(platform.ConfigTable),
 		EraChanged: d.recordEra(platform.ConfigTable),
 		Dropped:    d.recordDropped(platform.ConfigTable),
 		Clock:      &d.clock,
@@ -100,8 +100,8 @@
 		Restored:   d.takeRestoredServers,
 		Rewrite:    d.rewriteTime,
 		Changed:    d.takeServerChanges,
-		Failed:     d.noteOutage(platform.ServerTable),
-		Recovered:  d.noteReturn(platform.ServerTable),
+		Failed:     d.recordOutage(platform.ServerTable),
+		Recovered:  d.recordReturn(platform.ServerTable),
 		EraChanged: d.recordEra(platform.ServerTable),
 		Dropped:    d.recordDropped(platform.ServerTable),
 		Clock:      &d.clock,
@@ -226,7 +226,7 @@
 func (d *Daemon) decodeServer(row rowstore.Row) (fleet.Server, bool) {
 	server, err := platform.DecodeServer(row.Key, row.Value)
 	if err != nil {
-		d.noteBadRow(platform.ServerTable, row, err)
+		d.recordBadRow(platform.ServerTable, row, err)
 		return fleet.Server{}, false
 	}
 	return server, true
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -97,7 +97,7 @@
 	}
 	limit, err := ratelimit.Decode(row.Value)
 	if err != nil {
-		d.noteBadRow(toldTable, row, err)
+		d.recordBadRow(toldTable, row, err)
 		return
 	}
 	if d.notices.Take(start, limit) {
--- a/entry/listing.go
+++ b/entry/listing.go
@@ -68,7 +68,7 @@
 		}
 	}
 	if err = d.enlist(ctx, d.settings.Name, encoded); err != nil {
-		d.noteTrouble(neighbours.Table)(err)
+		d.recordStoreError(neighbours.Table)(err)
 	}
 	return err == nil
 }
--- a/entry/outages.go
+++ b/entry/outages.go
@@ -11,16 +11,16 @@
 	"headcourse/io/logline"
 )
 
-// troubleEvery is the time between two lines about failed calls for one table: while the
+// errorLinesEvery is the time between two lines about failed calls for one table: while the
 // store is away five followers of a daemon fail three times a second each. The counters have
 // them all.
-const troubleEvery = 5 * time.Second
+const errorLinesEvery = 5 * time.Second
 
-// noteTrouble notes a failed call of the store, or of the relays that stand for it.
-func (d *Daemon) noteTrouble(table string) func(error) {
+// recordStoreError records a failed call of the store, or of the relays that stand for it.
+func (d *Daemon) recordStoreError(table string) func(error) {
 	return func(err error) {
 		metrics.GetOrRegisterCounter("store_failed."+table, d.registry).Inc(1)
-		mayWrite, leftOut := d.troubles.Pass(table)
+		mayWrite, leftOut := d.errorLines.Pass(table)
 		if !mayWrite {
 			return
 		}
@@ -31,7 +31,7 @@
 // recordRecovered records that the store answers again.
 func (d *Daemon) recordRecovered(table string) func(time.Duration) {
 	return func(away time.Duration) {
-		leftOut := d.troubles.End(table)
+		leftOut := d.errorLines.End(table)
 		d.log.Info("store: answers again", zap.String("table", table), zap.Int64("away_ms", away.Milliseconds()), zap.Int("lines_left_out", leftOut))
 	}
 }
@@ -40,7 +40,7 @@
 func (d *Daemon) recordDropped(table string) func(rowstore.Result, rowstore.Revision) {
 	return func(answer rowstore.Result, known rowstore.Revision) {
 		metrics.GetOrRegisterCounter("store_answers_dropped."+table, d.registry).Inc(1)
-		mayWrite, leftOut := d.troubles.Pass("dropped answers of " + table)
+		mayWrite, leftOut := d.errorLines.Pass("dropped answers of " + table)
 		if !mayWrite {
 			return
 		}
@@ -59,15 +59,15 @@
 // recordEraRefused records an answer whose era cannot be read, or is a former one.
 func (d *Daemon) recordEraRefused(err error) {
 	metrics.GetOrRegisterCounter("store_eras_refused", d.registry).Inc(1)
-	mayWrite, leftOut := d.troubles.Pass("eras")
+	mayWrite, leftOut := d.errorLines.Pass("eras")
 	if !mayWrite {
 		return
 	}
 	d.log.Warn("store: answer not taken for its era", logline.Err(err), zap.Int("lines_left_out", leftOut))
 }
 
-// noteOutage notes that a table that is always followed cannot be.
-func (d *Daemon) noteOutage(table string) func(error) {
+// recordOutage records that a table that is always followed cannot be.
+func (d *Daemon) recordOutage(table string) func(error) {
 	return func(err error) {
 		d.unreadable.set()
 		if !d.outage.Load().IsUnderWay() {
@@ -75,13 +75,13 @@
 				Began: time.Now(),
 			})
 		}
-		d.noteTrouble(table)(err)
+		d.recordStoreError(table)(err)
 	}
 }
 
-// noteReturn notes that such a table can be followed again. It is called before
+// recordReturn records that such a table can be followed again. It is called before
 // what was read is taken.
-func (d *Daemon) noteReturn(table string) func(time.Duration) {
+func (d *Daemon) recordReturn(table string) func(time.Duration) {
 	return func(away time.Duration) {
 		now := time.Now()
 		d.outage.Store(&fleet.Outage{
@@ -92,11 +92,11 @@
 	}
 }
 
-// noteBadRow notes a row that was not taken: anybody may write to the platform's tables, as
+// recordBadRow records a row that was not taken: anybody may write to the platform's tables, as
 // often as they like, so the lines are bounded and the counter has them all.
-func (d *Daemon) noteBadRow(table string, row rowstore.Row, err error) {
+func (d *Daemon) recordBadRow(table string, row rowstore.Row, err error) {
 	metrics.GetOrRegisterCounter("rows_not_taken."+table, d.registry).Inc(1)
-	mayWrite, leftOut := d.troubles.Pass("rows of " + table)
+	mayWrite, leftOut := d.errorLines.Pass("rows of " + table)
 	if !mayWrite {
 		return
 	}
--- a/entry/records.go
+++ b/entry/records.go
@@ -71,14 +71,14 @@
 	defer cancel()
 	result, err := t.daemon.store.Read(ctx, assembly.Table)
 	if err != nil {
-		t.daemon.noteTrouble(assembly.Table)(err)
+		t.daemon.recordStoreError(assembly.Table)(err)
 		return false
 	}
 	var records []assembly.Record
 	for _, row := range result.Rows {
 		record, decodeErr := assembly.DecodeRecord(row.Value, row.Version)
 		if decodeErr != nil {
-			t.daemon.noteBadRow(assembly.Table, row, decodeErr)
+			t.daemon.recordBadRow(assembly.Table, row, decodeErr)
 			continue
 		}
 		records = append(records, record)
@@ -99,14 +99,14 @@
 func (t *term) loadRecent(ctx context.Context) bool {
 	result, err := t.daemon.store.Read(ctx, assembly.RecentTable)
 	if err != nil {
-		t.daemon.noteTrouble(assembly.RecentTable)(err)
+		t.daemon.recordStoreError(assembly.RecentTable)(err)
 		return false
 	}
 	models := map[string]string{}
 	for _, row := range result.Rows {
 		recent, decodeErr := assembly.DecodeRecent(row.Value)
 		if decodeErr != nil {
-			t.daemon.noteBadRow(assembly.RecentTable, row, decodeErr)
+			t.daemon.recordBadRow(assembly.RecentTable, row, decodeErr)
 			continue
 		}
 		maps.Copy(models, recent.Models)
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -122,7 +122,7 @@
 		Rewrite:    d.rewriteTime,
 		Changed:    d.takeTold,
 		Hub:        &d.hub,
-		Failed:     d.noteToldTrouble,
+		Failed:     d.recordToldError,
 		Recovered:  d.recordRecovered(toldTable),
 		EraChanged: d.recordEra(toldTable),
 		Dropped:    d.recordDropped(toldTable),
@@ -130,13 +130,13 @@
 	}
 }
 
-// noteToldTrouble notes a failed call for the table. Until it was read, requests cannot be
+// recordToldError records a failed call for the table. Until it was read, requests cannot be
 // served: one of them may be held.
-func (d *Daemon) noteToldTrouble(err error) {
+func (d *Daemon) recordToldError(err error) {
 	if !d.toldRead.Load() {
 		d.unreadable.set()
 	}
-	d.noteTrouble(toldTable)(err)
+	d.recordStoreError(toldTable)(err)
 }
 
 // takeAllTold takes the whole table: what is not in it does not hold any more.
@@ -182,7 +182,7 @@
 	var told stall
 	if err := json.Unmarshal(row.Value, &told); err != nil {
 		d.told.forget(row.Key)
-		d.noteBadRow(toldTable, row, errors.Wrap(err, "decode stall"))
+		d.recordBadRow(toldTable, row, errors.Wrap(err, "decode stall"))
 		return
 	}
 	d.told.take(row.Key, told)
--- a/entry/words.go
+++ b/entry/words.go
@@ -120,7 +120,7 @@
 	defer cancel()
 	_, err := d.store.Commit(ctx, transaction)
 	if err != nil {
-		d.noteTrouble(toldTable)(err)
+		d.recordStoreError(toldTable)(err)
 		return false
 	}
 	d.log.Info("servers: words told",
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -149,7 +149,7 @@
 
 // await waits until every daemon serves every kind of request, and returns what
 // does not work.
-func (s *soak) await(what string, patience time.Duration) []string {
+func (s *soak) await(what string) []string {
 	var broken []string
 	for i, one := range s.daemons {
 		for turn := range 4 {
@@ -158,10 +158,10 @@
 				Address:  s.daemons[i].entry.Address(),
 			}
 			// A turn that is no multiple of the early leavers' number.
-			const patient = 100
+			const patientTurn = 100
 			answer, ok := standin.Await(patience, func() standin.Answer {
 				client.Key = s.keys.use(false)
-				return s.askOne(context.Background(), client, patient+turn)
+				return s.askOne(context.Background(), client, patientTurn+turn)
 			}, func(answer standin.Answer) bool {
 				return answer.Status == http.StatusOK && answer.Err == nil
 			})
--- a/lab/soak/restores.go
+++ b/lab/soak/restores.go
@@ -90,5 +90,5 @@
 	s.restore(keptCopies, standin.Restoring{
 		RewriteWithin: longestRewrite,
 	})
-	return s.await("a restore of the store", recoverPatience)
+	return s.await("a restore of the store")
 }
