A restored table stays unconfirmed until its owners have written again, however often it is read

A relay's copy of another age had a follower read its table once more in the same era, which then counted as it stood: a daemon forgot the list of daemons within a second of a restore, and its part of the retries was three times too large.

A trial's condition names the era of the row that it is about.

--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -126,16 +126,16 @@
 
 // takeWhole tells all rows after a read.
 func (f *Follower) takeWhole(rows []Row, former Revision, asOf time.Time) {
-	isRestored := f.wasRead && f.known.Era != former.Era
+	isNewEra := f.wasRead && f.known.Era != former.Era
 	f.isRead = true
 	f.wasRead = true
-	if isRestored && f.EraChanged != nil {
+	if isNewEra && f.EraChanged != nil {
 		f.EraChanged(former, f.known)
 	}
-	if isRestored && f.Rewrite != nil {
+	if isNewEra && f.Rewrite != nil {
 		f.readAgainAt = time.Now().Add(f.Rewrite())
 	}
-	if isRestored && f.Restored != nil {
+	if f.Restored != nil && (isNewEra || !f.readAgainAt.IsZero()) {
 		f.Restored(rows, f.known, asOf)
 		return
 	}
--- a/core/rowstore/hub.go
+++ b/core/rowstore/hub.go
@@ -104,8 +104,12 @@
 func (h *Hub) isGood(known *copied) bool {
 	isInContact := h.ContactLimit == 0 || h.sinceContact() <= h.ContactLimit
 	isOwn := h.IsSecondHand == nil || !h.IsSecondHand()
-	isOfEra := h.Clock == nil || known.era >= h.Clock.Era()
-	return known.rows != nil && isInContact && isOwn && isOfEra
+	return h.isOfEra(known) && isInContact && isOwn
+}
+
+// isOfEra tells whether a copy is there, of the newest era that is known. The mutex is held.
+func (h *Hub) isOfEra(known *copied) bool {
+	return known.rows != nil && (h.Clock == nil || known.era >= h.Clock.Era())
 }
 
 // sinceContact returns how long ago the store was heard. The mutex is held.
@@ -116,7 +120,7 @@
 	return h.Clock.Since(h.contact)
 }
 
-// firstCopyTime is how long a read waits for the first copy of a table. Daemons that
+// firstCopyTime is how long a read waits for the first copy of a table in an era. Daemons that
 // start together ask each other before any of them has read, and would all read from the
 // store. A store that answers does so in some milliseconds, and a table of a thousand rows
 // comes in some tens.
@@ -139,11 +143,11 @@
 	return result, nil
 }
 
-// awaitCopy waits a moment for the first copy of a table.
+// awaitCopy waits a moment for the first copy of a table in the newest era that is known.
 func (h *Hub) awaitCopy(ctx context.Context, table string) {
 	h.mutex.Lock()
 	known := h.table(table)
-	isThere := known.rows != nil
+	isThere := h.isOfEra(known)
 	changed := known.changed
 	h.mutex.Unlock()
 	if isThere {
@@ -188,10 +192,17 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	known := h.table(table)
-	if !h.isGood(known) || since.Era > known.era {
+	if known.rows == nil || since.Era > known.era {
+		return Result{}, known.changed, ErrNoCopy
+	}
+	if !h.isOfEra(known) || since.Era < known.era {
+		// Whoever reads anew waits for the first copy of the era.
+		return Result{}, known.changed, ErrCompacted
+	}
+	if !h.isGood(known) {
 		return Result{}, known.changed, ErrNoCopy
 	}
-	if since.Era < known.era || since.Version < known.floor {
+	if since.Version < known.floor {
 		return Result{}, known.changed, ErrCompacted
 	}
 	result := h.result(known)
--- a/entry/control.go
+++ b/entry/control.go
@@ -153,7 +153,7 @@
 // lease holds and the records are known, nor while entries may be those of an older copy
 // of the store: a server that seems to be free may be a member of a group that serves.
 func (t *term) step(ctx context.Context) {
-	if !t.lease.Holds() || !t.daemon.serversRead.Load() || !t.lease.HasSettled(t.daemon.grace().Rewritten()) {
+	if !t.lease.Holds() || !t.daemon.serversRead.Load() || !t.lease.HasSettled(t.daemon.rewriteTime()) {
 		return
 	}
 	if t.mustLoad && (t.isCommitting || !t.load(ctx)) {
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -111,10 +111,9 @@
 		Key:   trialKey(trial.Digest),
 		Value: encoded,
 	}
-	era := d.toldEra.Load()
-	if trial.After.Version != 0 && trial.After.Era != era {
-		// What is known of the trial before is of another era: it will be told again.
-		return false
+	era := trial.After.Era
+	if trial.After.Version == 0 {
+		era = d.toldEra.Load()
 	}
 	at, err := d.store.Commit(ctx, rowstore.Transaction{
 		Era: era,
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -316,3 +316,34 @@
 	qt.Assert(t, <-listed, qt.Equals, "front-a {}")
 	qt.Assert(t, client.Enlist(context.Background(), nil), qt.ErrorIs, rowstore.ErrRefused)
 }
+
+// Guards against values packed for a version that a restored store has given out again.
+func TestPackedValuesAreOfOneEra(t *testing.T) {
+	former, next := strings.Repeat("former ", 1000), strings.Repeat("next ", 2000)
+	hub, _, client := serve(t, row("config", former, 9))
+	many := make([]rowstore.Row, 0, 40)
+	for i := range cap(many) {
+		many = append(many, row(fmt.Sprintf("i-%02d", i), "former", 9))
+	}
+	for era, rows := range [][]rowstore.Row{many, {row("config", former, 9)}, {row("config", next, 9)}, asEach(many, "next")} {
+		hub.Take("t", rowstore.Result{
+			Rows:    rows,
+			Era:     int64(era),
+			Version: 10,
+		}, true, time.Now())
+		result, err := client.Read(context.Background(), "t")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, result.Era, qt.Equals, int64(era))
+		qt.Assert(t, result.Rows, qt.DeepEquals, rows)
+	}
+}
+
+// asEach returns rows with another value.
+func asEach(rows []rowstore.Row, value string) []rowstore.Row {
+	var others []rowstore.Row
+	for _, one := range rows {
+		one.Value = []byte(value)
+		others = append(others, one)
+	}
+	return others
+}
