--- a/core/rowstore/restore_test.go
+++ b/core/rowstore/restore_test.go
@@ -308,7 +308,7 @@
 	return rowstore.Result{}, rowstore.ErrUnknown
 }
 
-// Guards against a table whose changes are waited for for long after another has shown a new era.
+// Guards against a long wait for changes of a table after another has shown a new era.
 func TestTableIsReadAnewWhenAnotherShowsANewEra(t *testing.T) {
 	run(t, func(ctx context.Context, t *testing.T) {
 		clock := &rowstore.Freshness{}
