--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -83,6 +83,9 @@
 	if record.Name == "" || len(record.Members) == 0 {
 		return Record{}, errors.Errorf("decode record of group %q: it has no name or no members", record.Name)
 	}
+	if record.Era < 0 || record.Era > rowstore.MaxEra || record.Epoch < 0 {
+		return Record{}, errors.Errorf("decode record of group %q: era %d, epoch %d are none", record.Name, record.Era, record.Epoch)
+	}
 	return record.WithVersion(version), nil
 }
 
--- a/core/assembly/decode_fuzz_test.go
+++ b/core/assembly/decode_fuzz_test.go
@@ -11,6 +11,10 @@
 func FuzzDecodeRecord(f *testing.F) {
 	for _, seed := range []string{
 		`{"name":"g","service":"engines","model":"large","members":["a","b"]}`,
+		`{"name":"g","members":["a"],"era":3}`,
+		`{"name":"g","members":["a"],"era":9223372036854775807}`,
+		`{"name":"g","members":["a"],"era":-1}`,
+		`{"name":"g","members":["a"],"epoch":-1}`,
 		`{"name":"g","members":[]}`,
 		`{"name":7}`,
 		`null`,
@@ -25,6 +29,9 @@
 		if record.Name == "" || len(record.Members) == 0 {
 			t.Fatalf("%q is taken for %+v", value, record)
 		}
+		if record.Epoch <= 0 {
+			t.Fatalf("%q is taken for a group of epoch %d", value, record.Epoch)
+		}
 		s := newSim(1)
 		c := &assembly.Controller{}
 		c.Load([]assembly.Record{record})
--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -72,6 +72,7 @@
 
 // Guards against a configuration that is not taken since the restored store's versions are lower.
 func TestConfigurationIsInForceAfterTheStoreIsRestored(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 2)
 	snapshot := s.platform.Store.Snapshot()
 	s.writeRows()
@@ -82,6 +83,7 @@
 
 // Guards against requests to a leaving server whose entry is not taken for its lower version.
 func TestLeavingServerGetsNothingNewAfterTheStoreIsRestored(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 1)
 	snapshot := s.platform.Store.Snapshot()
 	s.writeRows()
@@ -106,6 +108,7 @@
 // Guards against a withdrawn key that works again by the configuration of a restored store, at
 // daemons that know better, and at one that starts before the operator has written again.
 func TestWithdrawnKeyStaysDeadOverARestore(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 2)
 	snapshot := s.platform.Store.Snapshot()
 	s.changeKey("new-key")
@@ -131,6 +134,7 @@
 // Guards against requests to a server that leaves, whose entry of before is back in a restored
 // store until the server has written again.
 func TestServerThatLeftBeforeARestoreGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	s := newSiteWith(t, 1, withHeartbeat(time.Hour))
 	snapshot := s.platform.Store.Snapshot()
 	leaving := s.platform.Servers(standin.ServicePlain)[0]
@@ -151,6 +155,7 @@
 // Guards against a leader that takes members of groups that serve for free servers, by entries of
 // a restored store that servers have not written again yet.
 func TestNobodyOrdersServersBeforeTheyHaveWrittenAgain(t *testing.T) {
+	t.Parallel()
 	const heartbeat, rewrite = 2 * time.Second, 5 * time.Second
 	s := newSiteWith(t, 3, withHeartbeat(heartbeat))
 	heads := len(s.platform.Heads(standin.ModelLarge))
@@ -166,6 +171,7 @@
 // Guards against groups that serve being ended since a restored store has no record of them, and
 // against a fleet that is not looked after any more.
 func TestGroupsServeOnWhenARestoreHasLostTheirRecords(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3)
 	heads := len(s.platform.Heads(standin.ModelLarge))
 	s.restore(s.first, standin.Restoring{
@@ -188,6 +194,7 @@
 
 // Guards against rows of daemons that nobody writes again after a restore.
 func TestDaemonsWriteAgainWhatARestoreHasLost(t *testing.T) {
+	t.Parallel()
 	s := newSite(t, 3)
 	limited := s.platform.Servers(standin.ServicePlain)[0]
 	limited.NameLimit(1)
