A leader acts on entries of its lease's era only

What callers would have seen: groups that serve ended within milliseconds of a restore, where the outage was shorter than the leader's term. Cause: the leader's daemon read the restored entries, by which heads were in no group, while its lease of the former era still held; it gave orders by them for 80 ms.

--- a/entry/control.go
+++ b/entry/control.go
@@ -159,7 +159,11 @@
 	if t.mustLoad && (t.isCommitting || !t.load(ctx)) {
 		return
 	}
-	plan := t.controller.Step(t.world())
+	world := t.world()
+	if t.daemon.serversEra.Load() != t.lease.Era() {
+		return
+	}
+	plan := t.controller.Step(world)
 	for _, note := range plan.Notes {
 		t.daemon.log.Info("groups: "+note.What, zap.String("group", note.Group), zap.Int64("epoch", note.Epoch), zap.String("model", note.Model), zap.String("reason", note.Reason))
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -110,10 +110,11 @@
 	// read once.
 	serversRead atomic.Bool
 	toldRead    atomic.Bool
-	// toldEra is the era of the store in which the latter was read last, storeEra the newest
-	// in which any table was read anew.
-	toldEra  atomic.Int64
-	storeEra atomic.Int64
+	// serversEra and toldEra are the eras of the store in which these were read last, storeEra
+	// the newest in which any table was read anew.
+	serversEra atomic.Int64
+	toldEra    atomic.Int64
+	storeEra   atomic.Int64
 	// configRow is the row of the configuration in force.
 	configRow atomic.Pointer[rowstore.Row]
 	// outage is the last time that the servers' table could not be followed.
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -142,6 +142,8 @@
 	if isRestored {
 		servers = former.Reconciled(servers)
 	}
+	// Before the view: a leader of a former era must not act on this one.
+	d.serversEra.Store(at.Era)
 	for _, server := range servers {
 		d.noteStart(former, server)
 	}
