Test: a relay's copy of a former era is asked for while it is cut off

Cause: the relay's follower was not cut off in the test; woken by the newer era it could read the restored store before the test asked the hub, and then answers rightly by its copy of that era.

--- a/core/rowstore/restore_test.go
+++ b/core/rowstore/restore_test.go
@@ -204,8 +204,11 @@
 		store := newFakeStore()
 		store.put("a", "1")
 		before := store.copied()
+		// The relay reaches the store by a way of its own, which can be cut.
+		relayStore := newFakeStore()
+		relayStore.put("a", "1")
 		relayClock := &rowstore.Freshness{}
-		relay := follow(ctx, store, relayClock)
+		relay := follow(ctx, relayStore, relayClock)
 		relay.hub.Clock = relayClock
 		relay.hub.ContactLimit = 0
 		pause(100 * time.Millisecond)
@@ -225,6 +228,10 @@
 			},
 		})
 		store.restore(before, 0)
+		relayStore.set(func(f *fakeStore) {
+			f.isDown = true
+		})
+		relayStore.restore(before, 0)
 		clock.Prove(1, time.Now(), time.Since(store.started))
 		result, err := chain.Read(ctx, "t")
 		qt.Assert(t, err, qt.IsNil)
@@ -233,9 +240,17 @@
 		relayClock.Prove(1, time.Now(), time.Since(store.started))
 		_, err = relay.hub.Feed(ctx, "t", result.Revision(), 0)
 		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrNoCopy)
-		pause(100 * time.Millisecond)
+		_, err = relay.hub.Read(ctx, "t")
+		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrNoCopy)
+
+		relayStore.set(func(f *fakeStore) {
+			f.isDown = false
+		})
+		pause(3 * time.Second)
 		_, err = relay.hub.Feed(ctx, "t", former.Revision(), 0)
 		qt.Assert(t, err, qt.ErrorIs, rowstore.ErrCompacted)
+		_, err = relay.hub.Feed(ctx, "t", result.Revision(), 0)
+		qt.Assert(t, err, qt.IsNil)
 	})
 }
 
