--- a/core/assembly/restore_test.go
+++ b/core/assembly/restore_test.go
@@ -32,6 +32,11 @@
 	}
 }
 
+// emptyStore returns a copy of the store from before the first group.
+func emptyStore(domains int) simSnapshot {
+	return newSim(domains).snapshot()
+}
+
 // restore replaces the store by a copy, in a new era, and returns the new leader: the lease
 // of the former era is lost with it.
 func (s *simFleet) restore(from simSnapshot) *assembly.Controller {
@@ -66,11 +71,8 @@
 // Guards against groups that serve being sent away since the store has lost their records.
 func TestGroupsThatServeGoOnWithoutTheirRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSim(3)
-		before := s.snapshot()
-		c := &assembly.Controller{}
-		settle(s, c, true, 14*time.Second)
-		settle(s, c, false, 16*time.Second)
+		s, c := started(3)
+		before := emptyStore(3)
 		large, small, epochs := s.serving("large"), s.serving("small"), s.epochs()
 		qt.Assert(t, large > 0 && small > 0, qt.IsTrue)
 
@@ -90,11 +92,8 @@
 // Guards against an adopted group that a later leader does not know by its epoch.
 func TestAdoptedGroupsAreKnownToTheNextLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSim(3)
-		before := s.snapshot()
-		c := &assembly.Controller{}
-		settle(s, c, true, 14*time.Second)
-		settle(s, c, false, 16*time.Second)
+		s, _ := started(3)
+		before := emptyStore(3)
 		large := s.serving("large")
 		settle(s, s.restore(before), false, 5*time.Second)
 		members := s.members()
@@ -161,10 +160,8 @@
 // Guards against epochs that are given out again after a restore.
 func TestEpochsRiseOverARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSim(3)
-		before := s.snapshot()
-		c := &assembly.Controller{}
-		settle(s, c, true, 14*time.Second)
+		s, c := started(3)
+		before := emptyStore(3)
 		highest := s.epochs()[len(s.records)-1]
 		c = s.restore(before)
 		s.killMember(c, s.anyOpen("large"), 1)
