The pace of a server without requests is forgotten after a while

The pace of a server is measured by its answers alone, so a daemon with one request at a time passed the slow one over for good: nobody heard there that its limit was over. Class: a belief that ends its own evidence. Rests end, limits are asked after, trials are drawn; only the pace had no end.

Now a pace counts for 10 s after the last measurement, longer while a request is under way.

--- a/core/balancer/balancer.go
+++ b/core/balancer/balancer.go
@@ -37,6 +37,9 @@
 	tolerated = 1
 	// paceWeight is the part of a new measurement in the mean pace.
 	paceWeight = 0.2
+	// paceHolds is how long the pace of a server without requests counts: a slow one is
+	// passed over, and nothing else would measure it again.
+	paceHolds = 10 * time.Second
 )
 
 // Candidate is a server that may take the request.
@@ -73,6 +76,8 @@
 	cost     float64
 	// pace is the mean time of a unit of work; 0: not measured yet.
 	pace float64
+	// measured is when a pace was last measured.
+	measured time.Time
 	// heard is when an answer or an event last came.
 	heard    time.Time
 	failures int
@@ -105,7 +110,7 @@
 	defer t.mutex.Unlock()
 	now := time.Now()
 	best, bestScore := -1, 0.0
-	usual := t.usualPace(candidates)
+	usual := t.usualPace(now, candidates)
 	doubted := t.doubted(now, candidates)
 	for i, candidate := range candidates {
 		if excluded[candidate.ID] {
@@ -170,12 +175,14 @@
 	return doubted
 }
 
-// usualPace returns the mean pace of the candidates that were measured, or 0. A
-// server that was not measured counts as usual. The mutex is held.
-func (t *Tracker) usualPace(candidates []Candidate) float64 {
+// usualPace returns the mean pace of the candidates that were measured lately, or 0. A
+// server that was not counts as usual. The mutex is held.
+func (t *Tracker) usualPace(now time.Time, candidates []Candidate) float64 {
 	sum, measured := 0.0, 0
 	for _, candidate := range candidates {
-		if one := t.of(candidate.ID); one.pace > 0 {
+		one := t.of(candidate.ID)
+		one.forgetOldPace(now)
+		if one.pace > 0 {
 			sum += one.pace
 			measured++
 		}
@@ -186,6 +193,13 @@
 	return sum / float64(measured)
 }
 
+// forgetOldPace forgets the pace of a server that had no request for long.
+func (s *tracked) forgetOldPace(now time.Time) {
+	if s.inFlight == 0 && now.Sub(s.measured) > paceHolds {
+		s.pace = 0
+	}
+}
+
 // score returns how unfit a server is for one more request. Resting servers
 // come after all others, those whose rest ends first before the rest.
 func (s *tracked) score(now time.Time, candidate Candidate, cost, usual, chance float64) float64 {
@@ -276,6 +290,7 @@
 	if pace <= 0 {
 		return
 	}
+	one.measured = time.Now()
 	if one.pace == 0 {
 		one.pace = pace
 	}
--- a/core/balancer/balancer_test.go
+++ b/core/balancer/balancer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -60,6 +61,62 @@
 	qt.Assert(t, count["b"] < count["a"]/2, qt.IsTrue, qt.Commentf("%v", count))
 }
 
+// Guards against a server that is left alone for good after one slow answer, since nothing
+// measures it again.
+func TestServerThatWasSlowOnceIsMeasuredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			fast  = 0.005
+			slow  = 0.05
+			often = 20 * time.Millisecond
+			span  = time.Minute
+		)
+		tracker := balancer.Tracker{
+			Chance: rand.New(rand.NewPCG(1, 1)).Float64,
+		}
+		tracker.Succeeded("b", fast)
+		paces := map[string]float64{
+			"a": slow,
+			"b": fast,
+		}
+		serve := func() map[string]int {
+			count := map[string]int{}
+			for range span / often {
+				chosen, done, _ := tracker.Pick(candidates(), nil, 100)
+				time.Sleep(often)
+				tracker.Succeeded(chosen.ID, paces[chosen.ID])
+				done()
+				count[chosen.ID]++
+			}
+			return count
+		}
+		count := serve()
+		// One that is still slow is asked only now and then.
+		qt.Assert(t, count["a"] > 1 && count["a"] <= 10, qt.IsTrue, qt.Commentf("%v", count))
+
+		paces["a"] = fast
+		count = serve()
+		qt.Assert(t, count["a"] > count["b"]/2, qt.IsTrue, qt.Commentf("%v", count))
+	})
+}
+
+// Guards against the pace of a server being forgotten while it works for long on one request.
+func TestPaceIsKeptWhileARequestIsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tracker balancer.Tracker
+		_, done, _ := tracker.Pick(candidates()[1:], nil, 100)
+		defer done()
+		tracker.Succeeded("a", 0.005)
+		tracker.Succeeded("b", 0.05)
+		time.Sleep(time.Minute)
+		tracker.Succeeded("a", 0.005)
+		for range 5 {
+			chosen, _, _ := tracker.Pick(candidates(), nil, 100)
+			qt.Assert(t, chosen.ID, qt.Equals, "a")
+		}
+	})
+}
+
 func TestServerInTroubleIsUsedOnlyWhenNoOtherIsLeft(t *testing.T) {
 	var tracker balancer.Tracker
 	both := candidates()
