Daemons' reports of servers are called so

The table keeps its name in the store, so that daemons of both versions read each other. No logic changed.

--- a/core/assembly/restore_test.go
+++ b/core/assembly/restore_test.go
@@ -71,12 +71,12 @@
 // Guards against groups that serve being sent away since the store has lost their records.
 func TestGroupsThatServeGoOnWithoutTheirRecords(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, c := started(3)
+		s, _ := started(3)
 		before := emptyStore(3)
 		large, small, epochs := s.serving("large"), s.serving("small"), s.epochs()
 		qt.Assert(t, large > 0 && small > 0, qt.IsTrue)
 
-		c = s.restore(before)
+		c := s.restore(before)
 		members := s.members()
 		settle(s, c, false, 20*time.Second)
 		qt.Assert(t, s.serving("large"), qt.Equals, large)
@@ -160,10 +160,10 @@
 // Guards against epochs that are given out again after a restore.
 func TestEpochsRiseOverARestore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, c := started(3)
+		s, _ := started(3)
 		before := emptyStore(3)
 		highest := s.epochs()[len(s.records)-1]
-		c = s.restore(before)
+		c := s.restore(before)
 		s.killMember(c, s.anyOpen("large"), 1)
 		settle(s, c, false, 20*time.Second)
 		newest := s.epochs()[len(s.records)-1]
--- a/entry/control.go
+++ b/entry/control.go
@@ -108,12 +108,12 @@
 	}
 	d.isLeading.Store(true)
 	defer d.isLeading.Store(false)
-	d.told.listen(func(group string, told stall) {
+	d.reported.subscribe(func(group string, reported stall) {
 		t.tell(ctx, func() {
-			t.controller.Suspect(group, told.Epoch, told.Silent)
+			t.controller.Suspect(group, reported.Epoch, reported.Silent)
 		})
 	})
-	defer d.told.listen(nil)
+	defer d.reported.subscribe(nil)
 	ticker := time.NewTicker(stepEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -13,7 +13,7 @@
 	"headcourse/io/logline"
 )
 
-// Ends of servers under requests are told to all daemons by rows of toldTable, one for each
+// Ends of servers under requests are reported to all daemons by rows of reportTable, one for each
 // digest and start. These are written without conditions and mean the same whoever writes
 // them and how often, so nothing is lost where daemons write together or an answer is lost.
 // A trial of such a request is a row for its digest, written only where the trial before is
@@ -23,20 +23,20 @@
 // tryTime bounds agreeing on a trial, for which a client waits.
 const tryTime = 300 * time.Millisecond
 
-// Beginnings of keys of toldTable; names of groups have no slash.
+// Beginnings of keys of reportTable; names of groups have no slash.
 const (
 	endPrefix   = "end/"
 	trialPrefix = "trial/"
 )
 
-// toldEnd is the value of an end's row, toldTrial that of a trial's. By is the daemon, for
+// endReport is the value of an end's row, trialReport that of a trial's. By is the daemon, for
 // whoever looks.
-type toldEnd struct {
+type endReport struct {
 	By    string `json:"by"`
 	Trial int    `json:"trial,omitempty"`
 }
 
-type toldTrial struct {
+type trialReport struct {
 	By     string `json:"by"`
 	Number int    `json:"number"`
 }
@@ -64,17 +64,17 @@
 	}, err
 }
 
-// Ended has all daemons told that a server ended under a request. It never waits.
+// Ended reports to all daemons that a server ended under a request. It never waits.
 func (d *Daemon) Ended(end quarantine.End) {
-	encoded, err := json.Marshal(toldEnd{
+	encoded, err := json.Marshal(endReport{
 		By:    d.settings.Name,
 		Trial: end.Trial,
 	})
 	if err != nil {
-		d.log.Error("requests: end of a server not told", logline.Err(err))
+		d.log.Error("requests: end of a server not reported", logline.Err(err))
 		return
 	}
-	d.queueWord(word{
+	d.queueReport(report{
 		key:   endKey(end.Digest, end.Start),
 		value: encoded,
 	})
@@ -83,12 +83,12 @@
 // Cleared has what the store tells of a request removed. It never waits.
 func (d *Daemon) Cleared(cleared quarantine.Cleared) {
 	for _, start := range cleared.Starts {
-		d.queueWord(word{
+		d.queueReport(report{
 			key: endKey(cleared.Digest, start),
 		})
 	}
 	if cleared.HasTrial {
-		d.queueWord(word{
+		d.queueReport(report{
 			key: trialKey(cleared.Digest),
 		})
 	}
@@ -96,7 +96,7 @@
 
 // MayTry begins a trial, unless another daemon has begun it or the store does not answer.
 func (d *Daemon) MayTry(trial quarantine.Trial) bool {
-	encoded, err := json.Marshal(toldTrial{
+	encoded, err := json.Marshal(trialReport{
 		By:     d.settings.Name,
 		Number: trial.Number,
 	})
@@ -107,13 +107,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), tryTime)
 	defer cancel()
 	row := rowstore.Row{
-		Table: toldTable,
+		Table: reportTable,
 		Key:   trialKey(trial.Digest),
 		Value: encoded,
 	}
 	era := trial.After.Era
 	if trial.After.Version == 0 {
-		era = d.toldEra.Load()
+		era = d.reportsEra.Load()
 	}
 	at, err := d.store.Commit(ctx, rowstore.Transaction{
 		Era: era,
@@ -138,11 +138,11 @@
 		}
 		return true
 	case errors.As(err, &conflict):
-		d.takeTold(conflict.Rows, rowstore.Revision{
+		d.takeReports(conflict.Rows, rowstore.Revision{
 			Era: era,
 		}, time.Time{})
 	default:
-		d.recordStoreError(toldTable)(err)
+		d.recordStoreError(reportTable)(err)
 	}
 	return false
 }
@@ -151,19 +151,19 @@
 func (d *Daemon) takeEnd(row rowstore.Row) {
 	end, err := parseEnd(row.Key)
 	if err != nil {
-		d.recordBadRow(toldTable, row, err)
+		d.recordBadRow(reportTable, row, err)
 		return
 	}
 	if row.Deleted {
 		d.ledger.Removed(end)
 		return
 	}
-	var told toldEnd
-	if err = json.Unmarshal(row.Value, &told); err != nil {
-		d.recordBadRow(toldTable, row, errors.Wrap(err, "decode end"))
+	var reported endReport
+	if err = json.Unmarshal(row.Value, &reported); err != nil {
+		d.recordBadRow(reportTable, row, errors.Wrap(err, "decode end"))
 		return
 	}
-	end.Trial = told.Trial
+	end.Trial = reported.Trial
 	if !d.ledger.Told(end) {
 		d.Cleared(quarantine.Cleared{
 			Digest: end.Digest,
@@ -176,21 +176,21 @@
 func (d *Daemon) takeTrial(row rowstore.Row, era int64) {
 	digest, err := quarantine.ParseDigest(strings.TrimPrefix(row.Key, trialPrefix))
 	if err != nil {
-		d.recordBadRow(toldTable, row, err)
+		d.recordBadRow(reportTable, row, err)
 		return
 	}
 	if row.Deleted {
 		d.ledger.RemovedTrial(digest)
 		return
 	}
-	var told toldTrial
-	if err = json.Unmarshal(row.Value, &told); err != nil {
-		d.recordBadRow(toldTable, row, errors.Wrap(err, "decode trial"))
+	var reported trialReport
+	if err = json.Unmarshal(row.Value, &reported); err != nil {
+		d.recordBadRow(reportTable, row, errors.Wrap(err, "decode trial"))
 		return
 	}
 	isTaken := d.ledger.Tried(quarantine.Trial{
 		Digest: digest,
-		Number: told.Number,
+		Number: reported.Number,
 	}, rowstore.Revision{
 		Era:     era,
 		Version: row.Version,
@@ -203,7 +203,7 @@
 	}
 }
 
-// keepEnds forgets what was told and is not among the rows of the whole table.
+// keepEnds forgets what was reported and is not among the rows of the whole table.
 func (d *Daemon) keepEnds(rows []rowstore.Row) {
 	var ends []quarantine.End
 	var trials []quarantine.Digest
@@ -218,7 +218,7 @@
 	d.ledger.Keep(ends, trials)
 }
 
-// isEnd tells whether a row of toldTable is of an end, isTrial whether it is of a trial.
+// isEnd tells whether a row of reportTable is of an end, isTrial whether it is of a trial.
 func isEnd(row rowstore.Row) bool {
 	return strings.HasPrefix(row.Key, endPrefix)
 }
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -84,7 +84,7 @@
 		// what all share must not add up to more.
 		Restored: func(rows []rowstore.Row, _ rowstore.Revision, _ time.Time) {
 			d.takeList(rows, false)
-			d.noteIfLost(rows)
+			d.updateIsLost(rows)
 		},
 		Rewrite: d.relistTime,
 		Changed: func(rows []rowstore.Row, _ rowstore.Revision, _ time.Time) {
@@ -101,8 +101,8 @@
 	}
 }
 
-// noteIfLost notes whether a restored list lacks this daemon.
-func (d *Daemon) noteIfLost(rows []rowstore.Row) {
+// updateIsLost records whether a restored list lacks this daemon.
+func (d *Daemon) updateIsLost(rows []rowstore.Row) {
 	isThere := slices.ContainsFunc(rows, func(row rowstore.Row) bool {
 		return row.Key == d.settings.Name
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,7 +45,7 @@
 	// the store waits for one; copyPart is the greatest age of a copy that
 	// another daemon is given, as a part of the same. Where all is well, the copy of
 	// the first relay is a wait old, and that of a relay which asks it two waits. A
-	// daemon whose relay is cut off from the store is told so within copyPart and
+	// daemon whose relay is cut off from the store learns so within copyPart and
 	// 0.2 s, and asks another: well within the bound.
 	waitPart = 0.25
 	copyPart = 0.6
@@ -106,28 +106,28 @@
 	// mutex orders changes of the view; readers take the view without it.
 	mutex sync.Mutex
 	view  atomic.Pointer[gateway.View]
-	// serversRead and toldRead tell that the servers' table and what daemons tell were
+	// serversRead and reportsRead tell that the servers' table and the daemons' reports were
 	// read once.
 	serversRead atomic.Bool
-	toldRead    atomic.Bool
-	// serversEra and toldEra are the eras of the store in which these were read last, storeEra
+	reportsRead atomic.Bool
+	// serversEra and reportsEra are the eras of the store in which these were read last, storeEra
 	// the newest in which any table was read anew.
 	serversEra atomic.Int64
-	toldEra    atomic.Int64
+	reportsEra atomic.Int64
 	storeEra   atomic.Int64
 	// configRow is the row of the configuration in force.
 	configRow atomic.Pointer[rowstore.Row]
 	// outage is the last time that the servers' table could not be followed.
 	outage atomic.Pointer[fleet.Outage]
-	// stalls are heads at which requests stand still, to be looked into; told are the
-	// groups that the store tells of.
-	stalls chan fleet.Server
-	told   toldStalls
-	// ledger knows under which requests servers ended; words are to be told to all daemons.
-	ledger quarantine.Ledger
-	words  chan word
-	// written are words that the store has taken lately.
-	written writtenWords
+	// stalls are heads at which requests stand still, to be looked into; reported are
+	// those that daemons have reported.
+	stalls   chan fleet.Server
+	reported reportedStalls
+	// ledger knows under which requests servers ended; reports are to be written for all daemons.
+	ledger  quarantine.Ledger
+	reports chan report
+	// recent are reports that the store has taken lately.
+	recent recentReports
 	// limits are what servers take a second from all daemons together, notices what daemons
 	// tell each other of them.
 	limits  ratelimit.Book
@@ -143,7 +143,7 @@
 	listRead   mark
 	known      mark
 	unreadable mark
-	// wasReady is what isReady told last, for the log.
+	// wasReady is what isReady returned last, for the log.
 	wasReady atomic.Bool
 	// isLeading tells that this daemon forms groups.
 	isLeading atomic.Bool
@@ -179,7 +179,7 @@
 		began:      time.Now(),
 		workers:    platform.NewWorkers(),
 		stalls:     make(chan fleet.Server, stallQueue),
-		words:      make(chan word, wordQueue),
+		reports:    make(chan report, reportQueue),
 		changed:    make(chan struct{}, 1),
 		viewRead:   newMark(),
 		listRead:   newMark(),
@@ -266,10 +266,10 @@
 		d.afterList(d.listSelf),
 		d.afterList(d.configFollower().Run),
 		d.afterList(d.serverFollower().Run),
-		d.afterList(d.toldFollower().Run),
+		d.afterList(d.reportFollower().Run),
 		d.afterList(d.leaseFollower(elector).Run),
-		d.tellStalls,
-		d.tellWords,
+		d.runStallReports,
+		d.runReports,
 		func(ctx context.Context) { elector.Run(ctx, d.lead) },
 		d.logFigures,
 	} {
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -13,19 +13,19 @@
 	"headcourse/io/logline"
 )
 
-// A server names its limit to the daemons that send it requests; these tell all others by a row
-// of toldTable for its start, written without a condition, and remove it when the limit is over.
-// A daemon that is told sends no request just to learn of a limit, and one that has no part of
+// A server names its limit to the daemons that send it requests; these report it to all others by a row
+// of reportTable for its start, written without a condition, and remove it when the limit is over.
+// A daemon that reads it sends no request just to learn of a limit, and one that has no part of
 // it learns by the row's end only that it may use the server again. While no server names a
 // limit, all this costs no call.
 
-// limitLineEvery bounds the lines about what others tell: all servers of a service may be in need.
+// limitLineEvery bounds the lines about what others report: all servers of a service may be in need.
 const limitLineEvery = 200 * time.Millisecond
 
 // limitPrefix is the beginning of keys of such rows; names of groups have no slash.
 const limitPrefix = "limit/"
 
-// isLimit tells whether a row of toldTable is of a limit.
+// isLimit tells whether a row of reportTable is of a limit.
 func isLimit(row rowstore.Row) bool {
 	return strings.HasPrefix(row.Key, limitPrefix)
 }
@@ -35,57 +35,57 @@
 	return strings.TrimPrefix(row.Key, limitPrefix)
 }
 
-// LimitHeard has other daemons told of a limit, if they do not know it. It never waits.
+// LimitHeard reports a limit to other daemons, if they do not know it. It never waits.
 func (d *Daemon) LimitHeard(server fleet.Server, said ratelimit.Limit) {
 	start := server.Start()
 	if !said.IsNamed {
-		time.AfterFunc(rand.N(tellSpread), func() { d.tellEnd(start, endTries) })
+		time.AfterFunc(rand.N(reportSpread), func() { d.reportLimitEnd(start, endTries) })
 		return
 	}
 	if !d.notices.Wants(start, said) {
 		return
 	}
-	// Daemons hear together; the first one's word saves the others theirs.
-	time.AfterFunc(rand.N(tellSpread), func() {
+	// Daemons observe a limit together; the first one's report saves the others theirs.
+	time.AfterFunc(rand.N(reportSpread), func() {
 		if d.notices.Speak(start, said) {
-			d.tellLimit(start, said)
+			d.reportLimit(start, said)
 		}
 	})
 }
 
-// Figures of telling that a limit is over: another daemon's word of it may come to the store
+// Figures of reporting that a limit is over: another daemon's report of it may come to the store
 // after that, so it is looked at again.
 const (
 	endTries = 5
 	endAgain = 2 * time.Second
 )
 
-// tellEnd has others told that a limit is over, as long as the store tells of it, and this daemon
+// reportLimitEnd reports that a limit is over, as long as the store has its row, and this daemon
 // knows no new one.
-func (d *Daemon) tellEnd(start string, tries int) {
+func (d *Daemon) reportLimitEnd(start string, tries int) {
 	if tries == 0 || d.limits.Has(start) {
 		return
 	}
 	if d.notices.Speak(start, ratelimit.Limit{}) {
-		d.tellLimit(start, ratelimit.Limit{})
+		d.reportLimit(start, ratelimit.Limit{})
 	}
-	time.AfterFunc(endAgain, func() { d.tellEnd(start, tries-1) })
+	time.AfterFunc(endAgain, func() { d.reportLimitEnd(start, tries-1) })
 }
 
-// tellLimit has a limit's row written, or removed where the limit is over.
-func (d *Daemon) tellLimit(start string, limit ratelimit.Limit) {
-	one := word{
+// reportLimit has a limit's row written, or removed where the limit is over.
+func (d *Daemon) reportLimit(start string, limit ratelimit.Limit) {
+	one := report{
 		key: limitPrefix + start,
 	}
 	if limit.IsNamed {
 		encoded, err := limit.Encode(d.settings.Name)
 		if err != nil {
-			d.log.Error("servers: limit not told", logline.Err(err))
+			d.log.Error("servers: limit not reported", logline.Err(err))
 			return
 		}
 		one.value = encoded
 	}
-	d.queueWord(one)
+	d.queueReport(one)
 }
 
 // takeLimit takes the row of a limit.
@@ -97,22 +97,22 @@
 	}
 	limit, err := ratelimit.Decode(row.Value)
 	if err != nil {
-		d.recordBadRow(toldTable, row, err)
+		d.recordBadRow(reportTable, row, err)
 		return
 	}
 	if d.notices.Take(start, limit) {
-		d.noteTold(start, limit, row.Version)
+		d.logReportedLimit(start, limit, row.Version)
 	}
 	d.limits.Told(start, limit)
 }
 
-// noteTold writes a line about what others told of a limit.
-func (d *Daemon) noteTold(start string, limit ratelimit.Limit, version int64) {
-	mayWrite, leftOut := d.limitLines.Pass(toldTable)
+// logReportedLimit writes a line about what others reported of a limit.
+func (d *Daemon) logReportedLimit(start string, limit ratelimit.Limit, version int64) {
+	mayWrite, leftOut := d.limitLines.Pass(reportTable)
 	if !mayWrite {
 		return
 	}
-	d.log.Info("servers: limit told by another daemon",
+	d.log.Info("servers: limit reported by another daemon",
 		zap.String("start", start),
 		zap.Bool("is_named", limit.IsNamed),
 		zap.Float64("per_second", limit.PerSecond),
@@ -123,7 +123,7 @@
 // endLimit notes that the row of a limit is gone.
 func (d *Daemon) endLimit(start string, version int64) {
 	if d.notices.Remove(start) {
-		d.noteTold(start, ratelimit.Limit{}, version)
+		d.logReportedLimit(start, ratelimit.Limit{}, version)
 	}
 	d.limits.Told(start, ratelimit.Limit{})
 }
@@ -153,7 +153,7 @@
 	}
 	for _, start := range d.notices.Old() {
 		if !known[start] {
-			d.tellLimit(start, ratelimit.Limit{})
+			d.reportLimit(start, ratelimit.Limit{})
 		}
 	}
 }
--- a/entry/listing.go
+++ b/entry/listing.go
@@ -60,7 +60,7 @@
 		d.log.Error("daemons: self not listed", logline.Err(err))
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, tellTime)
+	ctx, cancel := context.WithTimeout(ctx, reportCallTime)
 	defer cancel()
 	for _, lister := range d.listers() {
 		if lister.Enlist(ctx, encoded) == nil {
--- a/entry/records.go
+++ b/entry/records.go
@@ -148,12 +148,12 @@
 			Key:   name,
 		})
 	}
-	told := slices.Concat(plan.Cleared, plan.Remove)
-	slices.Sort(told)
+	reported := slices.Concat(plan.Cleared, plan.Remove)
+	slices.Sort(reported)
 	// A group may be cleared and removed while the store is slow.
-	for _, name := range slices.Compact(told) {
+	for _, name := range slices.Compact(reported) {
 		removes = append(removes, rowstore.Row{
-			Table: toldTable,
+			Table: reportTable,
 			Key:   name,
 		})
 	}
--- a/entry/restores.go
+++ b/entry/restores.go
@@ -15,10 +15,10 @@
 // that: it stays until operators, servers and daemons have had the time to write again what
 // the copy lacks, and only then the tables count as they stand.
 
-// writtenFor is how long words that the store has taken are kept: longer than a copy is old.
-const writtenFor = time.Minute
+// recentFor is how long reports that the store has taken are kept: longer than a copy is old.
+const recentFor = time.Minute
 
-// recordEra records that a table was read in another era. With the first one, words are
+// recordEra records that a table was read in another era. With the first one, reports are
 // written again that the store may have lost.
 func (d *Daemon) recordEra(table string) func(former, next rowstore.Revision) {
 	return func(former, next rowstore.Revision) {
@@ -32,8 +32,8 @@
 			return
 		}
 		metrics.GetOrRegisterCounter("store_restores", d.registry).Inc(1)
-		for _, one := range d.written.all() {
-			d.queueWord(one)
+		for _, one := range d.recent.all() {
+			d.queueReport(one)
 		}
 	}
 }
@@ -70,62 +70,62 @@
 	return false
 }
 
-// writtenWords are words that the store has taken lately, to be written again where a restore
+// recentReports are reports that the store has taken lately, to be written again where a restore
 // has lost them. The zero value is empty.
-type writtenWords struct {
-	mutex sync.Mutex
-	words map[string]writtenWord
+type recentReports struct {
+	mutex   sync.Mutex
+	reports map[string]recentReport
 }
 
-// writtenWord is a word, and when the store took it.
-type writtenWord struct {
-	word word
-	at   time.Time
+// recentReport is a report, and when the store took it.
+type recentReport struct {
+	report report
+	at     time.Time
 }
 
-// add notes a word that the store has taken.
-func (w *writtenWords) add(one word) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	if w.words == nil {
-		w.words = map[string]writtenWord{}
+// add records a report that the store has taken.
+func (r *recentReports) add(one report) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.reports == nil {
+		r.reports = map[string]recentReport{}
 	}
-	w.forgetOld()
-	if len(w.words) < wordQueue {
-		w.words[one.key] = writtenWord{
-			word: one,
-			at:   time.Now(),
+	r.forgetOld()
+	if len(r.reports) < reportQueue {
+		r.reports[one.key] = recentReport{
+			report: one,
+			at:     time.Now(),
 		}
 	}
 }
 
-// observe forgets a word whose row was written by another since.
-func (w *writtenWords) observe(row rowstore.Row) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	known, isThere := w.words[row.Key]
-	if isThere && (row.Deleted != (known.word.value == nil) || string(row.Value) != string(known.word.value)) {
-		delete(w.words, row.Key)
+// observe forgets a report whose row was written by another since.
+func (r *recentReports) observe(row rowstore.Row) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	known, isThere := r.reports[row.Key]
+	if isThere && (row.Deleted != (known.report.value == nil) || string(row.Value) != string(known.report.value)) {
+		delete(r.reports, row.Key)
 	}
 }
 
-// all returns the words that were written lately.
-func (w *writtenWords) all() []word {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.forgetOld()
-	var all []word
-	for _, one := range w.words {
-		all = append(all, one.word)
+// all returns the reports that were written lately.
+func (r *recentReports) all() []report {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.forgetOld()
+	var all []report
+	for _, one := range r.reports {
+		all = append(all, one.report)
 	}
 	return all
 }
 
-// forgetOld forgets words that were written long ago. The mutex is held.
-func (w *writtenWords) forgetOld() {
-	for key, one := range w.words {
-		if time.Since(one.at) > writtenFor {
-			delete(w.words, key)
+// forgetOld forgets reports that were written long ago. The mutex is held.
+func (r *recentReports) forgetOld() {
+	for key, one := range r.reports {
+		if time.Since(one.at) > recentFor {
+			delete(r.reports, key)
 		}
 	}
 }
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -13,16 +13,16 @@
 	"headcourse/core/rowstore"
 )
 
-// toldTable has what daemons tell all others of backend servers: at which groups requests
+// reportTable has what daemons report to all others of backend servers: at which groups requests
 // stand still or are slow, keyed by the group, and which servers ended under a request
 // (crashes.go), and which take no more than some requests a second (limits.go).
-const toldTable = "told"
+const reportTable = "told"
 
-// toldWait is how long one call waits for such words: a call that is under way when
+// reportWait is how long one call waits for such reports: a call that is under way when
 // the store falls silent is waited for as long, whether the store is back or not.
-const toldWait = 2500 * time.Millisecond
+const reportWait = 2500 * time.Millisecond
 
-// stall is a row of toldTable: a group at which requests stand still or are slow.
+// stall is a row of reportTable: a group at which requests stand still or are slow.
 type stall struct {
 	Epoch int64  `json:"epoch"`
 	By    string `json:"by"`
@@ -30,44 +30,44 @@
 	Silent string `json:"silent,omitempty"`
 }
 
-// toldStalls are the stalls that the store tells of. The zero value is empty.
-type toldStalls struct {
-	mutex  sync.Mutex
-	stalls map[string]stall
-	heard  func(group string, told stall)
+// reportedStalls are the stalls that daemons have reported. The zero value is empty.
+type reportedStalls struct {
+	mutex   sync.Mutex
+	stalls  map[string]stall
+	onStall func(group string, reported stall)
 }
 
-// listen has heard called for each stall, those that are known first; nil ends
+// subscribe has onStall called for each stall, those that are known first; nil ends
 // it.
-func (t *toldStalls) listen(heard func(group string, told stall)) {
+func (t *reportedStalls) subscribe(onStall func(group string, reported stall)) {
 	t.mutex.Lock()
-	t.heard = heard
+	t.onStall = onStall
 	known := maps.Clone(t.stalls)
 	t.mutex.Unlock()
-	if heard == nil {
+	if onStall == nil {
 		return
 	}
-	for group, told := range known {
-		heard(group, told)
+	for group, reported := range known {
+		onStall(group, reported)
 	}
 }
 
 // take takes a row.
-func (t *toldStalls) take(group string, told stall) {
+func (t *reportedStalls) take(group string, reported stall) {
 	t.mutex.Lock()
 	if t.stalls == nil {
 		t.stalls = map[string]stall{}
 	}
-	t.stalls[group] = told
-	heard := t.heard
+	t.stalls[group] = reported
+	onStall := t.onStall
 	t.mutex.Unlock()
-	if heard != nil {
-		heard(group, told)
+	if onStall != nil {
+		onStall(group, reported)
 	}
 }
 
 // keep forgets all stalls but those of some rows.
-func (t *toldStalls) keep(rows []rowstore.Row) {
+func (t *reportedStalls) keep(rows []rowstore.Row) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	maps.DeleteFunc(t.stalls, func(group string, _ stall) bool {
@@ -78,88 +78,88 @@
 }
 
 // forget notes that a row is gone.
-func (t *toldStalls) forget(group string) {
+func (t *reportedStalls) forget(group string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	delete(t.stalls, group)
 }
 
-// has tells whether a group's stall has been told.
-func (t *toldStalls) has(m fleet.Membership) bool {
+// has tells whether a group's stall has been reported.
+func (t *reportedStalls) has(m fleet.Membership) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return t.stalls[m.Group].Epoch == m.Epoch
 }
 
-// isStill tells whether a member of the group was told not to answer.
-func (t *toldStalls) isStill(m fleet.Membership) bool {
+// isStill tells whether a member of the group is reported not to answer.
+func (t *reportedStalls) isStill(m fleet.Membership) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	told, ok := t.stalls[m.Group]
-	return ok && told.Epoch == m.Epoch && told.Silent != ""
+	reported, ok := t.stalls[m.Group]
+	return ok && reported.Epoch == m.Epoch && reported.Silent != ""
 }
 
-// IsTroubled tells whether requests are known, by any daemon's word, to stand still
+// IsTroubled tells whether requests are known, by any daemon's report, to stand still
 // or to be slow at a server's group.
 func (d *Daemon) IsTroubled(server fleet.Server) bool {
-	return server.Membership.State != fleet.NoGroup && d.told.has(server.Membership)
+	return server.Membership.State != fleet.NoGroup && d.reported.has(server.Membership)
 }
 
-// IsStill tells whether requests are known, by any daemon's word, to stand still at a
+// IsStill tells whether requests are known, by any daemon's report, to stand still at a
 // server's group, since a member of it does not answer.
 func (d *Daemon) IsStill(server fleet.Server) bool {
-	return server.Membership.State != fleet.NoGroup && d.told.isStill(server.Membership)
+	return server.Membership.State != fleet.NoGroup && d.reported.isStill(server.Membership)
 }
 
-// toldFollower follows what daemons tell of servers.
-func (d *Daemon) toldFollower() *rowstore.Follower {
+// reportFollower follows what daemons report of servers.
+func (d *Daemon) reportFollower() *rowstore.Follower {
 	return &rowstore.Follower{
 		Store:      d.chain,
-		Table:      toldTable,
-		Wait:       toldWait,
-		Whole:      d.takeAllTold,
-		Restored:   d.takeRestoredTold,
+		Table:      reportTable,
+		Wait:       reportWait,
+		Whole:      d.takeAllReports,
+		Restored:   d.takeRestoredReports,
 		Rewrite:    d.rewriteTime,
-		Changed:    d.takeTold,
+		Changed:    d.takeReports,
 		Hub:        &d.hub,
-		Failed:     d.recordToldError,
-		Recovered:  d.recordRecovered(toldTable),
-		EraChanged: d.recordEra(toldTable),
-		Dropped:    d.recordDropped(toldTable),
+		Failed:     d.recordReportError,
+		Recovered:  d.recordRecovered(reportTable),
+		EraChanged: d.recordEra(reportTable),
+		Dropped:    d.recordDropped(reportTable),
 		Clock:      &d.clock,
 	}
 }
 
-// recordToldError records a failed call for the table. Until it was read, requests cannot be
+// recordReportError records a failed call for the table. Until it was read, requests cannot be
 // served: one of them may be held.
-func (d *Daemon) recordToldError(err error) {
-	if !d.toldRead.Load() {
+func (d *Daemon) recordReportError(err error) {
+	if !d.reportsRead.Load() {
 		d.unreadable.set()
 	}
-	d.recordStoreError(toldTable)(err)
+	d.recordStoreError(reportTable)(err)
 }
 
-// takeAllTold takes the whole table: what is not in it does not hold any more.
-func (d *Daemon) takeAllTold(rows []rowstore.Row, at rowstore.Revision, asOf time.Time) {
-	d.told.keep(rows)
+// takeAllReports takes the whole table: what is not in it does not hold any more.
+func (d *Daemon) takeAllReports(rows []rowstore.Row, at rowstore.Revision, asOf time.Time) {
+	d.reported.keep(rows)
 	d.keepEnds(rows)
 	d.keepLimits(rows, at.Version)
-	d.takeRestoredTold(rows, at, asOf)
+	d.takeRestoredReports(rows, at, asOf)
 }
 
-// takeRestoredTold does so from a restored table, which may lack what daemons are about to
+// takeRestoredReports does so from a restored table, which may lack what daemons are about to
 // write again.
-func (d *Daemon) takeRestoredTold(rows []rowstore.Row, at rowstore.Revision, asOf time.Time) {
-	d.toldEra.Store(at.Era)
-	d.takeTold(rows, at, asOf)
-	d.toldRead.Store(true)
+func (d *Daemon) takeRestoredReports(rows []rowstore.Row, at rowstore.Revision, asOf time.Time) {
+	d.reportsEra.Store(at.Era)
+	d.takeReports(rows, at, asOf)
+	d.reportsRead.Store(true)
 	d.noteKnown()
 }
 
-// takeTold takes rows of toldTable.
-func (d *Daemon) takeTold(rows []rowstore.Row, at rowstore.Revision, _ time.Time) {
+// takeReports takes rows of reportTable.
+func (d *Daemon) takeReports(rows []rowstore.Row, at rowstore.Revision, _ time.Time) {
 	for _, row := range rows {
-		d.written.observe(row)
+		d.recent.observe(row)
 		switch {
 		case isEnd(row):
 			d.takeEnd(row)
@@ -176,14 +176,14 @@
 // takeStall takes the row of a stall.
 func (d *Daemon) takeStall(row rowstore.Row) {
 	if row.Deleted {
-		d.told.forget(row.Key)
+		d.reported.forget(row.Key)
 		return
 	}
-	var told stall
-	if err := json.Unmarshal(row.Value, &told); err != nil {
-		d.told.forget(row.Key)
-		d.recordBadRow(toldTable, row, errors.Wrap(err, "decode stall"))
+	var reported stall
+	if err := json.Unmarshal(row.Value, &reported); err != nil {
+		d.reported.forget(row.Key)
+		d.recordBadRow(reportTable, row, errors.Wrap(err, "decode stall"))
 		return
 	}
-	d.told.take(row.Key, told)
+	d.reported.take(row.Key, reported)
 }
--- a/entry/symptoms.go
+++ b/entry/symptoms.go
@@ -17,15 +17,15 @@
 
 // Figures of telling.
 const (
-	// stallQueue bounds stalls that wait to be told.
+	// stallQueue bounds stalls that wait to be reported.
 	stallQueue = 64
-	// tellAgain is the time between two looks into one group.
-	tellAgain = 700 * time.Millisecond
-	// tellSpread is the time over which daemons spread their words: the first
+	// stallLookPause is the time between two looks into one group.
+	stallLookPause = 700 * time.Millisecond
+	// reportSpread is the time over which daemons spread their reports: the first
 	// one takes about 15 ms to reach the others.
-	tellSpread = 80 * time.Millisecond
-	// tellTime bounds one call.
-	tellTime = time.Second
+	reportSpread = 80 * time.Millisecond
+	// reportCallTime bounds one call.
+	reportCallTime = time.Second
 )
 
 // Stalled notes a group at which requests stand still. It never waits.
@@ -39,10 +39,10 @@
 	}
 }
 
-// tellStalls looks into stalls until ctx ends. Most are only a busy group; so
+// runStallReports looks into stalls until ctx ends. Most are only a busy group; so
 // the group's members are asked for a sign of life first, and the store is told
 // only if one of them does not answer or is slow.
-func (d *Daemon) tellStalls(ctx context.Context) {
+func (d *Daemon) runStallReports(ctx context.Context) {
 	looked := map[string]time.Time{}
 	for {
 		select {
@@ -50,7 +50,7 @@
 			return
 		case server := <-d.stalls:
 			group := server.Membership.Group
-			if time.Since(looked[group]) < tellAgain {
+			if time.Since(looked[group]) < stallLookPause {
 				continue
 			}
 			looked[group] = time.Now()
@@ -76,13 +76,13 @@
 	if !worst.isAny() {
 		return
 	}
-	// Daemons notice together; the first one's word saves the others theirs.
-	time.Sleep(rand.N(tellSpread))
-	if d.told.has(head.Membership) || d.hasEnded(head) || d.outage.Load().IsUnderWay() {
-		// While the store is away nobody can be told: the look after its return is.
+	// Daemons notice together; the first one's report saves the others theirs.
+	time.Sleep(rand.N(reportSpread))
+	if d.reported.has(head.Membership) || d.hasEnded(head) || d.outage.Load().IsUnderWay() {
+		// While the store is away nothing can be reported: the look after its return is.
 		return
 	}
-	d.tellStall(ctx, head, worst)
+	d.reportStall(ctx, head, worst)
 }
 
 // hasEnded tells whether the group of a head has ended while its members were asked.
@@ -135,33 +135,33 @@
 	}
 }
 
-// tellStall writes one stall, unless another daemon has.
-func (d *Daemon) tellStall(ctx context.Context, head fleet.Server, why symptom) {
-	told := stall{
+// reportStall writes one stall, unless another daemon has.
+func (d *Daemon) reportStall(ctx context.Context, head fleet.Server, why symptom) {
+	reported := stall{
 		Epoch: head.Membership.Epoch,
 		By:    d.settings.Name,
 	}
 	if why.isSilence() {
-		told.Silent = why.server
+		reported.Silent = why.server
 	}
-	encoded, err := json.Marshal(told)
+	encoded, err := json.Marshal(reported)
 	if err != nil {
-		d.log.Error("groups: stall not told", logline.Err(err))
+		d.log.Error("groups: stall not reported", logline.Err(err))
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, tellTime)
+	ctx, cancel := context.WithTimeout(ctx, reportCallTime)
 	defer cancel()
 	_, err = d.store.Commit(ctx, rowstore.Transaction{
-		Era: d.toldEra.Load(),
+		Era: d.reportsEra.Load(),
 		Conditions: []rowstore.Condition{
 			{
-				Table: toldTable,
+				Table: reportTable,
 				Key:   head.Membership.Group,
 			},
 		},
 		Writes: []rowstore.Row{
 			{
-				Table: toldTable,
+				Table: reportTable,
 				Key:   head.Membership.Group,
 				Value: encoded,
 			},
--- a/entry/view.go
+++ b/entry/view.go
@@ -43,11 +43,11 @@
 }
 
 // isReady tells whether clients should be sent here: configuration, servers and what
-// daemons tell of them were read, and the view is current. A daemon that is cut off serves
+// daemons report of them were read, and the view is current. A daemon that is cut off serves
 // on those that have a connection to it, where keys may still be accepted, but others serve
 // new ones better; where the store is away for all of them, the balancer uses all of them.
 func (d *Daemon) isReady() bool {
-	isReady := d.hasView() && d.hasTold() && d.IsCurrent()
+	isReady := d.hasView() && d.hasReports() && d.IsCurrent()
 	if d.wasReady.Swap(isReady) != isReady {
 		d.log.Info("daemon: readiness changed", zap.Bool("is_ready", isReady), zap.Int64("config_age_ms", d.Age().Milliseconds()), zap.Bool("accepts_keys", d.MayAcceptKeys()))
 	}
@@ -59,14 +59,14 @@
 	return d.view.Load().Config != nil && d.serversRead.Load()
 }
 
-// toldPatience is how long a daemon that has its view waits for what daemons tell of servers:
+// reportPatience is how long a daemon that has its view waits for what daemons report of servers:
 // a store that answers about all but this table must not keep it from serving. It counts as
 // in touch 3 s after its start, and mostly has read it by then.
-const toldPatience = 1500 * time.Millisecond
+const reportPatience = 1500 * time.Millisecond
 
-// hasTold tells whether what daemons tell of servers was read, or was waited for in vain.
-func (d *Daemon) hasTold() bool {
-	return d.toldRead.Load() || d.viewRead.since() > toldPatience
+// hasReports tells whether what daemons report of servers was read, or was waited for in vain.
+func (d *Daemon) hasReports() bool {
+	return d.reportsRead.Load() || d.viewRead.since() > reportPatience
 }
 
 // Known is closed when configuration and servers were read for the first time.
@@ -89,7 +89,7 @@
 func (d *Daemon) noteKnown() {
 	if d.hasView() && !d.viewRead.has() {
 		d.viewRead.set()
-		time.AfterFunc(toldPatience+time.Millisecond, d.noteKnown)
+		time.AfterFunc(reportPatience+time.Millisecond, d.noteKnown)
 	}
 	if d.isReady() {
 		d.known.set()
