--- a/entry/restore_test.go
+++ b/entry/restore_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"headcourse/core/leader"
 	"headcourse/core/rowstore"
 	"headcourse/core/settings"
 	"headcourse/lab/standin"
@@ -192,6 +193,36 @@
 	})
 }
 
+// Guards against a leader whose lease of the former era still holds, and which ends groups by the
+// entries of a restored store.
+func TestLeaderOfAFormerEraDecidesNothing(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 3)
+	// Every group is open in the entries of now and unknown in those of the copy.
+	s.awaitGroups()
+	heads := len(s.platform.Heads(standin.ModelLarge)) + len(s.platform.Heads(standin.ModelSmall))
+	const decision = "groups: group ends"
+	decided := len(s.lines(decision))
+	// The leader reads the restored entries at once, and learns by its next renewal only that
+	// its lease is lost.
+	s.platform.Store.SilenceTable(leader.Table)
+	s.platform.Store.Restore(s.first, standin.Restoring{
+		RewriteWithin: 2 * leader.Term,
+	})
+	restored := time.Now()
+	s.awaitTrue(func() bool {
+		now := len(s.platform.Heads(standin.ModelLarge)) + len(s.platform.Heads(standin.ModelSmall))
+		qt.Assert(t, now, qt.Equals, heads)
+		qt.Assert(t, s.lines(decision), qt.HasLen, decided)
+		return time.Since(restored) > leader.Term
+	})
+	s.platform.Store.SilenceTable("")
+	s.awaitTrue(func() bool {
+		return len(s.lines("group adopted")) > 0
+	})
+	s.awaitGroups()
+}
+
 // Guards against rows of daemons that nobody writes again after a restore.
 func TestDaemonsWriteAgainWhatARestoreHasLost(t *testing.T) {
 	t.Parallel()
