Soak: limits are checked when crashed servers have started again

A fault of the soak, not of daemons. The stand-in now says when all crashed servers have started again, and the check of crashes ends with that.

--- a/lab/soak/crashing.go
+++ b/lab/soak/crashing.go
@@ -79,5 +79,7 @@
 			broken = append(broken, fmt.Sprintf("%s ended %d servers after %d had ended under it", path, after-before, before))
 		}
 	}
+	// A start forgets what the checks that follow have a server say.
+	s.platform.AwaitRestarts()
 	return broken
 }
--- a/lab/standin/crash.go
+++ b/lab/standin/crash.go
@@ -33,6 +33,8 @@
 	p.crashes[r.URL.Path]++
 	keepsID := p.crashes[r.URL.Path]%2 == 0
 	p.mutex.Unlock()
+	// Before the clients know of the crash.
+	p.restarts.Add(1)
 	startAgain := s.Restart
 	if keepsID {
 		s.Stop()
@@ -41,6 +43,7 @@
 		startAgain = func() error { return p.StartLike(s) }
 	}
 	time.AfterFunc(restartTime, func() {
+		defer p.restarts.Done()
 		if err := startAgain(); err != nil {
 			p.violate("start a server again: " + err.Error())
 		}
@@ -53,3 +56,8 @@
 	defer p.mutex.Unlock()
 	return p.crashes[path]
 }
+
+// AwaitRestarts waits until each server that has crashed has started again.
+func (p *Platform) AwaitRestarts() {
+	p.restarts.Wait()
+}
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -56,7 +56,9 @@
 	runs    map[string]int
 	// crashes counts the servers that crashed, by the path of the request.
 	crashes map[string]int
-	broken  []string
+	// restarts are the starts of crashed servers that are due.
+	restarts sync.WaitGroup
+	broken   []string
 	// promises are what servers said to daemons about further requests.
 	promises promises
 	dir      string
