Stand-in: the platform's mutex is never taken before a server's

Cause, by the dump of goroutines: Platform.Servers held the platform's mutex and waited for a server's in dead(), while that server, which was joining a group, held its own and waited for the platform's in checkFree; 12,845 other calls waited behind them. Now the servers are listed first and asked afterwards, and the order of the mutexes is written beside them; no other place takes them that way round.

--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 type Platform struct {
 	Store *Store
 
+	// mutex is taken after those of servers, never before: servers that carry out orders hold
+	// their own while they call the platform.
 	mutex   sync.Mutex
 	orders  sync.Mutex
 	servers map[string]*Server
@@ -218,12 +221,17 @@
 
 // Servers returns the servers of a service that live, by id.
 func (p *Platform) Servers(service string) []*Server {
+	return slices.DeleteFunc(p.started(service), (*Server).dead)
+}
+
+// started returns all servers of a service that were ever started, by id.
+func (p *Platform) started(service string) []*Server {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var all []*Server
 	for n := 1; n <= p.next; n++ {
 		server, ok := p.servers[fmt.Sprintf("i-%04d", n)]
-		if ok && server.service == service && !server.dead() {
+		if ok && server.service == service {
 			all = append(all, server)
 		}
 	}
