Limits: a cold server's limit is kept beside one that it names

Cause: a cold server bears few requests a second from all daemons together, and nothing counted them: a burst of one request for each daemon breaks the bound.

--- a/core/ratelimit/book.go
+++ b/core/ratelimit/book.go
@@ -21,13 +21,16 @@
 )
 
 // Book keeps limits by the starts of servers (fleet.Server.Start), and what this daemon has
-// sent of its part of each. The zero value is empty and safe for concurrent use.
+// sent of its part of each: those that servers name, and those of servers that are cold. A
+// request to a server with both takes room of both. The zero value is empty and safe for
+// concurrent use.
 type Book struct {
 	// Clock goes on while the machine is suspended, as the server's time does. Set before use.
 	Clock boottime.Clock
 
 	mutex sync.Mutex
 	kept  map[string]*entry
+	cold  map[string]*entry
 }
 
 // entry is the limit of one start of a server. spoken is when its last word came.
@@ -41,6 +44,9 @@
 	bucket    bucket
 	// asked is the turn in which this daemon asked last whether the limit holds.
 	asked int
+	// until is when the limit of a cold server ends; zero: the limit is one that the server
+	// names.
+	until time.Time
 }
 
 // learn notes a limit that came now. The mutex is held.
@@ -135,11 +141,42 @@
 	return one.limit, b.Clock.Since(one.spoken)
 }
 
+// LimitCold limits a start that is cold for some time from now on.
+func (b *Book) LimitCold(start string, limit Limit, length time.Duration) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	now := b.Clock.Now()
+	one := b.cold[start]
+	if one == nil {
+		one = &entry{
+			bucket: bucket{
+				filled: now,
+			},
+		}
+		if b.cold == nil {
+			b.cold = map[string]*entry{}
+		}
+		b.cold[start] = one
+	}
+	one.limit = limit
+	one.until = now.Add(length)
+}
+
 // Has tells whether a start has a limit.
 func (b *Book) Has(start string) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.kept[start] != nil
+	return b.kept[start] != nil || b.coldNow(start, b.Clock.Now()) != nil
+}
+
+// coldNow returns the limit of a start that is cold, or nil. The mutex is held.
+func (b *Book) coldNow(start string, now time.Time) *entry {
+	one := b.cold[start]
+	if one == nil || now.Before(one.until) {
+		return one
+	}
+	delete(b.cold, start)
+	return nil
 }
 
 // IsEmpty tells whether no server has a limit, which is so at most times: then nobody needs
@@ -147,18 +184,34 @@
 func (b *Book) IsEmpty() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return len(b.kept) == 0
+	return len(b.kept) == 0 && len(b.cold) == 0
 }
 
-// filled returns the entry of a start with the tokens that are due; nil where it has no limit.
+// filled returns the limits of a start with the tokens that are due; none where it has no limit.
 // The mutex is held.
-func (b *Book) filled(start string, place Place, now time.Time) *entry {
+func (b *Book) filled(start string, place Place, now time.Time) []*entry {
 	b.settle(start, now)
-	one := b.kept[start]
-	if one != nil {
+	var limits []*entry
+	if one := b.kept[start]; one != nil {
+		limits = append(limits, one)
+	}
+	if one := b.coldNow(start, now); one != nil {
+		limits = append(limits, one)
+	}
+	for _, one := range limits {
 		one.bucket.fill(one.limit, place, now)
 	}
-	return one
+	return limits
+}
+
+// haveRoom tells whether a further request may be sent now under all limits of a start.
+func haveRoom(limits []*entry, now time.Time) bool {
+	for _, one := range limits {
+		if !one.hasRoom(now) {
+			return false
+		}
+	}
+	return true
 }
 
 // hasRoom tells whether a further request may be sent now.
@@ -166,6 +219,15 @@
 	return e.bucket.missing() == 0 || e.mayAsk(now)
 }
 
+// spend takes the room for one request, where there is room.
+func (e *entry) spend(now time.Time) {
+	if e.bucket.missing() > 0 {
+		e.asked = e.turn(now)
+		return
+	}
+	e.bucket.tokens--
+}
+
 // mayAsk tells whether this daemon is to ask now whether the limit still holds.
 func (e *entry) mayAsk(now time.Time) bool {
 	turn := e.turn(now)
@@ -176,7 +238,7 @@
 // turn returns the number of the turn to ask, from 1; 0: nobody asks yet.
 func (e *entry) turn(now time.Time) int {
 	quiet := now.Sub(e.spoken) - askAfter
-	if quiet < 0 {
+	if isCold := !e.until.IsZero(); isCold || quiet < 0 {
 		return 0
 	}
 	return 1 + int(quiet/askTurn)
@@ -187,8 +249,7 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.Clock.Now()
-	one := b.filled(start, place, now)
-	return one == nil || one.hasRoom(now)
+	return haveRoom(b.filled(start, place, now), now)
 }
 
 // Wait returns in how long there is room; isEver is false where this daemon has no part.
@@ -196,11 +257,29 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.Clock.Now()
-	one := b.filled(start, place, now)
-	if one == nil || one.hasRoom(now) {
+	isEver = true
+	for _, one := range b.filled(start, place, now) {
+		oneWait, hasPart := one.wait(now)
+		wait = max(wait, oneWait)
+		isEver = isEver && hasPart
+	}
+	return wait, isEver
+}
+
+// wait returns in how long there is room for a further request, and whether there ever is.
+func (e *entry) wait(now time.Time) (wait time.Duration, isEver bool) {
+	if e.hasRoom(now) {
 		return 0, true
 	}
-	return one.bucket.wait()
+	wait, isEver = e.bucket.wait()
+	if e.until.IsZero() {
+		return wait, isEver
+	}
+	ends := e.until.Sub(now)
+	if !isEver {
+		return ends, true
+	}
+	return min(wait, ends), true
 }
 
 // Reserve keeps room for a request that is to be sent soon, and returns false where there is
@@ -209,20 +288,18 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	now := b.Clock.Now()
-	reservation := &Reservation{
-		book:  b,
-		start: start,
-	}
-	one := b.filled(start, place, now)
-	if one == nil {
-		return reservation, true
-	}
-	if !one.hasRoom(now) {
+	limits := b.filled(start, place, now)
+	if !haveRoom(limits, now) {
 		return nil, false
 	}
-	one.bucket.reserved++
-	reservation.of = one
-	return reservation, true
+	for _, one := range limits {
+		one.bucket.reserved++
+	}
+	return &Reservation{
+		book:  b,
+		start: start,
+		of:    limits,
+	}, true
 }
 
 // Sweep forgets limits of starts that isKnown does not know and of which nothing was heard
@@ -235,4 +312,8 @@
 			delete(b.kept, start)
 		}
 	}
+	now := b.Clock.Now()
+	for start := range b.cold {
+		b.coldNow(start, now)
+	}
 }
--- a/core/ratelimit/limit.go
+++ b/core/ratelimit/limit.go
@@ -21,6 +21,9 @@
 	// IsUnclear tells that the answer names a limit that makes no sense: it is none, and
 	// does not tell that the one before is over.
 	IsUnclear bool
+	// Excess is how many requests beyond the limit may come in a window, from all daemons; 0:
+	// as many as beyond the limits that servers name.
+	Excess float64
 }
 
 // Named returns the limit of a number of requests a second; one that is no number from 0 on
@@ -37,6 +40,27 @@
 	}
 }
 
+// coldPart is the part of what a cold server bears that daemons send it: it falls over at well
+// above that, and who has not observed yet that it is cold sends more.
+const coldPart = 0.9
+
+// Cold returns the limit of a cold server that bears a number of requests a second. In any
+// second it may get factor times as many and extra ones, from all daemons.
+func Cold(perSecond, factor, extra float64) Limit {
+	limit := Named(coldPart * perSecond)
+	limit.Excess = max(1, factor*perSecond+extra-limit.PerSecond)
+	return limit
+}
+
+// excess returns how many requests beyond the limit may come in a window.
+func (l Limit) excess() float64 {
+	if l.Excess > 0 {
+		return l.Excess
+	}
+	rate := max(l.PerSecond, leastPerSecond)
+	return (toleratedFactor-1)*rate*window.Seconds() + toleratedExtra
+}
+
 // Lowest returns the strictest of what several words of one answer say. A word that is
 // unclear counts only where no other names a limit.
 func Lowest(words ...Limit) Limit {
--- a/core/ratelimit/part.go
+++ b/core/ratelimit/part.go
@@ -52,7 +52,7 @@
 // excess; the others leave the server to them.
 func (l Limit) Part(place Place) Part {
 	rate := max(l.PerSecond, leastPerSecond)
-	bursts := int(burstPart * ((toleratedFactor-1)*rate*window.Seconds() + toleratedExtra))
+	bursts := max(1, int(burstPart*l.excess()))
 	sharing := min(bursts, place.Of)
 	if place.Rank >= sharing {
 		return Part{}
--- a/core/ratelimit/reservation.go
+++ b/core/ratelimit/reservation.go
@@ -7,8 +7,8 @@
 type Reservation struct {
 	book  *Book
 	start string
-	// of is the limit under which room is kept; nil: there was none, or it is kept no more.
-	of *entry
+	// of are the limits under which room is kept; none: there was none, or it is kept no more.
+	of []*entry
 }
 
 // Take spends the room, right before the request's first byte, and returns when that is by
@@ -19,17 +19,12 @@
 	defer r.book.mutex.Unlock()
 	r.release()
 	now := r.book.Clock.Now()
-	one := r.book.filled(r.start, place, now)
-	if one == nil {
-		return now, true
-	}
-	if !one.hasRoom(now) {
+	limits := r.book.filled(r.start, place, now)
+	if !haveRoom(limits, now) {
 		return time.Time{}, false
 	}
-	if one.bucket.missing() > 0 {
-		one.asked = one.turn(now)
-	} else {
-		one.bucket.tokens--
+	for _, one := range limits {
+		one.spend(now)
 	}
 	return now, true
 }
@@ -43,8 +38,8 @@
 
 // release keeps the room no longer. The book's mutex is held.
 func (r *Reservation) release() {
-	if r.of != nil {
-		r.of.bucket.reserved--
-		r.of = nil
+	for _, one := range r.of {
+		one.bucket.reserved--
 	}
+	r.of = nil
 }
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -63,7 +63,7 @@
 // reportLimitEnd reports that a limit is over, as long as the store has its row, and this daemon
 // knows no new one.
 func (d *Daemon) reportLimitEnd(start string, tries int) {
-	if tries == 0 || d.limits.Has(start) {
+	if named, _ := d.limits.Known(start); tries == 0 || named.IsNamed {
 		return
 	}
 	if d.notices.Speak(start, ratelimit.Limit{}) {
