Evacuated zones get no requests, cold servers what they bear

Change: core/evacuation holds the evacuated zones as a part of the view; the configuration's follower takes them, so that they reach daemons as it does, over restarts and restores too. Daemons leave a zone one after the other within a part of the bound, checked right before the send; the leader forms groups elsewhere meanwhile, none there, and keeps those of the zone for its return, when its servers count as cold for the time of a start. The stand-in and the soak learn both.

--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -43,6 +43,7 @@
 	"github.com/pkg/errors"
 
 	"headcourse/core/config"
+	"headcourse/core/evacuation"
 	"headcourse/core/fleet"
 	"headcourse/core/rowstore"
 	"headcourse/core/usage"
@@ -157,6 +158,8 @@
 type World struct {
 	Config *config.Config
 	Fleet  fleet.View
+	// Evacuated are the zones whose groups get no requests, or soon will get none.
+	Evacuated evacuation.Zones
 	// Era is the store's in which this daemon leads.
 	Era int64
 	// IsSteady tells that the store has worked for long enough that a missing
--- a/core/assembly/layout.go
+++ b/core/assembly/layout.go
@@ -80,6 +80,10 @@
 			return
 		}
 		head, _ := world.Fleet.Server(record.Members[0])
+		if world.Evacuated.Has(head.Zone) {
+			// It serves nobody, and is kept for when the zone is taken back.
+			return
+		}
 		if record.IsWarmUp {
 			at.addWarming(head.Domain, record.Model)
 			return
@@ -96,7 +100,9 @@
 		if !c.isSlow(g) {
 			note(g.record)
 		}
-		if head, ok := world.Fleet.Server(g.record.Members[0]); ok && g.wasOpen && g.record.Service == at.service.Name {
+		head, ok := world.Fleet.Server(g.record.Members[0])
+		isServing := ok && g.wasOpen && !world.Evacuated.Has(head.Zone)
+		if isServing && g.record.Service == at.service.Name {
 			at.groups[head.Domain] = append(at.groups[head.Domain], g)
 		}
 	}
@@ -111,7 +117,7 @@
 	taken := c.taken()
 	isListed := map[string]bool{}
 	for _, server := range world.Fleet.Servers() {
-		if !isMaterial(server, at.service.Name) {
+		if !world.isMaterial(server, at.service.Name) {
 			continue
 		}
 		at.total++
@@ -140,8 +146,8 @@
 
 // isMaterial tells whether groups of a service may be made of a server, free or
 // not.
-func isMaterial(server fleet.Server, service string) bool {
-	return server.Service == service && server.IsEngine && !server.Draining
+func (w World) isMaterial(server fleet.Server, service string) bool {
+	return server.Service == service && server.IsEngine && !server.Draining && !w.Evacuated.Has(server.Zone)
 }
 
 // soonest returns the servers of a domain that form a group of a model soonest.
--- a/core/assembly/second.go
+++ b/core/assembly/second.go
@@ -22,7 +22,7 @@
 func (c *Controller) stageSeconds(at *layout, world World, plan *Plan) {
 	var waiting []fleet.Server
 	for _, server := range world.Fleet.Servers() {
-		if isMaterial(server, at.service.Name) && !c.isStaging(server) && hasRoomForSecond(server, at.service.Engine) {
+		if world.isMaterial(server, at.service.Name) && !c.isStaging(server) && hasRoomForSecond(server, at.service.Engine) {
 			waiting = append(waiting, server)
 		}
 	}
--- a/core/assembly/sim_test.go
+++ b/core/assembly/sim_test.go
@@ -8,6 +8,7 @@
 
 	"headcourse/core/assembly"
 	"headcourse/core/config"
+	"headcourse/core/evacuation"
 	"headcourse/core/fleet"
 	"headcourse/core/usage"
 )
@@ -50,6 +51,10 @@
 	// asked is what callers ask of each model, in requests of 100 tokens; one that is not
 	// there is not known.
 	asked map[string]usage.Rate
+	// zones are the zones of domains, evacuated those that are evacuated. A join there is a
+	// violation.
+	zones     map[string]string
+	evacuated evacuation.Zones
 }
 
 // lateOrder is an order that is carried out later.
@@ -195,6 +200,7 @@
 		Born:     one.born,
 		Service:  "engines",
 		Address:  "10.0.0.1:1",
+		Zone:     s.zones[one.domain],
 		Domain:   one.domain,
 		Draining: one.drains,
 		IsEngine: true,
@@ -235,6 +241,11 @@
 	}
 }
 
+// zoneOf returns the zone of a server.
+func (s *simFleet) zoneOf(id string) string {
+	return s.zones[s.servers[id].domain]
+}
+
 // stored returns the records, as a new leader reads them.
 func (s *simFleet) stored() []assembly.Record {
 	var all []assembly.Record
@@ -258,6 +269,7 @@
 	plan := c.Step(assembly.World{
 		Config:     s.config,
 		Fleet:      s.look(),
+		Evacuated:  s.evacuated,
 		Era:        s.era,
 		IsSteady:   true,
 		IsStart:    isStart,
@@ -269,6 +281,11 @@
 			return rate, isKnown
 		},
 	})
+	for _, record := range plan.Create {
+		if zone := s.zoneOf(record.Members[0]); s.evacuated.Has(zone) {
+			s.violated = append(s.violated, "group "+record.Name+" formed in evacuated zone "+zone)
+		}
+	}
 	s.probes += len(plan.Probes)
 	for _, server := range plan.Probes {
 		c.Probed(server.ID, s.probe(server))
@@ -355,9 +372,14 @@
 func (s *simFleet) serving(model string) int {
 	count := 0
 	for _, one := range s.servers {
-		if one.state == fleet.Open && one.model == model && !one.isDead && one.stillAt.IsZero() {
+		if one.model == model && s.isServing(one) {
 			count++
 		}
 	}
 	return count
 }
+
+// isServing tells whether a server is the head of a group that serves whole.
+func (s *simFleet) isServing(one *simServer) bool {
+	return one.state == fleet.Open && !one.isDead && one.stillAt.IsZero()
+}
--- a/core/assembly/suspect.go
+++ b/core/assembly/suspect.go
@@ -106,7 +106,7 @@
 	lost, _ := world.Fleet.Server(member)
 	taken := c.taken()
 	for _, server := range world.Fleet.Servers() {
-		isNear := server.Domain == lost.Domain && isMaterial(server, g.record.Service)
+		isNear := server.Domain == lost.Domain && world.isMaterial(server, g.record.Service)
 		isFit := (server.HasStaged(g.record.Model) || server.CanRejoin(g.record.Model)) && !taken[server.ID]
 		if isNear && isFit && c.isFree(server, plan) {
 			return true
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -79,10 +79,21 @@
 	HealthPath string
 	// MaxConns is how many connections one backend server takes from all VMs.
 	MaxConns int
+	// Cold is what a backend server bears that has just started.
+	Cold Cold
 	// Engine is set for model engines, whose backend servers form groups.
 	Engine *Engine
 }
 
+// Cold describes the cold start of a backend server. The zero value is one that is never
+// cold.
+type Cold struct {
+	// Start is how long the server stays cold after a start.
+	Start time.Duration
+	// PerSecond is how many requests a second it bears meanwhile; 0: not told.
+	PerSecond float64
+}
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	// Capacity is how many requests a group runs at once.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -56,6 +56,8 @@
 	Capacity int
 	// Draining servers finish what they have and then leave.
 	Draining bool
+	// ColdFor is for how long the server stays cold from when it wrote its entry.
+	ColdFor time.Duration
 	// Models are loaded; Staged are kept on the host, quick to load.
 	Models []string
 	Staged []string
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -92,6 +92,8 @@
 	Directive directive.Directive
 	// Limit is what the server says it takes from all daemons together.
 	Limit ratelimit.Limit
+	// ColdFor is for how long the server says it stays cold; 0: it does not say so.
+	ColdFor time.Duration
 }
 
 // Reason names why a request was refused, sent again or ended early. Each has
@@ -121,4 +123,5 @@
 	ReasonCrashes       Reason = "crashes_servers"
 	ReasonPaused        Reason = "servers_paused"
 	ReasonLimited       Reason = "servers_limited"
+	ReasonEvacuated     Reason = "zone_evacuated"
 )
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -53,6 +53,12 @@
 	// LoadWindow and LoadExcess bound the loads of weights that may begin.
 	LoadWindow time.Duration
 	LoadExcess float64
+	// A cold server may get, in any second, ColdExcess times the requests that it bears and
+	// ColdSlack more, from all daemons; 0: as many as it bears.
+	ColdExcess float64
+	ColdSlack  float64
+	// EvacuateWithin is when an evacuated zone must get no more requests; 0: at once.
+	EvacuateWithin time.Duration
 }
 
 // WithMetricsPort returns the settings with metrics served on a port of the VM's
--- a/entry/control.go
+++ b/entry/control.go
@@ -184,6 +184,7 @@
 	return assembly.World{
 		Config:     view.Config,
 		Fleet:      view.Fleet,
+		Evacuated:  view.Evacuated,
 		Era:        t.lease.Era(),
 		IsSteady:   d.outage.Load().IsSteady(),
 		IsStart:    d.settings.IsFirstStart && !d.gateway.HadRequests() && time.Since(d.began) < startTime,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -115,8 +115,10 @@
 	serversEra atomic.Int64
 	reportsEra atomic.Int64
 	storeEra   atomic.Int64
-	// configRow is the row of the configuration in force.
+	// configRow is the row of the configuration in force, configEra the era in which its table
+	// was read last.
 	configRow atomic.Pointer[rowstore.Row]
+	configEra atomic.Int64
 	// outage is the last time that the servers' table could not be followed.
 	outage atomic.Pointer[fleet.Outage]
 	// stalls are heads at which requests stand still, to be looked into; reported are
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -45,11 +45,17 @@
 // newSiteWith is newSite with settings of all daemons edited.
 func newSiteWith(t *testing.T, daemons int, edit func(known *settings.Settings)) *site {
 	t.Helper()
-	platformStandin, err := standin.Start(t.TempDir(), standin.Size{
+	return newSiteOf(t, daemons, standin.Size{
 		Domains:   2,
 		PerDomain: 8,
 		Plain:     3,
-	})
+	}, edit)
+}
+
+// newSiteOf is newSiteWith a stand-in of some size.
+func newSiteOf(t *testing.T, daemons int, size standin.Size, edit func(known *settings.Settings)) *site {
+	t.Helper()
+	platformStandin, err := standin.Start(t.TempDir(), size)
 	qt.Assert(t, err, qt.IsNil)
 	core, logs := observer.New(zapcore.DebugLevel)
 	s := &site{
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -16,23 +16,31 @@
 
 // configFollower follows the operator's configuration.
 func (d *Daemon) configFollower() *rowstore.Follower {
-	take := func(rows []rowstore.Row, _ rowstore.Revision, asOf time.Time) {
-		for _, row := range rows {
-			if platform.IsConfig(row.Key) && !row.Deleted {
-				d.takeConfig(row)
+	take := func(isWhole bool) func([]rowstore.Row, rowstore.Revision, time.Time) {
+		return func(rows []rowstore.Row, at rowstore.Revision, asOf time.Time) {
+			for _, row := range rows {
+				if platform.IsConfig(row.Key) && !row.Deleted {
+					d.takeConfig(row)
+				}
 			}
+			// Before the view is confirmed: its age tells since when a zone may be evacuated.
+			d.takeEvacuations(rows, isWhole)
+			d.configEra.Store(at.Era)
+			d.fresh.Confirm(asOf)
+			d.noteKnown()
 		}
-		d.fresh.Confirm(asOf)
-		d.noteKnown()
 	}
 	return &rowstore.Follower{
-		Store:      d.chain,
-		Hub:        &d.hub,
-		Table:      platform.ConfigTable,
-		Wait:       part(d.settings.ApplyWithin, waitPart),
-		Whole:      take,
-		Changed:    take,
-		Merge:      d.keepNewestConfig,
+		Store:   d.chain,
+		Hub:     &d.hub,
+		Table:   platform.ConfigTable,
+		Wait:    part(d.settings.ApplyWithin, waitPart),
+		Whole:   take(true),
+		Changed: take(false),
+		Merge: func(read rowstore.Result) rowstore.Result {
+			return d.keepEvacuations(d.keepNewestConfig(read))
+		},
+		Rewrite:    d.rewriteTime,
 		Failed:     d.recordOutage(platform.ConfigTable),
 		Recovered:  d.recordReturn(platform.ConfigTable),
 		EraChanged: d.recordEra(platform.ConfigTable),
@@ -57,6 +65,9 @@
 	d.change(func(view *gateway.View) {
 		view.Config = read
 	})
+	if former == nil {
+		d.limitAllCold(read)
+	}
 	d.log.Info("configuration: taken",
 		zap.Int64("config_version", read.Version),
 		zap.Int64("former_version", versionOf(former)),
@@ -144,8 +155,13 @@
 	}
 	// Before the view: a leader of a former era must not act on this one.
 	d.serversEra.Store(at.Era)
+	known := d.view.Load().Config
 	for _, server := range servers {
 		d.noteStart(former, server)
+		before, wasKnown := former.Server(server.ID)
+		if !wasKnown || before.Born != server.Born || before.ColdFor != server.ColdFor {
+			d.limitCold(known, server)
+		}
 	}
 	d.change(func(view *gateway.View) {
 		view.Fleet = view.Fleet.WithAll(at.Version, servers, d.outage.Load().LostUntil(d.grace()), void...)
@@ -182,8 +198,10 @@
 		})
 	}
 	former := d.view.Load().Fleet
+	known := d.view.Load().Config
 	for _, change := range changes {
 		d.noteStart(former, change.Server)
+		d.limitCold(known, change.Server)
 	}
 	d.change(func(view *gateway.View) {
 		view.Fleet = view.Fleet.WithChanges(at.Version, changes, d.outage.Load().LostUntil(d.grace()))
--- a/io/gateway/directives.go
+++ b/io/gateway/directives.go
@@ -65,14 +65,26 @@
 }
 
 // serving returns the servers that may be sent a request of a service and model now: those
-// of the view without those that said that they want none, or no more than they get. The
-// caller must not change it.
+// of the view without those that said that they want none, get no more than they take, or are
+// in an evacuated zone. The caller must not change it.
 func (s *Server) serving(service, model string) []fleet.Server {
-	known := s.source.View().Fleet.Serving(service, model)
-	if (s.directives.IsEmpty() && s.limits.IsEmpty()) || !slices.ContainsFunc(known, s.wantsNone) {
+	view := s.source.View()
+	known := view.Fleet.Serving(service, model)
+	if s.directives.IsEmpty() && s.limits.IsEmpty() && view.Evacuated.IsEmpty() {
 		return known
 	}
-	return slices.DeleteFunc(slices.Clone(known), s.wantsNone)
+	getsNone := func(server fleet.Server) bool {
+		return s.isLeft(view, server) || s.wantsNone(server)
+	}
+	if !slices.ContainsFunc(known, getsNone) {
+		return known
+	}
+	return slices.DeleteFunc(slices.Clone(known), getsNone)
+}
+
+// isLeft tells whether a server's zone is evacuated, so that it gets no more requests.
+func (s *Server) isLeft(view View, server fleet.Server) bool {
+	return !view.Evacuated.IsEmpty() && view.Evacuated.IsLeft(server.Zone, s.clock.Now())
 }
 
 // wantsNone tells whether a server has said that it wants no request of this daemon now.
@@ -83,7 +95,8 @@
 // withheld tells why no server of a service and model is sent a request now, though there
 // are some.
 type withheld struct {
-	// reason is ReasonPaused or ReasonLimited; none where a server takes requests.
+	// reason is ReasonPaused, ReasonLimited or ReasonEvacuated; none where a server takes
+	// requests.
 	reason request.Reason
 	// left is when the first one takes requests of this daemon again; 0: not known.
 	left time.Duration
@@ -96,15 +109,9 @@
 	if len(s.serving(service, model)) > 0 {
 		return first
 	}
-	for _, server := range s.source.View().Fleet.Serving(service, model) {
-		one := withheld{
-			reason: request.ReasonPaused,
-			left:   s.directives.PauseLeft(server.Start()),
-		}
-		if !s.directives.Forbids(server.Start()) {
-			one.reason = request.ReasonLimited
-			one.left, _ = s.limits.Wait(server.Start(), s.source.LimitPlace(server))
-		}
+	view := s.source.View()
+	for _, server := range view.Fleet.Serving(service, model) {
+		one := s.whyNone(view, server)
 		if isLeaving := one.reason == request.ReasonPaused && one.left == 0; isLeaving {
 			continue
 		}
@@ -114,3 +121,24 @@
 	}
 	return first
 }
+
+// whyNone returns why a server is sent no request now.
+func (s *Server) whyNone(view View, server fleet.Server) withheld {
+	switch {
+	case s.isLeft(view, server):
+		return withheld{
+			reason: request.ReasonEvacuated,
+		}
+	case s.directives.Forbids(server.Start()):
+		return withheld{
+			reason: request.ReasonPaused,
+			left:   s.directives.PauseLeft(server.Start()),
+		}
+	default:
+		left, _ := s.limits.Wait(server.Start(), s.source.LimitPlace(server))
+		return withheld{
+			reason: request.ReasonLimited,
+			left:   left,
+		}
+	}
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"headcourse/core/config"
 	"headcourse/core/demand"
 	"headcourse/core/directive"
+	"headcourse/core/evacuation"
 	"headcourse/core/fleet"
 	"headcourse/core/quarantine"
 	"headcourse/core/ratelimit"
@@ -56,6 +57,8 @@
 	// Config is nil until one is known.
 	Config *config.Config
 	Fleet  fleet.View
+	// Evacuated are the zones whose servers are to get no requests.
+	Evacuated evacuation.Zones
 }
 
 // Source gives the view and takes what requests find out.
@@ -86,6 +89,8 @@
 	// LimitHeard is told what an answer of a server says of its limit, where it names one or
 	// told that one is over.
 	LimitHeard(server fleet.Server, said ratelimit.Limit)
+	// ServerCold is told of an answer by which a server is cold.
+	ServerCold(server fleet.Server)
 	// Stalled is told of a server that stands still with requests under way.
 	Stalled(server fleet.Server)
 	// Ended is told of a server that ended with a request under way, of which all
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -101,6 +101,9 @@
 // LimitHeard notes nothing.
 func (s *source) LimitHeard(fleet.Server, ratelimit.Limit) {}
 
+// ServerCold notes nothing.
+func (s *source) ServerCold(fleet.Server) {}
+
 // Stalled notes nothing.
 func (s *source) Stalled(fleet.Server) {}
 
--- a/io/gateway/limits.go
+++ b/io/gateway/limits.go
@@ -56,6 +56,14 @@
 		zap.Int("lines_left_out", leftOut))
 }
 
+// heedCold notes that a server's answer says that it is cold.
+func (s *Server) heedCold(server fleet.Server, coldFor time.Duration) {
+	if coldFor > 0 {
+		server.ColdFor = coldFor
+		s.source.ServerCold(server)
+	}
+}
+
 // hasRoom tells whether this daemon may send a server a request by its limit.
 func (s *Server) hasRoom(server fleet.Server) bool {
 	start := server.Start()
--- a/io/gateway/try.go
+++ b/io/gateway/try.go
@@ -37,7 +37,7 @@
 // mayHaveArrived tells whether any of the request may have reached the server.
 func (t tried) mayHaveArrived() bool {
 	switch t.reason {
-	case request.ReasonConnect, request.ReasonPaused, request.ReasonLimited:
+	case request.ReasonConnect, request.ReasonPaused, request.ReasonLimited, request.ReasonEvacuated:
 		return t.mayHaveRun
 	default:
 		return true
@@ -114,6 +114,10 @@
 		return tried{
 			reason: request.ReasonLimited,
 		}
+	case errors.Is(err, errEvacuated):
+		return tried{
+			reason: request.ReasonEvacuated,
+		}
 	case err != nil:
 		var failed *http1.Error
 		sent := errors.As(err, &failed) && failed.Sent
@@ -152,15 +156,16 @@
 }
 
 // Errors of requests that were not written: errPaused where the server has said that it wants
-// none, errLimited where it gets as many as it takes.
+// none, errLimited where it gets as many as it takes, errEvacuated where its zone is evacuated.
 var (
-	errPaused  = errors.New("the server wants no request")
-	errLimited = errors.New("the server takes no more requests now")
+	errPaused    = errors.New("the server wants no request")
+	errLimited   = errors.New("the server takes no more requests now")
+	errEvacuated = errors.New("the server's zone is evacuated")
 )
 
-// send writes the request to a server. It returns errPaused or errLimited where the server has
-// said so since it was chosen: on a busy machine, or where the connection was slow to come up,
-// that may be hundreds of milliseconds later.
+// send writes the request to a server. It returns errPaused, errLimited or errEvacuated where
+// that has come to hold since the server was chosen: on a busy machine, or where the connection
+// was slow to come up, that may be hundreds of milliseconds later.
 func (j *job) send(chosen choice, head []byte) (*backend.Exchange, error) {
 	server := chosen.server
 	exchange, err := j.server.backends.Connect(server.ID, server.Address)
@@ -171,6 +176,10 @@
 		exchange.Release()
 		return nil, errPaused
 	}
+	if j.server.isLeft(j.server.source.View(), server) {
+		exchange.Release()
+		return nil, errEvacuated
+	}
 	if !j.takeRoom(chosen) {
 		exchange.Release()
 		return nil, errLimited
@@ -210,6 +219,7 @@
 		answer = j.server.dialect.ReadAnswer(&head)
 		j.server.heed(server, answer.Directive)
 		j.heedLimit(server, answer)
+		j.server.heedCold(server, answer.ColdFor)
 		if answer.ID == j.request.ID || answer.ID == "" {
 			return answer, isMisplaced, nil
 		}
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -119,6 +119,14 @@
 		name:  "store restored from an older copy",
 		begin: restoreStore,
 	},
+	{
+		name:  "zone is evacuated",
+		begin: evacuateZone,
+	},
+	{
+		name:  "servers turn cold",
+		begin: coolServers,
+	},
 }
 
 // Times between and of troubles.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -121,6 +121,7 @@
 	broken := s.await("recovery")
 	broken = append(broken, s.checkCrashing()...)
 	broken = append(broken, s.checkLimits()...)
+	broken = append(broken, s.checkEvacuation()...)
 	broken = append(broken, s.checkRestore()...)
 	close(copied)
 	copier.Wait()
@@ -147,6 +148,7 @@
 		Domains:   2,
 		PerDomain: 8,
 		Plain:     3,
+		Zones:     zonesOfServers,
 		Lead:      s.proxyFor,
 	})
 	if err != nil {
--- a/lab/standin/answers.go
+++ b/lab/standin/answers.go
@@ -17,6 +17,8 @@
 		return
 	}
 	s.platform.checkDirectives(s, r)
+	s.platform.checkEvacuated(s)
+	s.checkCold()
 	s.platform.checkLimit(s, r.Header.Get(headerDaemon))
 	s.mutex.Lock()
 	mood := s.mood
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -17,7 +17,6 @@
 
 // Figures of the stand-in: a real deployment's, made quick.
 const (
-	zone           = "lab-a"
 	slots          = 26
 	loadTime       = 120 * time.Millisecond
 	workTime       = 5 * time.Millisecond
@@ -29,6 +28,15 @@
 	leaveTime = 2500 * time.Millisecond
 )
 
+// zones are the availability zones: daemons are in the first one, servers in as many as the
+// stand-in is made with.
+var zones = []string{"lab-a", "lab-b", "lab-c"}
+
+// Zone returns the name of a zone by its number.
+func Zone(number int) string {
+	return zones[number%len(zones)]
+}
+
 // Names that the stand-in's configuration uses.
 const (
 	Host         = "water.example"
@@ -64,8 +72,10 @@
 	broken   []string
 	// promises are what servers said to daemons about further requests.
 	promises promises
-	dir      string
-	lead     func(address string) (string, error)
+	// evacuated are the zones that the operator has evacuated.
+	evacuated evacuations
+	dir       string
+	lead      func(address string) (string, error)
 }
 
 // Size is how large a stand-in is.
@@ -73,11 +83,18 @@
 	Domains   int
 	PerDomain int
 	Plain     int
+	// Zones is in how many zones the domains, and the plain servers, are in turn; 0: in one.
+	Zones int
 	// Lead, if set, returns the address by which others reach a server that
 	// listens at address, such as that of a proxy.
 	Lead func(address string) (string, error)
 }
 
+// zone returns the zone of a domain or plain server by its number.
+func (s Size) zone(number int) string {
+	return Zone(number % max(1, s.Zones))
+}
+
 // Start starts a platform whose settings files are written into dir.
 func Start(dir string, size Size) (*Platform, error) {
 	store, err := startStore()
@@ -97,13 +114,13 @@
 	p.writeConfig()
 	for d := range size.Domains {
 		for range size.PerDomain {
-			if err = p.startServer(ServiceModel, fmt.Sprintf("rack-%d", d)); err != nil {
+			if err = p.startServer(ServiceModel, fmt.Sprintf("rack-%d", d), size.zone(d)); err != nil {
 				return nil, err
 			}
 		}
 	}
-	for range size.Plain {
-		if err = p.startServer(ServicePlain, ""); err != nil {
+	for i := range size.Plain {
+		if err = p.startServer(ServicePlain, "", size.zone(i)); err != nil {
 			return nil, err
 		}
 	}
@@ -159,12 +176,16 @@
 		},
 		Services: []wire.Service{
 			{
-				Name:     ServicePlain,
-				MaxConns: 100,
+				Name:       ServicePlain,
+				MaxConns:   100,
+				ColdStartS: coldStart.Seconds(),
+				ColdPerS:   coldPerSecond,
 			},
 			{
-				Name:     ServiceModel,
-				MaxConns: 400,
+				Name:       ServiceModel,
+				MaxConns:   400,
+				ColdStartS: coldStart.Seconds(),
+				ColdPerS:   coldPerSecond,
 				Engine: &wire.Engine{
 					Capacity: slots,
 					Models: []wire.Model{
@@ -303,7 +324,7 @@
 
 // StartLike starts an empty server of the service and the domain of another.
 func (p *Platform) StartLike(former *Server) error {
-	return p.startServer(former.service, former.domain)
+	return p.startServer(former.service, former.domain, former.state.Zone)
 }
 
 // violate notes something that must never happen.
@@ -411,6 +432,9 @@
   StallMs: 1500
   CeilingWindowS: 5
   CeilingExcess: 1.1
+  ColdExcess: 1.5
+  ColdSlack: 5
+  EvacuateMs: 1500
 Platform:
   Address: %q
 `
@@ -425,7 +449,7 @@
 // address, such as that of a proxy.
 func (p *Platform) WriteSettingsFor(name, store string, clients, ready, relay int) (string, error) {
 	path := filepath.Join(p.dir, name+".yaml")
-	text := fmt.Sprintf(settingsText, name, zone, clients, ready, relay, relay, store)
+	text := fmt.Sprintf(settingsText, name, Zone(0), clients, ready, relay, relay, store)
 	const readable = 0o600
 	return path, errors.Wrapf(os.WriteFile(path, []byte(text), readable), "write settings of %s", name)
 }
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -38,6 +38,7 @@
 	isLeaving bool
 	// limit is what all answers say that the server takes a second; nil: nothing.
 	limit *float64
+	cold  cold
 }
 
 // SetPace makes the server's report say how many times longer its work takes.
@@ -62,7 +63,7 @@
 )
 
 // startServer starts a server and writes its entry.
-func (p *Platform) startServer(service, domain string) error {
+func (p *Platform) startServer(service, domain, zone string) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return errors.Wrapf(err, "listen for a server of %s", service)
