Retries: parts of the budget below one are rounded at random

Cause: a daemon's part of the burst of all is divided by their number, and only whole retries are spent. Of 984 daemons each has 0.48 and earns 0.11 from a service that it is asked for every 17 s: rounded down, no request for such a service is ever sent again, and alarm-status of the fleet loses what its servers fail. Change: each budget keeps a draw from 0 to 1 that is added to what it holds, so that the parts of all daemons are rounded up with the chance of their fraction.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -7,6 +7,7 @@
 package retry
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -24,8 +25,9 @@
 const burstPart = 0.45
 
 // BurstPart returns one daemon's part of the burst that so many may make together. One below 1
-// allows no retry until requests have earned the rest of it: were each allowed one at least,
-// hundreds of daemons would retry more often than all may.
+// is rounded at random (Budgets): were each daemon allowed one at least, hundreds of daemons
+// would retry more often than all may; were none allowed any, a service that each of them is
+// rarely asked for would never be retried.
 func BurstPart(burst float64, daemons int) float64 {
 	return burstPart * burst / float64(max(1, daemons))
 }
@@ -43,6 +45,8 @@
 	share  float64
 	burst  float64
 	window time.Duration
+	// rounding is added to what the budget holds, of which whole retries are spent.
+	rounding float64
 	// spent is how far below burst the budget is, where there is no window.
 	spent  float64
 	slices [windowSlices]slice
@@ -123,7 +127,7 @@
 	share, burst := b.figures()
 	if b.window > 0 {
 		requests, retries := b.sums()
-		if retries+1 > share*requests+burst {
+		if retries+1 > share*requests+burst+b.rounding {
 			return false
 		}
 		b.now().retries++
@@ -139,6 +143,11 @@
 // Budgets are budgets by name, such as one for each service, with the same
 // figures. It is safe for concurrent use; the zero value has the figures of a
 // zero Budget.
+//
+// What a budget holds is rounded at random, by a draw of its own that it keeps: up with the
+// chance of its fraction. So the mean over many daemons is the sum of their parts, and the
+// sum differs from it by the square root of their number at most, where each part rounded
+// down would leave nothing of the sum.
 type Budgets struct {
 	mutex  sync.Mutex
 	named  map[string]*Budget
@@ -165,7 +174,9 @@
 	if ok {
 		return one
 	}
-	one = &Budget{}
+	one = &Budget{
+		rounding: rand.Float64(),
+	}
 	one.SetFigures(b.share, b.burst, b.window)
 	if b.named == nil {
 		b.named = map[string]*Budget{}
