List of daemons: a daemon that starts reads a sample, and the rest from others

Cause: each daemon that starts read the list of all daemons from the store: 984 reads of 984 rows, so what the store sends grows with the square of the daemons, at every kill of all and at the first start. Change: it reads the first 128 rows; the first of them names the relays, which the leader publishes where the list is longer than that; these have the list. Without them, or where none answers within 0.4 s, the store is asked as before. Lists of up to 128 rows are read whole by the one call.

--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -68,15 +68,23 @@
 	if err := json.Unmarshal(value, &daemon); err != nil {
 		return Daemon{}, errors.Wrapf(err, "decode daemon %s", name)
 	}
-	if _, err := netip.ParseAddrPort(daemon.Address); err != nil || name == "" {
-		return Daemon{}, errors.Errorf("decode daemon %q: address %.80q is no IP:port", name, daemon.Address)
-	}
-	if !(daemon.Strength >= 0) {
-		return Daemon{}, errors.Errorf("decode daemon %q: strength %v is none", name, daemon.Strength)
+	if err := daemon.check(); err != nil {
+		return Daemon{}, err
 	}
 	return daemon, nil
 }
 
+// check returns what is wrong with a daemon that was decoded.
+func (d Daemon) check() error {
+	if _, err := netip.ParseAddrPort(d.Address); err != nil || d.Name == "" {
+		return errors.Errorf("decode daemon %q: address %.80q is no IP:port", d.Name, d.Address)
+	}
+	if !(d.Strength >= 0) {
+		return errors.Errorf("decode daemon %q: strength %v is none", d.Name, d.Strength)
+	}
+	return nil
+}
+
 // List is all daemons that are known. The zero value is empty.
 type List struct {
 	daemons []Daemon
@@ -296,6 +304,13 @@
 	return slices.Concat(next[:min(relaysAsked, len(next))], standbys)
 }
 
+// Nearest returns daemons in the order in which one of a zone asks them, as For orders relays.
+func Nearest(daemons []Daemon, name, zone string) []Daemon {
+	order := slices.Clone(daemons)
+	sortFor(order, name, zone)
+	return order
+}
+
 // sortFor orders daemons by how soon one of a zone should ask them.
 func sortFor(order []Daemon, name, zone string) {
 	slices.SortFunc(order, func(a, b Daemon) int {
--- a/core/neighbours/neighbours_test.go
+++ b/core/neighbours/neighbours_test.go
@@ -211,3 +211,34 @@
 	}
 	qt.Assert(t, first, qt.HasLen, each)
 }
+
+// A daemon that starts learns from the leader's row who has the list.
+func TestPublishedRelaysAreReadAsTheyWereWritten(t *testing.T) {
+	var daemons []neighbours.Daemon
+	for i := range 984 {
+		daemons = append(daemons, neighbours.Daemon{
+			Name:     fmt.Sprintf("front-%d", i),
+			Zone:     string(rune('a' + i%5)),
+			Address:  fmt.Sprintf("10.0.%d.%d:7700", i/250, i%250),
+			Strength: float64(i % 20),
+		})
+	}
+	relays := neighbours.NewList(daemons).Relays()
+	encoded, err := neighbours.EncodeRelays(relays)
+	qt.Assert(t, err, qt.IsNil)
+	// A row holds 64 KiB: six times as many.
+	const rowBytes = 64 << 10
+	qt.Assert(t, 6*len(encoded) < rowBytes, qt.IsTrue, qt.Commentf("%d bytes", len(encoded)))
+	read, err := neighbours.DecodeRelays(encoded)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, read, qt.DeepEquals, relays)
+	for _, daemon := range daemons {
+		qt.Assert(t, neighbours.RelaysKey < daemon.Name, qt.IsTrue)
+	}
+	own := neighbours.Nearest(relays, "front-1", "b")
+	qt.Assert(t, own[0].Zone, qt.Equals, "b")
+	for _, bad := range []string{"", "{}", `[{"name":"x"}]`, `[{"name":"","address":"10.0.0.1:1"}]`, `[{"name":"x","address":"10.0.0.1:1","strength":-1}]`} {
+		_, err = neighbours.DecodeRelays([]byte(bad))
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%s", bad))
+	}
+}
--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -200,6 +200,24 @@
 	})
 }
 
+// HasRelays tells whether the chain knows any daemon to ask before the store.
+func (c *Chain) HasRelays() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.peers.Relays) > 0
+}
+
+// sample reads the first rows of a table from the store, if it may be asked now.
+func (c *Chain) sample(ctx context.Context, table string, rows int, from Sampler) (result Result, isWhole bool, err error) {
+	result, err = c.askStore(ctx, table, func(ctx context.Context, _ Reader) (Result, error) {
+		var sampled Result
+		var sampleErr error
+		sampled, isWhole, sampleErr = from.Sample(ctx, table, rows)
+		return sampled, sampleErr
+	})
+	return result, isWhole, err
+}
+
 // inTurn joins relays to one that asks them in turn until one answers.
 func inTurn(relays []Relay) Relay {
 	readers := make([]Reader, len(relays))
--- a/core/rowstore/rowstore.go
+++ b/core/rowstore/rowstore.go
@@ -114,6 +114,13 @@
 	Feed(ctx context.Context, table string, since Revision, wait time.Duration) (Result, error)
 }
 
+// Sampler reads a part of a table.
+type Sampler interface {
+	// Sample returns the first rows of a table by their keys, at most so many, and whether
+	// these are all of them.
+	Sample(ctx context.Context, table string, rows int) (result Result, isWhole bool, err error)
+}
+
 // Store is the table store. Implementations are safe for concurrent use.
 type Store interface {
 	Reader
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -60,18 +60,28 @@
 	clients map[string]*relay.Client
 	// fallbacks are clients of the same daemons that tell them nothing.
 	fallbacks map[string]*relay.Client
+	// published is the row of the relays as the list has it; nil: it has none.
+	published []byte
 	// isLost tells that a restored list lacks this daemon.
 	isLost bool
 	// relays are the names of those that this daemon asks, in order, for the log.
 	relays []string
 }
 
+// prepare makes the maps of clients. The mutex is held.
+func (r *roster) prepare() {
+	if r.clients == nil {
+		r.clients = map[string]*relay.Client{}
+		r.fallbacks = map[string]*relay.Client{}
+	}
+}
+
 // listFollower follows the list of the daemons. Rows of VMs that are gone stay,
 // so the count is never too small and the parts of the retries never add up to
 // too much.
 func (d *Daemon) listFollower() *rowstore.Follower {
 	return &rowstore.Follower{
-		Store: d.chain,
+		Store: d.listReader(),
 		Table: neighbours.Table,
 		Wait:  listWait,
 		Settle: func() time.Duration {
@@ -132,8 +142,13 @@
 	defer r.mutex.Unlock()
 	if isWhole || r.known == nil {
 		r.known = map[string]neighbours.Daemon{}
+		r.published = nil
 	}
 	for _, row := range rows {
+		if row.Key == neighbours.RelaysKey {
+			r.published = row.Value
+			continue
+		}
 		if row.Deleted {
 			delete(r.known, row.Key)
 			continue
@@ -182,10 +197,7 @@
 		daemons = append(daemons, daemon)
 	}
 	r.list = neighbours.NewList(daemons)
-	if r.clients == nil {
-		r.clients = map[string]*relay.Client{}
-		r.fallbacks = map[string]*relay.Client{}
-	}
+	r.prepare()
 	relays := d.asRelays(r.list.For(d.settings.Name, d.settings.Zone))
 	d.chain.SetPeers(rowstore.Peers{
 		Relays:    relays,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,7 +73,7 @@
 	// start is the id of this start of the daemon, began when it was.
 	start string
 	began time.Time
-	store rowstore.Store
+	store *platform.Store
 	// rows writes rows of daemons together.
 	rows    *rowstore.Batcher
 	workers *platform.Workers
--- a/entry/listing.go
+++ b/entry/listing.go
@@ -46,6 +46,9 @@
 		if !d.isListed() && !d.writeSelf(ctx) {
 			pause = listAgain
 		}
+		if d.isLeading.Load() {
+			d.publishRelays(ctx)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
