Loads of second models use the whole weight store while no client has come

Cause: the start of the system, in which loads cost nobody, was taken to last 8 s, as on sites whose clients come 10 s after the VMs. Change: until a client of any daemon has asked, loads of second models may use all that the weight store serves at once; the bound on loads holds as before.

--- a/core/assembly/assembly.go
+++ b/core/assembly/assembly.go
@@ -168,6 +168,9 @@
 	// IsStart tells that the whole system has just been started and no client
 	// has sent a request: until then loads are quick and disturb nobody.
 	IsStart bool
+	// IsIdle tells that no client of any daemon has sent a request since the whole system was
+	// started, as far as known; it lasts longer than IsStart, and bounds on loads hold.
+	IsIdle bool
 	// StallTime is how long a group without one of its members stands still.
 	StallTime time.Duration
 	// LoadWindow and LoadExcess bound the loads that may begin.
--- a/core/assembly/sim_test.go
+++ b/core/assembly/sim_test.go
@@ -55,6 +55,8 @@
 	// violation.
 	zones     map[string]string
 	evacuated evacuation.Zones
+	// isIdle tells that no client has sent a request yet.
+	isIdle bool
 }
 
 // lateOrder is an order that is carried out later.
@@ -273,6 +275,7 @@
 		Era:        s.era,
 		IsSteady:   true,
 		IsStart:    isStart,
+		IsIdle:     s.isIdle,
 		StallTime:  simStall,
 		LoadWindow: 5 * time.Second,
 		LoadExcess: 1.1,
--- a/core/assembly/stage.go
+++ b/core/assembly/stage.go
@@ -164,7 +164,12 @@
 
 // mayStage tells whether one more load for a purpose may begin.
 func (c *Controller) mayStage(engine *config.Engine, why purpose, world World) bool {
-	most := max(1, int(why.share*float64(engine.LoadsAtOnce)))
+	share := why.share
+	if world.IsIdle {
+		// Loads are quick, and nobody waits for those that are more urgent.
+		share = 1
+	}
+	most := max(1, int(share*float64(engine.LoadsAtOnce)))
 	isCrowded := !world.IsStart && len(c.staged) >= most
 	return !isCrowded && c.mayLoad(1, engine, world)
 }
--- a/core/assembly/stage_test.go
+++ b/core/assembly/stage_test.go
@@ -107,3 +107,27 @@
 	}
 	return len(loads)
 }
+
+// Weights of second models are loaded while no client has come yet, by all that the weight store
+// serves at once: hundreds of servers in eight domains would else load for tens of seconds beside
+// the first requests. The bound on loads holds.
+func TestSecondModelsAreLoadedBeforeTheFirstRequest(t *testing.T) {
+	staged := func(isIdle bool) int {
+		s := newSim(24)
+		s.config.Services[0].Engine.LoadsAtOnce = 40
+		s.config.Services[0].Engine.LoadsPerSecond = 20
+		c := &assembly.Controller{}
+		settle(s, c, true, 500*time.Millisecond)
+		s.isIdle = isIdle
+		settle(s, c, false, 14*time.Second)
+		before := s.orders["stage"]
+		settle(s, c, false, 5*time.Second)
+		return s.orders["stage"] - before
+	}
+	synctest.Test(t, func(t *testing.T) {
+		usual, idle := staged(false), staged(true)
+		qt.Assert(t, idle >= usual*3/2, qt.IsTrue, qt.Commentf("%d loads while idle, %d else", idle, usual))
+		// 20 a second, with the excess, in any 5 s.
+		qt.Assert(t, idle <= 110, qt.IsTrue, qt.Commentf("%d", idle))
+	})
+}
