Changes of servers come together for longer until the first client comes

Cause: while thousands of servers form groups at the first start, each change woke a feed of the leader's and one of the first relay's, 20 and 8 calls a second. Change: until a client of any daemon has asked, relays wait 0.4 s for further changes and the leader 0.12 s.

--- a/entry/control.go
+++ b/entry/control.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"headcourse/core/assembly"
-	"headcourse/core/config"
 	"headcourse/core/demand"
 	"headcourse/core/fleet"
 	"headcourse/core/leader"
@@ -93,8 +92,6 @@
 	mustLoad bool
 	// triedToLoad is when they were last asked for.
 	triedToLoad time.Time
-	// hasTraffic tells that clients have sent requests.
-	hasTraffic bool
 	// pending are changes of records that wait for the one being committed.
 	pending      assembly.Plan
 	isCommitting bool
@@ -191,7 +188,7 @@
 		Era:        t.lease.Era(),
 		IsSteady:   d.outage.Load().IsSteady(),
 		IsStart:    d.settings.IsFirstStart && !d.gateway.HadRequests() && time.Since(d.began) < startTime,
-		IsIdle:     t.isIdle(view.Config),
+		IsIdle:     d.isIdle(),
 		StallTime:  d.settings.StallTime,
 		LoadWindow: d.settings.LoadWindow,
 		LoadExcess: d.settings.LoadExcess,
@@ -199,32 +196,6 @@
 	}
 }
 
-// isIdle tells whether no client of any daemon has sent a request since the whole system was
-// started, as far as this daemon knows.
-func (t *term) isIdle(known *config.Config) bool {
-	d := t.daemon
-	if t.hasTraffic || !d.settings.IsFirstStart || known == nil {
-		return false
-	}
-	t.hasTraffic = d.gateway.HadRequests() || d.isAsked(known)
-	return !t.hasTraffic
-}
-
-// isAsked tells whether callers of any daemon ask for a model.
-func (d *Daemon) isAsked(known *config.Config) bool {
-	for _, service := range known.Services {
-		if service.Engine == nil {
-			continue
-		}
-		for _, model := range service.Engine.Models {
-			if asked, isKnown := d.asked(service.Name, model.Name); isKnown && asked.Requests > 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // asked returns what callers of all daemons ask of a model, and whether that is known.
 func (d *Daemon) asked(service, model string) (usage.Rate, bool) {
 	return d.board.Tokens(demand.Kind{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -63,6 +63,9 @@
 	// that leads: each step of a group's forming waits for it.
 	serverSettle = 40 * time.Millisecond
 	relaySettle  = 120 * time.Millisecond
+	// idleSettle is the same for relays while no client has come yet, and thousands of servers
+	// form groups; the leader then waits as long as relays do else.
+	idleSettle = 400 * time.Millisecond
 )
 
 // Daemon is one running daemon. Use Start.
@@ -147,6 +150,8 @@
 	unreadable mark
 	// wasReady is what isReady returned last, for the log.
 	wasReady atomic.Bool
+	// hasTraffic tells that a client of any daemon has sent a request since the first start.
+	hasTraffic atomic.Bool
 	// isLeading tells that this daemon forms groups.
 	isLeading atomic.Bool
 
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -121,10 +121,17 @@
 
 // serverSettle returns how long changes of servers may come together.
 func (d *Daemon) serverSettle() time.Duration {
-	if d.isRelay() && !d.isLeading.Load() {
+	isIdle := d.isIdle()
+	switch {
+	case d.isLeading.Load() && isIdle:
+		return relaySettle
+	case d.isLeading.Load() || !d.isRelay():
+		return serverSettle
+	case isIdle:
+		return idleSettle
+	default:
 		return relaySettle
 	}
-	return serverSettle
 }
 
 // takeServers replaces the view of the servers.
