--- a/core/ratelimit/book.go
+++ b/core/ratelimit/book.go
@@ -71,11 +71,11 @@
 	return one
 }
 
-// Heard notes what the answer to a request of this daemon says, which was sent at a time of
+// Observed applies what the answer to a request of this daemon says, which was sent at a time of
 // the book's clock (zero: not known), and tells whether it changed what holds. Answers come out
 // of order: one to a request that was sent before the last word came may be older than it, so
 // it raises or ends no limit.
-func (b *Book) Heard(start string, said Limit, sent time.Time) bool {
+func (b *Book) Observed(start string, said Limit, sent time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	one := b.kept[start]
@@ -97,9 +97,9 @@
 	return isNews
 }
 
-// Told notes what other daemons say of a start; a limit that is not named is over. What this
+// Reported applies what other daemons report of a start; a limit that is not named is over. What this
 // daemon has just heard itself goes before a word that allows more.
-func (b *Book) Told(start string, told Limit) {
+func (b *Book) Reported(start string, told Limit) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	one := b.kept[start]
--- a/core/ratelimit/book_test.go
+++ b/core/ratelimit/book_test.go
@@ -51,19 +51,19 @@
 		qt.Assert(t, book.IsEmpty(), qt.IsTrue)
 		qt.Assert(t, sent(&book, alone), qt.Equals, 1000)
 
-		qt.Assert(t, book.Heard(start, ratelimit.Named(2), time.Now()), qt.IsTrue)
+		qt.Assert(t, book.Observed(start, ratelimit.Named(2), time.Now()), qt.IsTrue)
 		// What was sent before the word is not known to the book: nothing at first.
 		qt.Assert(t, sent(&book, alone), qt.Equals, 0)
 		time.Sleep(time.Second)
 		qt.Assert(t, sent(&book, alone), qt.Equals, 2)
 		time.Sleep(500 * time.Millisecond)
 		qt.Assert(t, sent(&book, alone), qt.Equals, 1)
-		qt.Assert(t, book.Heard(start, ratelimit.Named(2), time.Now()), qt.IsFalse)
+		qt.Assert(t, book.Observed(start, ratelimit.Named(2), time.Now()), qt.IsFalse)
 
 		time.Sleep(time.Millisecond)
-		qt.Assert(t, book.Heard(start, ratelimit.Limit{}, time.Now()), qt.IsTrue)
+		qt.Assert(t, book.Observed(start, ratelimit.Limit{}, time.Now()), qt.IsTrue)
 		qt.Assert(t, book.IsEmpty(), qt.IsTrue)
-		qt.Assert(t, book.Heard(start, ratelimit.Limit{}, time.Now()), qt.IsFalse)
+		qt.Assert(t, book.Observed(start, ratelimit.Limit{}, time.Now()), qt.IsFalse)
 	})
 }
 
@@ -74,19 +74,19 @@
 		var book ratelimit.Book
 		earlier := time.Now()
 		time.Sleep(100 * time.Millisecond)
-		book.Heard(start, ratelimit.Named(2), time.Now())
+		book.Observed(start, ratelimit.Named(2), time.Now())
 		for _, said := range []ratelimit.Limit{{}, ratelimit.Named(20), ratelimit.Named(-1)} {
-			qt.Assert(t, book.Heard(start, said, earlier), qt.IsFalse)
-			qt.Assert(t, book.Heard(start, said, time.Time{}), qt.IsFalse)
+			qt.Assert(t, book.Observed(start, said, earlier), qt.IsFalse)
+			qt.Assert(t, book.Observed(start, said, time.Time{}), qt.IsFalse)
 			limit, _ := book.Known(start)
 			qt.Assert(t, limit, qt.Equals, ratelimit.Named(2))
 		}
 		time.Sleep(100 * time.Millisecond)
-		qt.Assert(t, book.Heard(start, ratelimit.Named(-1), time.Now()), qt.IsFalse)
+		qt.Assert(t, book.Observed(start, ratelimit.Named(-1), time.Now()), qt.IsFalse)
 		// A lower word holds at once, whichever answer it came with.
-		qt.Assert(t, book.Heard(start, ratelimit.Named(1), time.Time{}), qt.IsTrue)
+		qt.Assert(t, book.Observed(start, ratelimit.Named(1), time.Time{}), qt.IsTrue)
 		time.Sleep(100 * time.Millisecond)
-		qt.Assert(t, book.Heard(start, ratelimit.Named(20), time.Now()), qt.IsTrue)
+		qt.Assert(t, book.Observed(start, ratelimit.Named(20), time.Now()), qt.IsTrue)
 		limit, _ := book.Known(start)
 		qt.Assert(t, limit, qt.Equals, ratelimit.Named(20))
 	})
@@ -99,14 +99,14 @@
 		var book ratelimit.Book
 		before := time.Now()
 		time.Sleep(time.Millisecond)
-		book.Told(start, ratelimit.Named(1.7))
-		qt.Assert(t, book.Heard(start, ratelimit.Limit{}, before), qt.IsFalse)
+		book.Reported(start, ratelimit.Named(1.7))
+		qt.Assert(t, book.Observed(start, ratelimit.Limit{}, before), qt.IsFalse)
 		time.Sleep(30 * time.Second)
 		qt.Assert(t, sent(&book, without), qt.Equals, 0)
-		book.Told(start, ratelimit.Limit{})
+		book.Reported(start, ratelimit.Limit{})
 		qt.Assert(t, sent(&book, without), qt.Equals, 1000)
 		// Nothing is known of it: that it is over is no news.
-		book.Told(start, ratelimit.Limit{})
+		book.Reported(start, ratelimit.Limit{})
 		qt.Assert(t, book.IsEmpty(), qt.IsTrue)
 	})
 }
@@ -117,16 +117,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		var book ratelimit.Book
 		for _, told := range []ratelimit.Limit{{}, ratelimit.Named(5)} {
-			book.Heard(start, ratelimit.Named(2), time.Now())
-			book.Told(start, told)
+			book.Observed(start, ratelimit.Named(2), time.Now())
+			book.Reported(start, told)
 			limit, _ := book.Known(start)
 			qt.Assert(t, limit, qt.Equals, ratelimit.Named(2))
-			book.Told(start, ratelimit.Named(1))
+			book.Reported(start, ratelimit.Named(1))
 			limit, _ = book.Known(start)
 			qt.Assert(t, limit, qt.Equals, ratelimit.Named(1))
 
-			book.Heard(start, ratelimit.Named(0.5), time.Now())
-			book.Told(start, told)
+			book.Observed(start, ratelimit.Named(0.5), time.Now())
+			book.Reported(start, told)
 			time.Sleep(5 * time.Second)
 			book.HasRoom(start, alone)
 			limit, _ = book.Known(start)
@@ -141,7 +141,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const perSecond = 0.05
 		var book ratelimit.Book
-		book.Heard(start, ratelimit.Named(perSecond), time.Now())
+		book.Observed(start, ratelimit.Named(perSecond), time.Now())
 		place := ratelimit.Place{
 			Of: 2,
 		}
@@ -170,7 +170,7 @@
 		var book ratelimit.Book
 		chosen, ok := book.Reserve(start, alone)
 		qt.Assert(t, ok, qt.IsTrue)
-		book.Heard(start, ratelimit.Named(20), time.Now())
+		book.Observed(start, ratelimit.Named(20), time.Now())
 		_, ok = chosen.Take(alone)
 		qt.Assert(t, ok, qt.IsFalse)
 
@@ -193,7 +193,7 @@
 				Suspended: func() time.Duration { return suspended },
 			},
 		}
-		book.Heard(start, ratelimit.Named(1), book.Clock.Now())
+		book.Observed(start, ratelimit.Named(1), book.Clock.Now())
 		qt.Assert(t, book.HasRoom(start, alone), qt.IsFalse)
 		suspended += time.Second
 		qt.Assert(t, book.HasRoom(start, alone), qt.IsTrue)
@@ -203,7 +203,7 @@
 func TestLimitsOfServersThatAreGoneAreForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var book ratelimit.Book
-		book.Heard(start, ratelimit.Named(1), time.Now())
+		book.Observed(start, ratelimit.Named(1), time.Now())
 		isKnown := true
 		sweep := func() {
 			book.Sweep(func(string) bool { return isKnown })
@@ -212,7 +212,7 @@
 		sweep()
 		qt.Assert(t, isLimited(&book), qt.IsTrue)
 		isKnown = false
-		book.Heard(start, ratelimit.Named(1), time.Now())
+		book.Observed(start, ratelimit.Named(1), time.Now())
 		sweep()
 		qt.Assert(t, isLimited(&book), qt.IsTrue)
 		time.Sleep(time.Hour)
--- a/core/ratelimit/cold_test.go
+++ b/core/ratelimit/cold_test.go
@@ -121,7 +121,7 @@
 		m.play(20 * time.Second)
 		m.check(t, 1)
 		for _, one := range m.daemons {
-			one.book.Told(m.start, ratelimit.Limit{})
+			one.book.Reported(m.start, ratelimit.Limit{})
 			qt.Assert(t, one.book.Has(m.start), qt.IsTrue)
 		}
 	})
--- a/core/ratelimit/sum_test.go
+++ b/core/ratelimit/sum_test.go
@@ -102,7 +102,7 @@
 // tell has all daemons hear a limit.
 func (m *model) tell(perSecond float64) {
 	for _, one := range m.daemons {
-		one.book.Heard(m.start, ratelimit.Named(perSecond), time.Now())
+		one.book.Observed(m.start, ratelimit.Named(perSecond), time.Now())
 	}
 }
 
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -204,9 +204,9 @@
 		Standbys:  d.asRelays(r.list.StandbysFor(d.settings.Name, d.settings.Zone)),
 		Fallbacks: d.asFallbacks(r.list.FallbacksFor(d.settings.Name)),
 	})
-	d.notePlace(r.list)
+	d.updatePlace(r.list)
 	burst := d.setBudgets(max(1, r.list.Len()))
-	d.noteRelays(relays, burst)
+	d.logRelays(relays, burst)
 }
 
 // asRelays returns daemons as those that this one asks. The roster's mutex is held.
@@ -235,9 +235,9 @@
 	return relays
 }
 
-// noteRelays writes a line where this daemon's relays are others than before. Daemons
+// logRelays writes a line where this daemon's relays are others than before. Daemons
 // that come and go far from it change nothing for it.
-func (d *Daemon) noteRelays(relays []rowstore.Relay, burst float64) {
+func (d *Daemon) logRelays(relays []rowstore.Relay, burst float64) {
 	r := &d.roster
 	names := make([]string, len(relays))
 	for i, one := range relays {
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -27,7 +27,7 @@
 			d.takeEvacuations(rows, isWhole)
 			d.configEra.Store(at.Era)
 			d.fresh.Confirm(asOf)
-			d.noteKnown()
+			d.updateKnown()
 		}
 	}
 	return &rowstore.Follower{
@@ -164,7 +164,7 @@
 	d.serversEra.Store(at.Era)
 	known := d.view.Load().Config
 	for _, server := range servers {
-		d.noteStart(former, server)
+		d.recordStart(former, server)
 		before, wasKnown := former.Server(server.ID)
 		if !wasKnown || before.Born != server.Born || before.ColdFor != server.ColdFor {
 			d.limitCold(known, server)
@@ -174,7 +174,7 @@
 		view.Fleet = view.Fleet.WithAll(at.Version, servers, d.outage.Load().LostUntil(d.grace()), void...)
 	})
 	d.serversRead.Store(true)
-	d.noteKnown()
+	d.updateKnown()
 	d.log.Info("servers: read",
 		zap.Int("servers", len(servers)),
 		zap.Int64("era", at.Era),
@@ -207,7 +207,7 @@
 	former := d.view.Load().Fleet
 	known := d.view.Load().Config
 	for _, change := range changes {
-		d.noteStart(former, change.Server)
+		d.recordStart(former, change.Server)
 		d.limitCold(known, change.Server)
 	}
 	d.change(func(view *gateway.View) {
@@ -218,9 +218,9 @@
 	}
 }
 
-// noteStart notes a server that started again under its ID: its paces, failures and
+// recordStart records a server that started again under its ID: its paces, failures and
 // silences were those of its former start.
-func (d *Daemon) noteStart(former fleet.View, server fleet.Server) {
+func (d *Daemon) recordStart(former fleet.View, server fleet.Server) {
 	before, wasKnown := former.Known(server.ID)
 	if !wasKnown || before.Born == server.Born {
 		return
--- a/entry/limits.go
+++ b/entry/limits.go
@@ -35,8 +35,8 @@
 	return strings.TrimPrefix(row.Key, limitPrefix)
 }
 
-// LimitHeard reports a limit to other daemons, if they do not know it. It never waits.
-func (d *Daemon) LimitHeard(server fleet.Server, said ratelimit.Limit) {
+// LimitObserved reports a limit to other daemons, if they do not know it. It never waits.
+func (d *Daemon) LimitObserved(server fleet.Server, said ratelimit.Limit) {
 	start := server.Start()
 	if !said.IsNamed {
 		time.AfterFunc(rand.N(reportSpread), func() { d.reportLimitEnd(start, endTries) })
@@ -103,7 +103,7 @@
 	if d.notices.Take(start, limit) {
 		d.logReportedLimit(start, limit, row.Version)
 	}
-	d.limits.Told(start, limit)
+	d.limits.Reported(start, limit)
 }
 
 // logReportedLimit writes a line about what others reported of a limit.
@@ -125,7 +125,7 @@
 	if d.notices.Remove(start) {
 		d.logReportedLimit(start, ratelimit.Limit{}, version)
 	}
-	d.limits.Told(start, ratelimit.Limit{})
+	d.limits.Reported(start, ratelimit.Limit{})
 }
 
 // keepLimits notes that limits are over that are not among the rows of the whole table.
--- a/entry/preference.go
+++ b/entry/preference.go
@@ -31,8 +31,8 @@
 	byStart map[string]ratelimit.Place
 }
 
-// notePlace works out this daemon's place in a list.
-func (d *Daemon) notePlace(list neighbours.List) {
+// updatePlace works out this daemon's place in a list.
+func (d *Daemon) updatePlace(list neighbours.List) {
 	rank, of := list.InZone(d.settings.Name, d.settings.Zone)
 	next := &place{
 		daemon: subset.Daemon{
--- a/entry/stalls.go
+++ b/entry/stalls.go
@@ -153,7 +153,7 @@
 	d.reportsEra.Store(at.Era)
 	d.takeReports(rows, at, asOf)
 	d.reportsRead.Store(true)
-	d.noteKnown()
+	d.updateKnown()
 }
 
 // takeReports takes rows of reportTable.
--- a/entry/view.go
+++ b/entry/view.go
@@ -84,12 +84,12 @@
 	return d.known.since()
 }
 
-// noteKnown sets known if it is time. Where the configuration was read last, keys are
+// updateKnown sets known if it is time. Where the configuration was read last, keys are
 // fresh soon after: the follower confirms what it has just read.
-func (d *Daemon) noteKnown() {
+func (d *Daemon) updateKnown() {
 	if d.hasView() && !d.viewRead.has() {
 		d.viewRead.set()
-		time.AfterFunc(reportPatience+time.Millisecond, d.noteKnown)
+		time.AfterFunc(reportPatience+time.Millisecond, d.updateKnown)
 	}
 	if d.isReady() {
 		d.known.set()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -86,10 +86,10 @@
 	IsStill(server fleet.Server) bool
 	// LimitPlace is this daemon's place among those that may share the limit of a server.
 	LimitPlace(server fleet.Server) ratelimit.Place
-	// LimitHeard is told what an answer of a server says of its limit, where it names one or
+	// LimitObserved takes what an answer of a server says of its limit, where it names one or
 	// told that one is over.
-	LimitHeard(server fleet.Server, said ratelimit.Limit)
-	// ServerCold is told of an answer by which a server is cold.
+	LimitObserved(server fleet.Server, said ratelimit.Limit)
+	// ServerCold takes from an answer that a server is cold.
 	ServerCold(server fleet.Server)
 	// Stalled is told of a server that stands still with requests under way.
 	Stalled(server fleet.Server)
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// LimitHeard notes nothing.
-func (s *source) LimitHeard(fleet.Server, ratelimit.Limit) {}
+// LimitObserved notes nothing.
+func (s *source) LimitObserved(fleet.Server, ratelimit.Limit) {}
 
 // ServerCold notes nothing.
 func (s *source) ServerCold(fleet.Server) {}
--- a/io/gateway/limits.go
+++ b/io/gateway/limits.go
@@ -30,12 +30,12 @@
 	if isOwn := answer.ID == j.request.ID && (answer.Signed || answer.NotRun); isOwn {
 		sent = j.tookRoom
 	}
-	isNews := s.limits.Heard(server.Start(), said, sent)
+	isNews := s.limits.Observed(server.Start(), said, sent)
 	if said.IsNamed {
 		metrics.GetOrRegisterCounter(countLimits, s.registry).Inc(1)
 	}
 	if said.IsNamed || isNews {
-		s.source.LimitHeard(server, said)
+		s.source.LimitObserved(server, said)
 	}
 	if !isNews {
 		return
