Answers that nobody reads end with their client's time

Cause: a client that asks for a stream and does not read it held a connection, its goroutines, and the server's stream for as long as it kept the connection open. Change: the answer's connection has a time to be written in, the client's and 2 s.

--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -11,6 +12,17 @@
 	"headcourse/core/request"
 )
 
+// writeSlack is how much longer than its client waits an answer may take to be written: one that
+// is ready is delivered also when late.
+const writeSlack = 2 * time.Second
+
+// limitWriting ends the connection of a client that does not read its answer. Until then the
+// server's stream is held up by what the connection holds, and neither grows.
+func limitWriting(ctx *fasthttp.RequestCtx, wait time.Duration) {
+	// It fails on a closed connection only.
+	_ = ctx.Conn().SetWriteDeadline(time.Now().Add(wait + writeSlack))
+}
+
 // handle serves one request.
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	came := s.clock.Now()
@@ -25,6 +37,7 @@
 		came:     came,
 		last:     read.LastEvent,
 	}
+	limitWriting(ctx, read.Wait)
 	if s.leaving.Load() {
 		ctx.SetConnectionClose()
 	}
