--- a/core/neighbours/published.go
+++ b/core/neighbours/published.go
@@ -44,7 +44,7 @@
 	relays := make([]Daemon, len(entries))
 	for i, entry := range entries {
 		entry.Daemon.Name = entry.Name
-		if err := entry.Daemon.check(); err != nil {
+		if err := entry.check(); err != nil {
 			return nil, errors.Wrap(err, "decode relays")
 		}
 		relays[i] = entry.Daemon
--- a/lab/standin/evacuation.go
+++ b/lab/standin/evacuation.go
@@ -68,6 +68,15 @@
 	p.violate(fmt.Sprintf("%s got a request %s after zone %s had to be empty", s.id, time.Since(from).Round(time.Millisecond), zone))
 }
 
+// withColdStarts returns a configuration whose servers are cold when they start.
+func withColdStarts(config wire.Config) wire.Config {
+	for i := range config.Services {
+		config.Services[i].ColdStartS = coldStart.Seconds()
+		config.Services[i].ColdPerS = coldPerSecond
+	}
+	return config
+}
+
 // cold is a server that is cold until a time. The zero value is one that is warm.
 type cold struct {
 	until time.Time
@@ -93,13 +102,12 @@
 	if now.After(s.cold.until) {
 		return
 	}
-	came := append(s.cold.came, now)
-	for now.Sub(came[0]) >= coldWindow {
-		came = came[1:]
+	s.cold.came = append(s.cold.came, now)
+	for now.Sub(s.cold.came[0]) >= coldWindow {
+		s.cold.came = s.cold.came[1:]
 	}
-	s.cold.came = came
 	const allowed = coldFactor*coldPerSecond + coldExtra
-	if float64(len(came)) > allowed {
-		s.platform.violate(fmt.Sprintf("%s is cold and got %d requests in a second; allowed %.1f", s.id, len(came), allowed))
+	if came := len(s.cold.came); float64(came) > allowed {
+		s.platform.violate(fmt.Sprintf("%s is cold and got %d requests in a second; allowed %.1f", s.id, came, allowed))
 	}
 }
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -109,7 +109,7 @@
 		crashes: map[string]int{},
 		dir:     dir,
 		lead:    size.Lead,
-		config:  firstConfig(),
+		config:  withColdStarts(firstConfig()),
 	}
 	p.writeConfig()
 	for d := range size.Domains {
@@ -176,16 +176,12 @@
 		},
 		Services: []wire.Service{
 			{
-				Name:       ServicePlain,
-				MaxConns:   100,
-				ColdStartS: coldStart.Seconds(),
-				ColdPerS:   coldPerSecond,
+				Name:     ServicePlain,
+				MaxConns: 100,
 			},
 			{
-				Name:       ServiceModel,
-				MaxConns:   400,
-				ColdStartS: coldStart.Seconds(),
-				ColdPerS:   coldPerSecond,
+				Name:     ServiceModel,
+				MaxConns: 400,
 				Engine: &wire.Engine{
 					Capacity: slots,
 					Models: []wire.Model{
