headcourse-lab fleet: adds up what the logs of a fleet's daemons tell

Cause: comparing CAPACITY with a fleet was done by hand. Change: a command that reads lines of daemons: calls to the store by start, role and table, and when configurations and readiness reached the first, middle and last.

--- a/labcommand/labcommand.go
+++ b/labcommand/labcommand.go
@@ -22,6 +22,7 @@
 	Plot     PlotCommand     `cmd:"" help:"Draw columns of a measurement as SVG."`
 	Days     DaysCommand     `cmd:"" help:"Write what the standard days of a site were worth, from the bench's journal."`
 	Compare  CompareCommand  `cmd:"" help:"Compare runs of the same days and seeds that were made for two purposes, from the bench's journal."`
+	Fleet    FleetCommand    `cmd:"" help:"Add up what the daemons of a fleet wrote: calls to the store, and how soon changes reached them."`
 	Routes   RoutesCommand   `cmd:"" help:"Compare routing policies on the same load, in virtual time."`
 	Load     LoadCommand     `cmd:"" help:"Send callers' load to daemons and check every answer."`
 	Soak     SoakCommand     `cmd:"" help:"Play random faults against daemons that soak/run starts, and check every answer."`
