Clients refused for an evacuated zone return when a group can have formed elsewhere

Cause: they were told a place's time, 0.25 s, of the two tries that most have. Change: a group's time. Result: TestRequestWithoutAZoneIsRefusedAtOnce.

--- a/io/gateway/comeback.go
+++ b/io/gateway/comeback.go
@@ -13,8 +13,8 @@
 const (
 	// placePause is for a place: one of a group's frees every 30 ms to 80 ms.
 	placePause = 250 * time.Millisecond
-	// groupPause is for a group: one forms again within 0.6 s to 2 s, and the entries
-	// of servers are back within 2 s of the end of an outage of the store.
+	// groupPause is for a group: one forms again within 0.6 s to 2 s, also outside an evacuated
+	// zone, and the entries of servers are back within 2 s of the end of an outage of the store.
 	groupPause = 1500 * time.Millisecond
 	// storePause is for the store, whose outages take seconds.
 	storePause = 2500 * time.Millisecond
@@ -46,7 +46,7 @@
 		pause = trialPause
 	case request.ReasonNotConfigured, request.ReasonStale:
 		pause = storePause
-	case request.ReasonNoServer:
+	case request.ReasonNoServer, request.ReasonEvacuated:
 		pause = groupPause
 	default:
 		why := j.server.whyWithheld(j.service, j.request.Model)
--- a/io/gateway/evacuation_test.go
+++ b/io/gateway/evacuation_test.go
@@ -84,7 +84,8 @@
 	for i := range 5 {
 		status, header := ask(t, server.Address(), "r"+strconv.Itoa(i), time.Hour)
 		qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
-		qt.Assert(t, comesBack(t, header) > 0, qt.IsTrue)
+		// A group forms elsewhere within 2 s.
+		qt.Assert(t, comesBack(t, header) >= 900*time.Millisecond, qt.IsTrue)
 	}
 	qt.Assert(t, asked.Load(), qt.Equals, int64(0))
 	refused := metrics.GetOrRegisterCounter("requests_refused.zone_evacuated", used.Registry).Count()
