Tables at a start of all: relays are waited for, also while they send

A relay that was cut off counted as dead, so that the next read went to the store at once. Change: relays that answer without a copy are asked again for as long as the store is left to others; a relay that has begun to send is not cut off; a hub tells sooner that it has none.

--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -180,21 +180,57 @@
 	}
 }
 
+// errNotItsTurn reports that relays have no copy yet, and that it is for others to ask the
+// store for it.
+var errNotItsTurn = errors.Wrap(ErrRefused, "relays have no copy, and others ask the store for it")
+
 // Read reads a table. Relays are asked before the store for a short time only, or for
-// Patience where that is longer.
+// Patience where that is longer. Where they answer, but have no copy yet, they are asked again
+// for as long as the store is left to others, each time for twice as long: when all daemons start
+// at one moment, hundreds that read a large table from the store would keep the relays waiting for
+// it, and a large table takes long to send.
 func (c *Chain) Read(ctx context.Context, table string) (Result, error) {
+	for patience := max(readPatience, c.Patience); ; patience += patience {
+		result, err := c.readOnce(ctx, table, patience)
+		if !errors.Is(err, errNotItsTurn) {
+			return result, err
+		}
+		timer := time.NewTimer(turnPause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return Result{}, err
+		}
+	}
+}
+
+// relayedPart returns the part of a read's time that one relay may take to send a table: one that
+// begins to send it is not cut off soon. A follower gives a read longer after one that was not
+// answered in time.
+func relayedPart(ctx context.Context) time.Duration {
+	const parts = 2
+	end, ok := ctx.Deadline()
+	if !ok {
+		return longestRelayed
+	}
+	return time.Until(end) / parts
+}
+
+// readOnce reads a table from relays, which are asked for so long, or from the store.
+func (c *Chain) readOnce(ctx context.Context, table string, patience time.Duration) (Result, error) {
 	relays := c.usable()
 	var first []Relay
 	if len(relays) > 0 {
 		first = []Relay{
-			inTurn(relays[:min(readRelays, len(relays))]),
+			inTurn(relays[:min(readRelays, len(relays))], patience),
 		}
 	}
 	return c.ask(ctx, table, sources{
 		relays:    first,
 		standbys:  noRelays,
 		fallbacks: noRelays,
-		limit:     max(readPatience, c.Patience),
+		limit:     max(patience, relayedPart(ctx)),
 	}, func(ctx context.Context, from Reader) (Result, error) {
 		return from.Read(ctx, table)
 	})
@@ -218,8 +254,8 @@
 	return result, isWhole, err
 }
 
-// inTurn joins relays to one that asks them in turn until one answers.
-func inTurn(relays []Relay) Relay {
+// inTurn joins relays to one that asks them in turn until one answers, for so long.
+func inTurn(relays []Relay, patience time.Duration) Relay {
 	readers := make([]Reader, len(relays))
 	for i, relay := range relays {
 		readers[i] = relay.Reader
@@ -227,7 +263,8 @@
 	return Relay{
 		Name: relays[0].Name,
 		Reader: turns{
-			readers: readers,
+			readers:  readers,
+			patience: patience,
 		},
 	}
 }
@@ -347,6 +384,9 @@
 // askStore makes a call to the store, if it may be asked now.
 func (c *Chain) askStore(ctx context.Context, table string, call callTo) (Result, error) {
 	if !c.mayAsk(table) {
+		if c.lacksCopies() {
+			return Result{}, errNotItsTurn
+		}
 		return Result{}, errors.Wrap(ErrRefused, "no relay answers and the store failed lately")
 	}
 	began := time.Now()
@@ -395,6 +435,13 @@
 	return mayAsk
 }
 
+// lacksCopies tells whether a relay answered lately that it has no copy.
+func (c *Chain) lacksCopies() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.restraint.lacksCopies(time.Now()) && !c.restraint.hasFailed(time.Now())
+}
+
 // hasFailed tells whether the store failed lately, so that it is asked rarely.
 func (c *Chain) hasFailed() bool {
 	c.mutex.Lock()
--- a/core/rowstore/hub.go
+++ b/core/rowstore/hub.go
@@ -124,7 +124,7 @@
 // start together ask each other before any of them has read, and would all read from the
 // store. A store that answers does so in some milliseconds, and a table of a thousand rows
 // comes in some tens.
-const firstCopyTime = 200 * time.Millisecond
+const firstCopyTime = 50 * time.Millisecond
 
 // Read returns all rows of a table. It fails with ErrNoCopy where the first Take does
 // not come soon, and while the store was not heard.
--- a/core/rowstore/turns.go
+++ b/core/rowstore/turns.go
@@ -12,6 +12,9 @@
 // refuses may only not be there yet.
 type turns struct {
 	readers []Reader
+	// patience is after how long no reader is asked any more; one that was asked may take
+	// until the call's time is over.
+	patience time.Duration
 }
 
 // turnPause is the time between two rounds of asking: a connection that is refused
@@ -32,16 +35,23 @@
 	})
 }
 
-// ask makes a call to each reader in turn, again and again until ctx ends.
+// ask makes a call to each reader in turn, again and again until ctx ends. Where any of them
+// answered that it has no copy, that is the error: a call that ctx cuts short says less.
 func (t turns) ask(ctx context.Context, call func(from Reader) (Result, error)) (Result, error) {
 	last := errors.Wrap(ErrRefused, "there is nobody to ask")
+	began := time.Now()
 	for len(t.readers) > 0 {
 		for _, reader := range t.readers {
 			result, err := call(reader)
 			if err == nil || errors.Is(err, ErrCompacted) {
 				return result, err
 			}
-			last = err
+			if !errors.Is(last, ErrNoCopy) {
+				last = err
+			}
+			if time.Since(began) > t.patience {
+				return Result{}, last
+			}
 		}
 		timer := time.NewTimer(turnPause)
 		select {
