Retry budget: log lines and counters of its decisions

Cause: logs could not tell how many retries each start of a daemon had counted, so that forgotten windows, share earned before the window and sends without a budget looked alike. Result: TestLogLineReportsRetryBudgetTotals.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -49,6 +49,23 @@
 	// spent is the number of tokens below burst; it is used without a window only.
 	spent  float64
 	slices [sliceCount]windowSlice
+	// requestCount, retryCount and rejectedCount are the totals in State.
+	requestCount  int64
+	retryCount    int64
+	rejectedCount int64
+}
+
+// State is a snapshot of a budget.
+type State struct {
+	// Requests, Retries and Rejected are the numbers of first attempts, of allowed retries and of
+	// rejected retries since the budget was created.
+	Requests int64
+	Retries  int64
+	Rejected int64
+	// Available is the balance, in retries.
+	Available float64
+	// Burst is the current burst, in retries.
+	Burst float64
 }
 
 // sliceCount is the number of slices of a window, plus one so that the slices cover a whole
@@ -111,6 +128,7 @@
 func (b *Budget) RecordRequest() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	b.requestCount++
 	if b.window > 0 {
 		b.currentSlice().requests++
 		return
@@ -119,26 +137,48 @@
 	b.spent = max(0, b.spent-share)
 }
 
+// balance returns the number of retries that may be made now, with its fraction. The mutex must be
+// held.
+func (b *Budget) balance() float64 {
+	share, burst := b.limits()
+	if b.window > 0 {
+		requests, retries := b.windowTotals()
+		return share*requests + burst + b.rounding - retries
+	}
+	return burst - b.spent
+}
+
 // TrySpend reports whether a retry may be made, and takes its token if so.
 func (b *Budget) TrySpend() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	share, burst := b.limits()
+	if b.balance() < 1 {
+		b.rejectedCount++
+		return false
+	}
+	b.retryCount++
 	if b.window > 0 {
-		requests, retries := b.windowTotals()
-		if retries+1 > share*requests+burst+b.rounding {
-			return false
-		}
 		b.currentSlice().retries++
 		return true
 	}
-	if b.spent+1 > burst {
-		return false
-	}
 	b.spent++
 	return true
 }
 
+// State returns a snapshot of the budget.
+func (b *Budget) State() State {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	_, burst := b.limits()
+	return State{
+		Requests:  b.requestCount,
+		Retries:   b.retryCount,
+		Rejected:  b.rejectedCount,
+		Available: b.balance(),
+		Burst:     burst,
+	}
+}
+
 // Budgets holds budgets by name, for instance one for each service, with the same limits. The
 // zero value has the defaults of Budget. It is safe for concurrent use.
 //
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -66,6 +66,8 @@
 	isSelfMissing bool
 	// relayNames are the relays that this daemon uses, in order, for the log.
 	relayNames []string
+	// loggedRetryBurst is this daemon's part of the retry budget's burst, for the log.
+	loggedRetryBurst float64
 }
 
 // initClients creates the maps of clients. The caller holds the mutex.
@@ -207,6 +209,7 @@
 	})
 	d.updatePosition(directory.list)
 	burst := d.setRetryBudgets(max(1, directory.list.Len()))
+	d.logRetryLimits(burst)
 	d.logRelays(relays, burst)
 }
 
@@ -238,6 +241,23 @@
 	return relays
 }
 
+// logRetryLimits logs this daemon's part of the retry budget if it has changed. The caller holds
+// the directory's mutex.
+func (d *Daemon) logRetryLimits(burst float64) {
+	directory := &d.directory
+	if burst == directory.loggedRetryBurst {
+		return
+	}
+	directory.loggedRetryBurst = burst
+	if mayWrite, suppressed := d.retryLimitsThrottle.Allow(""); mayWrite {
+		d.log.Info("retries: limits set",
+			zap.Int("daemons", directory.list.Len()),
+			zap.Float64("burst", burst),
+			zap.Int64("age_ms", time.Since(d.startedAt).Milliseconds()),
+			zap.Int("lines_left_out", suppressed))
+	}
+}
+
 // logRelays logs the first maxRegistrars of this daemon's relays if the relays have changed.
 // Changes elsewhere in the list do not affect it.
 func (d *Daemon) logRelays(relays []rowstore.Relay, burst float64) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -96,6 +96,8 @@
 	relayServer *relay.Server
 	// errorLogThrottle limits the rate of log lines about failed calls.
 	errorLogThrottle logline.Throttle
+	// retryLimitsThrottle limits the log lines about this daemon's part of the retry budget.
+	retryLimitsThrottle logline.Throttle
 	// directory is the list of all daemons, from which relays are selected. position is this
 	// daemon's position in it.
 	directory daemonDirectory
@@ -202,6 +204,7 @@
 	d.serverLimits.Clock = d.bootClock
 	d.configFreshness.Clock = d.bootClock
 	d.errorLogThrottle.Interval = errorLogInterval
+	d.retryLimitsThrottle.Interval = limitLogInterval
 	d.limitLogThrottle.Interval = limitLogInterval
 	store := platform.NewStore(nodeSettings.StoreAddress)
 	store.OnCall = func(operation string, took time.Duration) {
--- a/io/gateway/budget_test.go
+++ b/io/gateway/budget_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
@@ -49,6 +50,36 @@
 	qt.Assert(t, lines[0].ContextMap()["retry_budget_spent"], qt.Equals, true)
 }
 
+// Guards against retries that cannot be attributed to one start of a daemon: its lines must show
+// how many requests and retries its budget counts, and the counters on which service.
+func TestLogLineReportsRetryBudgetTotals(t *testing.T) {
+	failing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderID, r.Header.Get(wire.HeaderID))
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	t.Cleanup(failing.Close)
+	address := failing.Listener.Addr().String()
+	core, logs := observer.New(zap.InfoLevel)
+	opts := newOptions(newSource(serversView(config.Safe, address, address)))
+	opts.Budgets = &retry.Budgets{}
+	opts.Log = zap.New(core)
+	server := startGateway(t, opts)
+
+	status, _ := sendRequest(t, server.Address(), "r1", time.Minute)
+	qt.Assert(t, status, qt.Equals, http.StatusInternalServerError)
+	lines := logs.FilterMessage("clients: retry decided").All()
+	qt.Assert(t, lines, qt.HasLen, 1)
+	fields := lines[0].ContextMap()
+	qt.Check(t, fields["request_id"], qt.Equals, "r1")
+	qt.Check(t, fields["is_allowed"], qt.Equals, true)
+	qt.Check(t, fields["requests"], qt.Equals, int64(1))
+	qt.Check(t, fields["retries"], qt.Equals, int64(1))
+	qt.Check(t, fields["burst"], qt.Equals, retry.DefaultBurst)
+	service, _ := fields["service"].(string)
+	allowed := metrics.GetOrRegisterCounter("retry_budget_allowed."+service, opts.Registry)
+	qt.Check(t, allowed.Count(), qt.Equals, int64(1))
+}
+
 // Guards against aborting a stream that cannot be retried: a slow server sent nothing for
 // longer than usual, its stream was aborted to fail over, and the retry budget was empty.
 func TestSilentServerIsKeptWhenRetryBudgetIsEmpty(t *testing.T) {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -121,6 +121,8 @@
 	lateStreams     urgency.LateLimiter
 	sizes           usage.SizeEstimator
 	budgets         *retry.Budgets
+	// retryThrottle limits the log lines about the retry budgets.
+	retryThrottle logline.Throttle
 	// directives holds the directives that servers sent: pauses, and notices that they drain.
 	directives directive.Registry
 	// directiveThrottle limits the log lines about directives.
@@ -213,6 +215,7 @@
 	server.directives.Clock = options.Clock
 	server.directiveThrottle.Interval = throttledLogInterval
 	server.limitThrottle.Interval = throttledLogInterval
+	server.retryThrottle.Interval = throttledLogInterval
 	server.http = &fasthttp.Server{
 		Handler:                      server.handle,
 		ErrorHandler:                 server.handleBadRequest,
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -207,17 +207,6 @@
 	}
 }
 
-// prepayRetry pays for the next retry from the retry budget and reports whether it is paid. An
-// attempt is not aborted without a paid retry: the server may still answer, whereas an aborted
-// request that cannot be retried is lost.
-func (j *job) prepayRetry() bool {
-	if j.isRetryPaid.Load() || !j.server.budgets.ForName(j.service).TrySpend() {
-		return j.isRetryPaid.Load()
-	}
-	j.isRetryPaid.Store(true)
-	return true
-}
-
 // mayRetry reports whether a failed request may be tried at another server, and counts the
 // retry if so.
 func (j *job) mayRetry(result attemptResult) bool {
@@ -234,7 +223,7 @@
 	if !j.hasUntriedServer() {
 		return false
 	}
-	if j.possibleArrivals > 0 && !j.isRetryPaid.Swap(false) && !j.server.budgets.ForName(j.service).TrySpend() {
+	if j.possibleArrivals > 0 && !j.isRetryPaid.Swap(false) && !j.spendRetry() {
 		j.server.count(countRefused, request.ReasonRetryBudgetSpent)
 		j.isRetryBudgetSpent = true
 		return false
