Incident: tests that reproduce retries beyond the budget

Cause: a start of a daemon forgets what the one before has spent, and begins with its part of the burst and its share anew.

--- a/lab/standin/answers.go
+++ b/lab/standin/answers.go
@@ -17,6 +17,7 @@
 	if !s.isForThisServer(w, r) {
 		return
 	}
+	s.platform.retries[s.service].RecordArrival(r.Header.Get(wire.HeaderID))
 	s.platform.checkDirectives(s, r)
 	s.platform.checkEvacuation(s)
 	s.checkCold()
--- a/lab/standin/client.go
+++ b/lab/standin/client.go
@@ -67,6 +67,7 @@
 	for name, value := range headers {
 		request.Header.Set(name, value)
 	}
+	c.Platform.recordRequest(path)
 	response, err := c.http.Do(request)
 	if err != nil {
 		answer.Err = errors.Wrap(err, "send request")
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"headcourse/lab/retryledger"
 	"headcourse/platform/wire"
 )
 
@@ -74,7 +75,9 @@
 	// directives are the directives that servers sent to daemons.
 	directives directiveLedger
 	// evacuations are the zones that the operator has evacuated.
-	evacuations       evacuations
+	evacuations evacuations
+	// retries has the ledger of repeated arrivals of each service.
+	retries           map[string]*retryledger.Ledger
 	settingsDir       string
 	advertisedAddress func(address string) (string, error)
 }
@@ -109,6 +112,7 @@
 		readyMembers:      map[string]bool{},
 		runs:              map[string]int{},
 		crashes:           map[string]int{},
+		retries:           newRetryLedgers(),
 		settingsDir:       dir,
 		advertisedAddress: size.AdvertisedAddress,
 		config:            withColdStarts(initialConfig()),
@@ -339,7 +343,7 @@
 func (p *Platform) Violations() []string {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return append([]string{}, p.violations...)
+	return append(p.retryViolations(), p.violations...)
 }
 
 // recordReady records that a server was a ready member of a group in an epoch.
@@ -431,9 +435,9 @@
   StrictRevoke: true
   DrainMs: 2000
   GraceS: 4
-  RetryRatio: 0.2
-  RetryWindowS: 10
-  RetryBurst: 100
+  RetryRatio: %g
+  RetryWindowS: %g
+  RetryBurst: %d
   StallMs: 1500
   CeilingWindowS: 5
   CeilingExcess: 1.1
@@ -454,7 +458,7 @@
 // given address, such as that of a proxy.
 func (p *Platform) WriteSettingsWithStore(name, storeAddress string, clientPort, readyPort, relayPort int) (string, error) {
 	path := filepath.Join(p.settingsDir, name+".yaml")
-	text := fmt.Sprintf(settingsTemplate, name, Zone(0), clientPort, readyPort, relayPort, relayPort, storeAddress)
+	text := fmt.Sprintf(settingsTemplate, name, Zone(0), clientPort, readyPort, relayPort, relayPort, RetryShare, RetryWindow.Seconds(), RetryBurst, storeAddress)
 	const fileMode = 0o600
 	return path, errors.Wrapf(os.WriteFile(path, []byte(text), fileMode), "write settings of %s", name)
 }
