Retry budget: starts empty, and its parts add up over any starts and lists

Cause: a window kept in memory. Each start could spend its part of the burst anew, with a factor of 0.45 that leaves room for two starts; it could spend in one window the share of requests of the window before, and the clients of a killed daemon earned that share again elsewhere; parts were rounded at random; the number of daemons was guessed as 16, or read from a list that still grew; requests were counted by the time of day. Change: a budget starts empty. Seven tenths of the share are earned by each request, three tenths can be stored for a window; half of the burst can be stored, the other half is earned evenly over the window. So what all daemons spend in a window is at most the share of its requests and of those of the window before, plus the burst, for any series of starts. A daemon has a part of the burst only while its list is at most a window old and has contained it for a window: each list in use then contains all daemons that use theirs. Parts below two retries go to some daemons by an order that all know. Time is that of the boot clock. Two tests of entry begin with requests that succeed, since a new daemon has no retries.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -1,54 +1,37 @@
 // Package retry bounds the load that a daemon's retries add.
 //
-// Each first attempt earns a fraction of a token, and each retry costs a whole one. When a
+// Each first attempt earns a fraction of a retry, and each retry costs a whole one. When a
 // backend server is slow for all requests, retries thus stay a fixed share of the traffic. A
 // limit for each request would multiply the load just when the server is overloaded.
+//
+// All daemons together must stay within the limits in any window, although daemons crash, start
+// again and forget what they have spent. So a budget starts empty. What it spends in a window was
+// earned in the window by the same start of the daemon, or stored at its beginning, and what all
+// daemons may have stored at a time is bounded.
 package retry
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
-)
 
-const (
-	// DefaultShare is the default share of the traffic that retries may add.
-	DefaultShare = 0.1
-	// DefaultBurst is the default number of retries that may be made at once after an idle time.
-	DefaultBurst = 20.0
+	"headcourse/core/boottime"
 )
 
-// burstFraction is the fraction of the total burst that is divided among daemons. If all
-// daemons restart within a window, each one starts with its whole burst again, so the fraction
-// is below one half.
-const burstFraction = 0.45
-
-// BurstPerDaemon returns one daemon's burst out of a total burst for all daemons. Budgets rounds a
-// burst below 1 at random. If each daemon had at least one retry, hundreds of daemons would
-// exceed the total; if each had none, a service with few requests at each daemon would never be
-// retried.
-func BurstPerDaemon(burst float64, daemons int) float64 {
-	return burstFraction * burst / float64(max(1, daemons))
-}
-
-// Budget is a retry budget. The zero value starts with DefaultBurst retries and earns DefaultShare
-// of a token for each request. It is safe for concurrent use.
-//
-// With a window, requests and retries expire after the window: in any window, retries are at
-// most share times the requests plus burst. Without a window, unused tokens are kept up to
-// burst.
+// Budget is a retry budget. The zero value has no window: it starts with DefaultBurst retries and
+// earns DefaultShare of a retry for each request. It is safe for concurrent use.
 type Budget struct {
+	// Limits returns the current limits; nil means the defaults. It is called for each decision,
+	// so that limits that no longer apply are not used.
+	Limits func() Limits
+	// Clock dates requests and retries; it continues while the VM is suspended.
+	Clock boottime.Clock
+
 	mutex sync.Mutex
-	// share, burst and window are the arguments of SetLimits. The defaults apply if share and burst
-	// are both 0. With a window of 0 there is no window.
-	share  float64
-	burst  float64
-	window time.Duration
-	// rounding is added to the balance before it is rounded down to whole retries.
-	rounding float64
-	// spent is the number of tokens below burst; it is used without a window only.
-	spent  float64
-	slices [sliceCount]windowSlice
+	// balance is the number of retries that may be made, as of updatedAt.
+	balance   float64
+	updatedAt time.Time
+	isUsed    bool
+	recent    recentRequests
 	// requestCount, retryCount and rejectedCount are the totals in State.
 	requestCount  int64
 	retryCount    int64
@@ -68,100 +51,62 @@
 	Burst float64
 }
 
-// sliceCount is the number of slices of a window, plus one so that the slices cover a whole
-// window at any moment.
-const sliceCount = 21
-
-// windowSlice counts requests and retries in one slice of the window.
-type windowSlice struct {
-	number   int64
-	requests float64
-	retries  float64
-}
-
-// SetLimits sets the share of the traffic, the burst and the window, for instance to one
-// daemon's part of the limits for all daemons.
-func (b *Budget) SetLimits(share, burst float64, window time.Duration) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.share = share
-	b.burst = burst
-	b.window = window
-}
-
-// limits returns the effective share and burst. The mutex must be held.
-func (b *Budget) limits() (share, burst float64) {
-	if b.share == 0 && b.burst == 0 {
-		return DefaultShare, DefaultBurst
+// update returns the current limits and time, and adds to the balance what was earned since the
+// last call. The mutex must be held.
+func (b *Budget) update() (Limits, time.Time) {
+	limits := Limits{
+		Share: DefaultShare,
+		Burst: DefaultBurst,
 	}
-	return b.share, b.burst
-}
-
-// currentSlice returns the slice for the current time. The mutex must be held.
-func (b *Budget) currentSlice() *windowSlice {
-	number := time.Now().UnixNano() / int64(b.window/(sliceCount-1))
-	current := &b.slices[number%sliceCount]
-	if current.number != number {
-		*current = windowSlice{
-			number: number,
-		}
+	if b.Limits != nil {
+		limits = b.Limits()
+	}
+	now := b.Clock.Now()
+	if !b.isUsed && limits.Window == 0 {
+		b.balance = limits.Burst
 	}
-	return current
+	if !b.updatedAt.IsZero() {
+		b.balance += limits.earnedBetween(b.updatedAt, now)
+	}
+	b.isUsed = true
+	b.updatedAt = now
+	b.limitBalance(limits, now)
+	return limits, now
 }
 
-// windowTotals returns the requests and retries of the last window. The mutex must be held.
-func (b *Budget) windowTotals() (requests, retries float64) {
-	newest := b.currentSlice().number
-	for _, s := range b.slices {
-		if newest-s.number >= sliceCount {
-			continue
-		}
-		retries += s.retries
-		if newest-s.number < sliceCount-1 {
-			requests += s.requests
-		}
+// limitBalance removes what exceeds the capacity. The mutex must be held.
+func (b *Budget) limitBalance(limits Limits, now time.Time) {
+	recent := 0.0
+	if limits.Window > 0 {
+		recent = b.recent.total(now, limits.Window)
 	}
-	return requests, retries
+	b.balance = min(b.balance, limits.capacity(recent))
 }
 
 // RecordRequest records a first attempt.
 func (b *Budget) RecordRequest() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
+	limits, now := b.update()
 	b.requestCount++
-	if b.window > 0 {
-		b.currentSlice().requests++
-		return
+	if limits.Window > 0 {
+		b.recent.add(now, limits.Window)
 	}
-	share, _ := b.limits()
-	b.spent = max(0, b.spent-share)
+	b.balance += limits.earnedPerRequest()
+	b.limitBalance(limits, now)
 }
 
-// balance returns the number of retries that may be made now, with its fraction. The mutex must be
-// held.
-func (b *Budget) balance() float64 {
-	share, burst := b.limits()
-	if b.window > 0 {
-		requests, retries := b.windowTotals()
-		return share*requests + burst + b.rounding - retries
-	}
-	return burst - b.spent
-}
-
-// TrySpend reports whether a retry may be made, and takes its token if so.
+// TrySpend reports whether a retry may be made, and takes it from the balance if so.
 func (b *Budget) TrySpend() bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.balance() < 1 {
+	b.update()
+	if b.balance < 1 {
 		b.rejectedCount++
 		return false
 	}
+	b.balance--
 	b.retryCount++
-	if b.window > 0 {
-		b.currentSlice().retries++
-		return true
-	}
-	b.spent++
 	return true
 }
 
@@ -169,39 +114,27 @@
 func (b *Budget) State() State {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	_, burst := b.limits()
+	limits, _ := b.update()
 	return State{
 		Requests:  b.requestCount,
 		Retries:   b.retryCount,
 		Rejected:  b.rejectedCount,
-		Available: b.balance(),
-		Burst:     burst,
+		Available: b.balance,
+		Burst:     limits.Burst,
 	}
 }
 
 // Budgets holds budgets by name, for instance one for each service, with the same limits. The
 // zero value has the defaults of Budget. It is safe for concurrent use.
-//
-// Each budget rounds its balance at random, by an offset that is drawn once: up with a probability
-// equal to its fraction. So many daemons together have on average the sum of their parts, with a
-// deviation of at most the square root of the number of daemons. Rounding each part down would
-// leave nothing of the sum.
 type Budgets struct {
+	// Limits and Clock are those of each Budget.
+	Limits func() Limits
+	Clock  boottime.Clock
+	// StartedAt, if set, is when the daemon started. A budget earns its burst from then on.
+	StartedAt time.Time
+
 	mutex  sync.Mutex
 	byName map[string]*Budget
-	share  float64
-	burst  float64
-	window time.Duration
-}
-
-// SetLimits sets the limits of all current and future budgets.
-func (b *Budgets) SetLimits(share, burst float64, window time.Duration) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.share, b.burst, b.window = share, burst, window
-	for _, budget := range b.byName {
-		budget.SetLimits(share, burst, window)
-	}
 }
 
 // ForName returns the budget with the given name.
@@ -213,9 +146,10 @@
 		return budget
 	}
 	budget = &Budget{
-		rounding: rand.Float64(),
+		Limits:    b.Limits,
+		Clock:     b.Clock,
+		updatedAt: b.StartedAt,
 	}
-	budget.SetLimits(b.share, b.burst, b.window)
 	if b.byName == nil {
 		b.byName = map[string]*Budget{}
 	}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"headcourse/core/boottime"
 	"headcourse/core/retry"
 )
 
@@ -28,26 +29,66 @@
 	qt.Assert(t, float64(retries) >= retry.DefaultShare*requests-1, qt.IsTrue, qt.Commentf("%d", retries))
 }
 
-func TestRequestsAndRetriesExpireWithTheWindow(t *testing.T) {
+// fixedLimits returns limits that stay the same, with a share of 0.2 and a window
+// of 10 s.
+func fixedLimits(burst float64) func() retry.Limits {
+	return func() retry.Limits {
+		return retry.Limits{
+			Share:  0.2,
+			Burst:  burst,
+			Window: 10 * time.Second,
+		}
+	}
+}
+
+// spendAll spends all retries of a budget and returns their number.
+func spendAll(budget *retry.Budget) int {
+	spent := 0
+	for budget.TrySpend() {
+		spent++
+	}
+	return spent
+}
+
+// Requests that were not retried leave a part of their share for a window. The burst is earned
+// again within a window, and one half of it can be stored.
+func TestStoredRetriesExpireWithTheWindow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var budget retry.Budget
-		budget.SetLimits(0.2, 2, 10*time.Second)
+		budget := retry.Budget{
+			Limits: fixedLimits(4),
+		}
+		qt.Assert(t, spendAll(&budget), qt.Equals, 0)
 		for range 100 {
 			budget.RecordRequest()
 		}
-		spent := 0
-		for budget.TrySpend() {
-			spent++
+		qt.Assert(t, spendAll(&budget), qt.Equals, 8)
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, spendAll(&budget), qt.Equals, 1)
+		for range 100 {
+			budget.RecordRequest()
 		}
-		qt.Assert(t, spent, qt.Equals, 22)
-
-		// Requests expire with the window, and so do retries.
 		time.Sleep(11 * time.Second)
-		spent = 0
-		for budget.TrySpend() {
-			spent++
+		qt.Assert(t, spendAll(&budget), qt.Equals, 2)
+		qt.Assert(t, spendAll(&budget), qt.Equals, 0)
+	})
+}
+
+// Guards against requests and retries that are dated by the time of day or by a clock that stops:
+// while the VM is suspended, stored retries expire.
+func TestStoredRetriesExpireDuringSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		budget := retry.Budget{
+			Limits: fixedLimits(0),
+			Clock: boottime.Clock{
+				Suspended: func() time.Duration { return suspended },
+			},
 		}
-		qt.Assert(t, spent, qt.Equals, 2)
+		for range 100 {
+			budget.RecordRequest()
+		}
+		suspended = time.Minute
+		qt.Assert(t, spendAll(&budget), qt.Equals, 0)
 	})
 }
 
@@ -55,28 +96,24 @@
 // randomised run (BUDGET, valdeserna-riego-grown, trouble-2 with seed 436711837917).
 func TestServicesHaveSeparateBudgets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var budgets retry.Budgets
-		budgets.SetLimits(0.2, 1, 10*time.Second)
+		budgets := retry.Budgets{
+			Limits:    fixedLimits(2),
+			StartedAt: time.Now(),
+		}
+		time.Sleep(10 * time.Second)
 		for range 100 {
 			budgets.ForName("board").RecordRequest()
 		}
-		spent := 0
-		for budgets.ForName("engines").TrySpend() {
-			spent++
-		}
-		qt.Assert(t, spent, qt.Equals, 1)
-		budgets.SetLimits(0.2, 5, 10*time.Second)
-		for budgets.ForName("engines").TrySpend() {
-			spent++
-		}
-		qt.Assert(t, spent, qt.Equals, 5)
+		qt.Assert(t, spendAll(budgets.ForName("engines")), qt.Equals, 1)
+		qt.Assert(t, spendAll(budgets.ForName("board")) > 1, qt.IsTrue)
 	})
 }
 
 func TestRetriesInAnyWindowStayWithinTheBound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var budget retry.Budget
-		budget.SetLimits(0.2, 5, 10*time.Second)
+		budget := retry.Budget{
+			Limits: fixedLimits(5),
+		}
 		var requests, retries []time.Time
 		for range 3000 {
 			time.Sleep(10 * time.Millisecond)
@@ -96,42 +133,7 @@
 				}
 				return count
 			}
-			qt.Assert(t, inWindow(retries) <= 0.2*inWindow(requests)+5+1, qt.IsTrue)
+			qt.Assert(t, inWindow(retries) <= 0.2*inWindow(requests)+5, qt.IsTrue)
 		}
 	})
 }
-
-// Guards against a burst of at least one retry for each daemon: hundreds of daemons made 300
-// retries at once, where all together may make 136.
-func TestBurstsOfAllDaemonsStayWithinTheTotal(t *testing.T) {
-	for _, daemons := range []int{1, 9, 89, 360, 2484} {
-		synctest.Test(t, func(t *testing.T) {
-			const share, burst, window = 0.2, 136.0, 10 * time.Second
-			var budgets []*retry.Budget
-			for range daemons {
-				budget := &retry.Budget{}
-				budget.SetLimits(share, retry.BurstPerDaemon(burst, daemons), window)
-				budgets = append(budgets, budget)
-			}
-			retries, requests := 0, 0
-			for _, budget := range budgets {
-				for budget.TrySpend() {
-					retries++
-				}
-			}
-			qt.Check(t, float64(retries) <= burst, qt.IsTrue, qt.Commentf("%d daemons: %d", daemons, retries))
-			// Fractions of a retry add up.
-			for _, budget := range budgets {
-				for range 20 {
-					budget.RecordRequest()
-					requests++
-				}
-				for budget.TrySpend() {
-					retries++
-				}
-			}
-			qt.Check(t, float64(retries) <= share*float64(requests)+burst, qt.IsTrue)
-			qt.Check(t, retries >= daemons, qt.IsTrue)
-		})
-	}
-}
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -3,22 +3,17 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"headcourse/core/neighbours"
-	"headcourse/core/retry"
 	"headcourse/core/rowstore"
 	"headcourse/io/relay"
 )
 
 const (
-	// initialDaemonCount is assumed until the daemon list is read. It keeps the retry budget
-	// small until then.
-	initialDaemonCount = 16
 	// listFeedWait is how long one call waits for changes of the list.
 	listFeedWait = 5 * time.Second
 	// listCoalesceDelay collects changes of the list. Hundreds of daemons that start at the
@@ -29,18 +24,8 @@
 	// tables. Without the list it has no relays. A store that does not return the list returns
 	// nothing else, so each daemon would try to read and watch all tables itself.
 	maxListWait = 6 * time.Second
-	// retryShareFactor scales down the allowed ratio of retries to requests, since daemons and
-	// servers count requests in different time windows.
-	retryShareFactor = 0.92
 )
 
-// setRetryBudgets sets this daemon's part of the system's retry budget and returns its burst.
-func (d *Daemon) setRetryBudgets(daemons int) float64 {
-	burst := retry.BurstPerDaemon(d.settings.RetryBurst, daemons)
-	d.retryBudgets.SetLimits(retryShareFactor*d.settings.RetryRatio, burst, d.settings.RetryWindow)
-	return burst
-}
-
 // selfEntry returns this daemon's entry in the list.
 func (d *Daemon) selfEntry() neighbours.Daemon {
 	return neighbours.Daemon{
@@ -66,8 +51,10 @@
 	isSelfMissing bool
 	// relayNames are the relays that this daemon uses, in order, for the log.
 	relayNames []string
-	// loggedRetryBurst is this daemon's part of the retry budget's burst, for the log.
-	loggedRetryBurst float64
+	// known holds the names of all daemons that the list has contained since this daemon started.
+	known map[string]bool
+	// retryPosition is this daemon's position among them for the retry budget, if it is one of them.
+	retryPosition int
 }
 
 // initClients creates the maps of clients. The caller holds the mutex.
@@ -79,7 +66,7 @@
 }
 
 // listFollower watches the daemon list. Rows of VMs that no longer exist stay in it, so the
-// count is never too low and the daemons' retry budgets together never exceed the limit.
+// count is never too low.
 func (d *Daemon) listFollower() *rowstore.Follower {
 	return &rowstore.Follower{
 		Reader:   d.listReader(),
@@ -88,20 +75,22 @@
 		PauseAfterChanges: func() time.Duration {
 			return listCoalesceDelay
 		},
-		OnSnapshot: func(rows []rowstore.Row, _ rowstore.Revision, _ time.Time) {
-			d.applyList(rows, true)
+		OnSnapshot: func(rows []rowstore.Row, _ rowstore.Revision, asOf time.Time) {
+			d.applyList(rows, true, asOf)
 		},
 		// Daemons that a restored list lacks register again. Until then they still count, so
 		// that the quotas of all daemons do not add up to more than the limit.
-		OnRestoredSnapshot: func(rows []rowstore.Row, _ rowstore.Revision, _ time.Time) {
-			d.applyList(rows, false)
+		OnRestoredSnapshot: func(rows []rowstore.Row, _ rowstore.Revision, asOf time.Time) {
+			d.applyList(rows, false, asOf)
 			d.updateSelfMissing(rows)
 		},
 		RewriteWait: d.reregistrationWindow,
-		OnChanges: func(rows []rowstore.Row, _ rowstore.Revision, _ time.Time) {
+		OnChanges: func(rows []rowstore.Row, _ rowstore.Revision, asOf time.Time) {
 			if len(rows) > 0 {
-				d.applyList(rows, false)
+				d.applyList(rows, false, asOf)
+				return
 			}
+			d.confirmList(asOf)
 		},
 		TableCache:  &d.tableCache,
 		OnFailure:   d.recordListError,
@@ -138,11 +127,21 @@
 	d.recordStoreError(neighbours.Table)(err)
 }
 
-// applyList applies rows of the list and selects the relays again.
-func (d *Daemon) applyList(rows []rowstore.Row, isSnapshot bool) {
+// confirmList records that the list has not changed as of a time.
+func (d *Daemon) confirmList(asOf time.Time) {
+	d.directory.mutex.Lock()
+	defer d.directory.mutex.Unlock()
+	d.updateRetryPart(asOf)
+}
+
+// applyList applies rows of the list, which is valid as of a time, and selects the relays again.
+func (d *Daemon) applyList(rows []rowstore.Row, isSnapshot bool, asOf time.Time) {
 	directory := &d.directory
 	directory.mutex.Lock()
 	defer directory.mutex.Unlock()
+	if directory.known == nil {
+		directory.known = map[string]bool{}
+	}
 	if isSnapshot || directory.byName == nil {
 		directory.byName = map[string]neighbours.Daemon{}
 		directory.publishedRelays = nil
@@ -164,11 +163,13 @@
 			continue
 		}
 		directory.byName[row.Key] = daemon
+		directory.known[row.Key] = true
 		if row.Key == d.settings.Name {
 			directory.isSelfMissing = false
 		}
 	}
 	d.chooseRelays()
+	d.updateRetryPart(asOf)
 	if isSnapshot {
 		d.listLoaded.set()
 	}
@@ -208,9 +209,7 @@
 		Fallbacks: d.fallbackReaders(directory.list.FallbacksFor(d.settings.Name)),
 	})
 	d.updatePosition(directory.list)
-	burst := d.setRetryBudgets(max(1, directory.list.Len()))
-	d.logRetryLimits(burst)
-	d.logRelays(relays, burst)
+	d.logRelays(relays)
 }
 
 // relayReaders returns readers for daemons that this daemon reads tables from. The caller holds
@@ -241,26 +240,9 @@
 	return relays
 }
 
-// logRetryLimits logs this daemon's part of the retry budget if it has changed. The caller holds
-// the directory's mutex.
-func (d *Daemon) logRetryLimits(burst float64) {
-	directory := &d.directory
-	if burst == directory.loggedRetryBurst {
-		return
-	}
-	directory.loggedRetryBurst = burst
-	if mayWrite, suppressed := d.retryLimitsThrottle.Allow(""); mayWrite {
-		d.log.Info("retries: limits set",
-			zap.Int("daemons", directory.list.Len()),
-			zap.Float64("burst", burst),
-			zap.Int64("age_ms", time.Since(d.startedAt).Milliseconds()),
-			zap.Int("lines_left_out", suppressed))
-	}
-}
-
 // logRelays logs the first maxRegistrars of this daemon's relays if the relays have changed.
 // Changes elsewhere in the list do not affect it.
-func (d *Daemon) logRelays(relays []rowstore.Relay, burst float64) {
+func (d *Daemon) logRelays(relays []rowstore.Relay) {
 	directory := &d.directory
 	names := make([]string, len(relays))
 	for i, relay := range relays {
@@ -273,8 +255,7 @@
 	d.log.Info("daemons: relays chosen",
 		zap.Int("daemons", directory.list.Len()),
 		zap.Bool("is_relay", directory.list.IsRelay(d.settings.Name)),
-		zap.Strings("relays", names[:min(maxRegistrars, len(names))]),
-		zap.String("retry_burst", strconv.FormatFloat(burst, 'f', 1, 64)))
+		zap.Strings("relays", names[:min(maxRegistrars, len(names))]))
 }
 
 // newRelayClient returns a client of another daemon that also sends it this daemon's demand.
--- a/entry/directives_test.go
+++ b/entry/directives_test.go
@@ -18,6 +18,10 @@
 	s := newSite(t, 2)
 	plain := s.standin.Servers(standin.ServicePlain)
 	head := s.standin.Heads(standin.ModelSmall)[0]
+	for i := range s.daemons {
+		s.earnRetries(i, get)
+		s.earnRetries(i, streamSmall)
+	}
 	plain[0].RejectWithRetryAfter(pause)
 	head.RejectWithRetryAfter(pause)
 	for began := time.Now(); time.Since(began) < 2*pause; {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -82,6 +82,8 @@
 	gateway      *gateway.Server
 	readiness    *readiness
 	retryBudgets retry.Budgets
+	// retryPart is this daemon's part of the retry budget.
+	retryPart atomic.Pointer[retry.Part]
 	// suspension measures how long the VM was suspended; bootClock includes that time.
 	suspension kernel.SuspendClock
 	bootClock  boottime.Clock
@@ -234,7 +236,7 @@
 	d.position.Store(&daemonPosition{})
 	d.view.Store(&gateway.View{})
 	d.storeOutage.Store(&fleet.Outage{})
-	d.setRetryBudgets(initialDaemonCount)
+	d.initRetryBudgets()
 	return d
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -316,6 +316,7 @@
 func TestRepeatableRequestIsRetriedOnAnotherServer(t *testing.T) {
 	s := newSite(t, 1)
 	servers := s.standin.Servers(standin.ServicePlain)
+	s.earnRetries(0, get)
 	servers[0].SetBehaviour(standin.Truncating)
 	servers[1].SetBehaviour(standin.Rejecting)
 	succeeded := 0
@@ -485,7 +486,7 @@
 		refused.ID:   `"reason":"unknown_key"`,
 		rejected.ID:  ":server_refused",
 	} {
-		lines := s.lines(`"request_id":"` + id + `"`)
+		lines := s.lines(`"request_id":"` + id + `","status"`)
 		qt.Assert(t, lines, qt.HasLen, 1)
 		qt.Assert(t, lines[0], qt.Contains, cause)
 	}
--- a/io/gateway/budget_test.go
+++ b/io/gateway/budget_test.go
@@ -17,13 +17,13 @@
 	"headcourse/platform/wire"
 )
 
-// emptyRetryBudgets returns budgets that allow no retry. They have no window, since a budget with
-// a window rounds its balance at random, so that some would allow a retry.
+// emptyRetryBudgets returns budgets that allow no retry.
 func emptyRetryBudgets() *retry.Budgets {
-	const share, burst, noWindow = 0.01, 0.1, 0
-	budgets := &retry.Budgets{}
-	budgets.SetLimits(share, burst, noWindow)
-	return budgets
+	return &retry.Budgets{
+		Limits: func() retry.Limits {
+			return retry.Limits{}
+		},
+	}
 }
 
 // A request was refused after one attempt although other servers were free, and its log line
