--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -127,6 +127,10 @@
 		name:  "servers become cold",
 		begin: makeServersCold,
 	},
+	{
+		name:  "all daemons killed in series while servers fail",
+		begin: killDaemonsInSeries,
+	},
 }
 
 // Range of the times between faults and of their durations.
@@ -289,10 +293,7 @@
 
 // killAllDaemons kills all daemons at once.
 func killAllDaemons(s *soak) func() {
-	s.exempt(nil, killExemption)
-	for _, d := range s.daemons {
-		s.signalDaemon(d, unix.SIGKILL)
-	}
+	s.signalAllDaemons(unix.SIGKILL)
 	return nil
 }
 
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -125,6 +125,7 @@
 	failures = append(failures, s.checkLimits()...)
 	failures = append(failures, s.checkEvacuation()...)
 	failures = append(failures, s.checkRestore()...)
+	failures = append(failures, s.checkRetries()...)
 	close(stopSnapshots)
 	snapshotTaker.Wait()
 	stop()
@@ -149,6 +150,7 @@
 		Domains:           2,
 		ServersPerDomain:  8,
 		PlainServers:      3,
+		RareServers:       2,
 		Zones:             serverZones,
 		AdvertisedAddress: s.addServerProxy,
 	})
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -45,10 +45,13 @@
 	KeyCuenca    = "key-of-cuenca"
 	KeyLoja      = "key-of-loja"
 	ServicePlain = "board"
+	// ServiceRare is a plain service that only requests to PathRare are for.
+	ServiceRare  = "archive"
 	ServiceModel = "engines"
 	ModelLarge   = "large"
 	ModelSmall   = "small"
 	PathSafe     = "/status/"
+	PathRare     = "/archive/"
 	PathUnsafe   = "/orders/"
 	PathLarge    = "/large/"
 	PathSmall    = "/small/"
@@ -87,6 +90,8 @@
 	Domains          int
 	ServersPerDomain int
 	PlainServers     int
+	// RareServers is the number of servers of ServiceRare.
+	RareServers int
 	// Zones is the number of zones over which domains and plain servers are distributed in
 	// turn; 0 means one.
 	Zones int
@@ -130,6 +135,11 @@
 			return nil, err
 		}
 	}
+	for i := range size.RareServers {
+		if err = p.startServer(ServiceRare, "", size.zone(i)); err != nil {
+			return nil, err
+		}
+	}
 	return p, nil
 }
 
@@ -138,61 +148,70 @@
 	for _, server := range p.Servers(ServiceModel) {
 		_ = server.http.Close()
 	}
-	for _, server := range p.Servers(ServicePlain) {
+	for _, server := range append(p.Servers(ServicePlain), p.Servers(ServiceRare)...) {
 		_ = server.http.Close()
 	}
 	_ = p.Store.server.Close()
 }
 
+// newRoute returns a route by its path to a service.
+func newRoute(path, kind, service string) wire.Route {
+	return wire.Route{
+		Name:        path,
+		Host:        Host,
+		PathPrefix:  path,
+		Kind:        kind,
+		TimeoutMs:   6000,
+		GoalMs:      300,
+		Service:     service,
+		MaxAttempts: 2,
+		Resumable:   kind == wire.KindStream,
+		GapGoalMs:   200,
+	}
+}
+
+// newModel returns a model whose groups have a number of servers and a share of the demand.
+func newModel(name string, size int, share float64) wire.Model {
+	return wire.Model{
+		Name:    name,
+		Size:    size,
+		Share:   share,
+		Pace:    1,
+		LoadS:   loadTime.Seconds(),
+		WarmupS: loadTime.Seconds(),
+	}
+}
+
 // initialConfig returns the configuration that the platform starts with.
 func initialConfig() wire.Config {
-	route := func(path, kind, service string) wire.Route {
-		return wire.Route{
-			Name:        path,
-			Host:        Host,
-			PathPrefix:  path,
-			Kind:        kind,
-			TimeoutMs:   6000,
-			GoalMs:      300,
-			Service:     service,
-			MaxAttempts: 2,
-			Resumable:   kind == wire.KindStream,
-			GapGoalMs:   200,
-		}
-	}
-	unsafe := route(PathUnsafe, wire.KindUnsafe, ServicePlain)
+	unsafe := newRoute(PathUnsafe, wire.KindUnsafe, ServicePlain)
 	unsafe.MaxAttempts = 1
-	model := func(name string, size int, share float64) wire.Model {
-		return wire.Model{
-			Name:    name,
-			Size:    size,
-			Share:   share,
-			Pace:    1,
-			LoadS:   loadTime.Seconds(),
-			WarmupS: loadTime.Seconds(),
-		}
-	}
 	return wire.Config{
 		Version: 1,
 		Routes: []wire.Route{
-			route(PathSafe, wire.KindSafe, ServicePlain),
+			newRoute(PathSafe, wire.KindSafe, ServicePlain),
+			newRoute(PathRare, wire.KindSafe, ServiceRare),
 			unsafe,
-			route(PathLarge, wire.KindStream, ServiceModel),
-			route(PathSmall, wire.KindStream, ServiceModel),
+			newRoute(PathLarge, wire.KindStream, ServiceModel),
+			newRoute(PathSmall, wire.KindStream, ServiceModel),
 		},
 		Services: []wire.Service{
 			{
 				Name:     ServicePlain,
 				MaxConns: 100,
 			},
+			{
+				Name:     ServiceRare,
+				MaxConns: 100,
+			},
 			{
 				Name:     ServiceModel,
 				MaxConns: 400,
 				Engine: &wire.Engine{
 					Capacity: serverCapacity,
 					Models: []wire.Model{
-						model(ModelLarge, 4, 0.67),
-						model(ModelSmall, 2, 0.33),
+						newModel(ModelLarge, 4, 0.67),
+						newModel(ModelSmall, 2, 0.33),
 					},
 					LoadsPerS:      40,
 					LoadsAtOnce:    20,
--- a/lab/standin/retries.go
+++ b/lab/standin/retries.go
@@ -10,14 +10,14 @@
 // The retry budget of each service, shared by all daemons. The settings of the daemons have it.
 const (
 	RetryShare  = 0.2
-	RetryBurst  = 100
+	RetryBurst  = 20
 	RetryWindow = 10 * time.Second
 )
 
 // newRetryLedgers returns a ledger of retries for each service.
 func newRetryLedgers() map[string]*retryledger.Ledger {
 	ledgers := map[string]*retryledger.Ledger{}
-	for _, service := range []string{ServicePlain, ServiceModel} {
+	for _, service := range []string{ServicePlain, ServiceRare, ServiceModel} {
 		ledgers[service] = &retryledger.Ledger{
 			Share:  RetryShare,
 			Burst:  RetryBurst,
