A daemon that starts during an outage of the store leads after it

Callers saw: after a kill of all daemons while the store is unavailable, no group that is lost comes back: requests for its model are refused for good. Cause: a failed first read of the list of daemons begins an outage, and the list's recovery did not end it. The configuration and the servers, whose recoveries end one, are not read before the list, so they had not failed. During an outage a daemon tries only for a lease that names it. Change: the list's recovery before its first read ends the outage.

--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -94,7 +94,7 @@
 		},
 		TableCache:  &d.tableCache,
 		OnFailure:   d.recordListError,
-		OnRecovery:  d.recordStoreRecovery(neighbours.Table),
+		OnRecovery:  d.recordListRecovery,
 		OnEraChange: d.recordEraChange(neighbours.Table),
 		OnRejected:  d.recordDroppedAnswer(neighbours.Table),
 		Clock:       &d.storeClock,
@@ -127,6 +127,16 @@
 	d.recordStoreError(neighbours.Table)(err)
 }
 
+// recordListRecovery records that the list can be read again, which ends the outage that a failed
+// first read has begun. It is called before the rows are applied.
+func (d *Daemon) recordListRecovery(downtime time.Duration) {
+	if d.isInitialListRead(neighbours.Table) {
+		d.recordOutageEnd(neighbours.Table)(downtime)
+		return
+	}
+	d.recordStoreRecovery(neighbours.Table)(downtime)
+}
+
 // confirmList records that the list has not changed as of a time.
 func (d *Daemon) confirmList(asOf time.Time) {
 	d.directory.mutex.Lock()
