A slow attempt is kept when no untried server is left

Callers saw: 502 after about a second from a request that one server had rejected and another was about to answer. Cause: the watchdog looked for any other server that is not ejected, the retry for one that the request has not tried. The slow attempt was aborted, a retry was paid for, and then there was no server. Change: job.untriedServers, for both. Result: TestSlowServerIsKeptWhenAllOthersWereTried fails without the change (3 of 3 runs: i-0:server_refused i-1:stalled) and passes with it (3 of 3). The class, one question asked by two functions: mayRetry and the watchdog were read; the budget is paid by one function for both already.

--- a/io/gateway/budget_test.go
+++ b/io/gateway/budget_test.go
@@ -4,6 +4,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,3 +104,45 @@
 	status, _ := sendRequest(t, server.Address(), "r1", time.Hour)
 	qt.Assert(t, status, qt.Equals, http.StatusOK)
 }
+
+// Guards against aborting a slow stream to fail over although the request has tried all other
+// servers: the only other server had rejected it, so it ended with 502.
+func TestSlowServerIsKeptWhenAllOthersWereTried(t *testing.T) {
+	// Longer than any silence after which a request fails over.
+	const silence = 1600 * time.Millisecond
+	rejecting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderID, r.Header.Get(wire.HeaderID))
+		w.Header().Set(wire.HeaderNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(rejecting.Close)
+	slow := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(wire.HeaderID, r.Header.Get(wire.HeaderID))
+		w.Header().Set(wire.HeaderSeal, "seal")
+		w.Header().Set("Content-Type", "text/event-stream")
+		time.Sleep(silence)
+		// The error is ignored: a stream that fails over is aborted.
+		_, _ = io.WriteString(w, "id: 1\ndata: first\n\n")
+	}))
+	t.Cleanup(slow.Close)
+	core, logs := observer.New(zap.InfoLevel)
+	opts := newOptions(newSource(serversView(config.Stream, rejecting.Listener.Addr().String(), slow.Listener.Addr().String())))
+	opts.Log = zap.New(core)
+	server := startGateway(t, opts)
+	const requests = 12
+	var group sync.WaitGroup
+	for i := range requests {
+		group.Go(func() { sendRequest(t, server.Address(), strconv.Itoa(i), time.Hour) })
+	}
+	group.Wait()
+	rejected := 0
+	for _, line := range logs.FilterMessage("clients: request ended").All() {
+		fields := line.ContextMap()
+		sentTo, _ := fields["sent_to"].(string)
+		if strings.HasPrefix(sentTo, "i-0:server_refused i-1") {
+			rejected++
+			qt.Check(t, fields["status"], qt.Equals, int64(http.StatusOK), qt.Commentf("%s", sentTo))
+		}
+	}
+	qt.Assert(t, rejected > 0, qt.IsTrue)
+}
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -220,7 +220,7 @@
 	if j.possibleRuns > 0 && (!j.route.Repeatable() || j.possibleRuns >= j.route.MaxAttempts) {
 		return false
 	}
-	if !j.hasUntriedServer() {
+	if len(j.untriedServers()) == 0 {
 		return false
 	}
 	if j.possibleArrivals > 0 && !j.isRetryPaid.Swap(false) && !j.spendRetry() {
--- a/io/gateway/selection.go
+++ b/io/gateway/selection.go
@@ -12,14 +12,15 @@
 	"headcourse/core/usage"
 )
 
-// hasUntriedServer reports whether an available server is not excluded from further attempts.
-func (j *job) hasUntriedServer() bool {
+// untriedServers returns the available servers that are not excluded from further attempts.
+func (j *job) untriedServers() []fleet.Server {
+	var untried []fleet.Server
 	for _, server := range j.server.availableServers(j.service, j.request.Model) {
 		if !j.excluded[server.ID] {
-			return true
+			untried = append(untried, server)
 		}
 	}
-	return false
+	return untried
 }
 
 // selection is the server selected for one attempt.
--- a/io/gateway/watchdog.go
+++ b/io/gateway/watchdog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,12 +129,9 @@
 	}
 }
 
-// hasAlternative reports whether another available server is not ejected.
+// hasAlternative reports whether a server that the request has not tried yet is not ejected.
 func (w *watchdog) hasAlternative() bool {
-	for _, candidate := range w.job.server.availableServers(w.job.service, w.job.request.Model) {
-		if candidate.ID != w.server.ID && !w.job.server.tracker.IsEjected(candidate.ID) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(w.job.untriedServers(), func(candidate fleet.Server) bool {
+		return !w.job.server.tracker.IsEjected(candidate.ID)
+	})
 }
