--- a/lab/soak/limits.go
+++ b/lab/soak/limits.go
@@ -18,6 +18,9 @@
 // limitSteps is the number of limits that a server announces one after the other.
 const limitSteps = 6
 
+// headPollInterval is the time between two looks for heads of a model.
+const headPollInterval = 20 * time.Millisecond
+
 // setLimits makes one, half or all servers of a service announce limits: either one limit for
 // all of them or a separate limit for each. The limits stay constant, fall or rise.
 func setLimits(s *soak) func() {
@@ -47,15 +50,24 @@
 }
 
 // randomServingServers returns one or all of the plain servers or of the heads of one model.
-// Members of groups that are not heads receive no requests.
+// Members of groups that are not heads receive no requests. It waits for servingTimeout until there
+// is one, since a group may end at any time and form anew, and then returns none.
 func (s *soak) randomServingServers() []*standin.Server {
-	serving := [][]*standin.Server{
-		s.platform.Servers(standin.ServicePlain),
-		s.platform.Heads(standin.ModelSmall),
-		s.platform.Heads(standin.ModelLarge),
-	}[s.random.IntN(3)]
-	if s.random.IntN(2) == 0 {
-		return serving[:1]
+	kind := s.random.IntN(3)
+	isOne := s.random.IntN(2) == 0
+	var serving []*standin.Server
+	for began := time.Now(); len(serving) == 0 && time.Since(began) < servingTimeout; {
+		serving = [][]*standin.Server{
+			s.platform.Servers(standin.ServicePlain),
+			s.platform.Heads(standin.ModelSmall),
+			s.platform.Heads(standin.ModelLarge),
+		}[kind]
+		if len(serving) == 0 {
+			time.Sleep(headPollInterval)
+		}
+	}
+	if isOne {
+		return serving[:min(1, len(serving))]
 	}
 	return serving
 }
@@ -90,6 +102,9 @@
 func (s *soak) checkLimits() []string {
 	before := s.platform.DirectiveCounts()
 	chosen := s.randomServingServers()
+	if len(chosen) == 0 {
+		return []string{"a model has no open and complete group for " + servingTimeout.String() + " without faults"}
+	}
 	limit := s.randomLimit()
 	for _, server := range chosen {
 		server.SetLimit(limit)
