Retry budget: half of the share can be stored

Cause: a daemon that has just started could hold only 0.3 of its share, less than it earned, so that it had no retry after 17 requests. Change: 0.5 of the share is earned at once and 0.5 can be stored; the bound holds for any division.

--- a/core/retry/limits.go
+++ b/core/retry/limits.go
@@ -26,7 +26,7 @@
 	// storedShare is the fraction of the share that may be stored for a window. The rest is earned
 	// at once. A bound on their sum holds even if the traffic moves between daemons: the requests of
 	// a window pay for the rest, those of the window before for what was stored at its start.
-	storedShare = 0.3
+	storedShare = 0.5
 	// storedBurst is the fraction of the burst that may be stored. The rest is earned evenly over
 	// the window.
 	storedBurst = 0.5
