plan: Build leaves the fleet state unchanged

Callers saw: a plan that nobody had confirmed closed its zone at one daemon, until its fleet state was read anew. Cause: the builder wrote into the ClosedZones of its caller, from another goroutine than the one that owns it. Change: the builder has a copy of the map. Result: TestBuildLeavesTheFleetStateUnchanged failed before (quito-a closed) and passes. The class, a copy of a struct that shares its maps: FleetState's Claims, ZonePlans and UnresponsiveVMs are read only by the builder; ClosedZones was the only one written (read: core/plan).

--- a/core/plan/build.go
+++ b/core/plan/build.go
@@ -1,6 +1,7 @@
 package plan
 
 import (
+	"maps"
 	"fmt"
 	"sort"
 
@@ -20,8 +21,8 @@
 var ErrNoFreeVMs = errors.New("no room")
 
 // Build returns the plan that carries out an intent on this fleet. It writes nothing to the
-// store, but sets the zones that the plan closes in fleet.ClosedZones. The caller passes the
-// plan's id and the operator's name.
+// store and does not change the fleet state. The caller passes the plan's id and the operator's
+// name.
 func Build(id, operator string, intent Intent, fleet FleetState) (Plan, error) {
 	info, ok := kindsByName[intent.Kind]
 	if !ok {
@@ -60,6 +61,7 @@
 	for _, record := range fleet.Groups {
 		names[record.Name] = true
 	}
+	fleet.ClosedZones = maps.Clone(fleet.ClosedZones)
 	return &builder{
 		fleet:         fleet,
 		intent:        intent,
