daemon: Stop ends right after a start

Callers saw: serve never ended when it was stopped within half a millisecond of its start. Cause: a task that waits for the control goroutine also waited for stopped, which Stop closes only after it has waited for that task. Change: it waits for the end of the control goroutine.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -60,8 +60,10 @@
 
 	cancel     context.CancelFunc
 	goroutines conc.WaitGroup
-	stopped    chan struct{}
-	stopOnce   sync.Once
+	// controlEnded is closed when the control goroutine has ended, stopped when all have.
+	controlEnded chan struct{}
+	stopped      chan struct{}
+	stopOnce     sync.Once
 }
 
 // Start starts the control part of a daemon. The settings must have passed
@@ -77,6 +79,7 @@
 		engines:         engine.New(settings.IdleTime),
 		inbox:           make(chan func(*control.Controller), inboxCapacity),
 		refreshRequests: make(chan struct{}, 1),
+		controlEnded:    make(chan struct{}),
 		stopped:         make(chan struct{}),
 	}
 	server, err := peer.Listen(settings.Peers, settings.PeerKey, d, &d.traffic)
@@ -195,7 +198,7 @@
 }
 
 // runInControl runs a function in the control goroutine and waits for it. It
-// returns false if the daemon stopped first.
+// returns false if that goroutine ended first.
 func (d *Daemon) runInControl(task func(*control.Controller)) bool {
 	done := make(chan struct{})
 	queued := func(c *control.Controller) {
@@ -204,13 +207,13 @@
 	}
 	select {
 	case d.inbox <- queued:
-	case <-d.stopped:
+	case <-d.controlEnded:
 		return false
 	}
 	select {
 	case <-done:
 		return true
-	case <-d.stopped:
+	case <-d.controlEnded:
 		return false
 	}
 }
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -50,6 +50,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
 	d.goroutines.Go(func() {
+		defer close(d.controlEnded)
 		d.runControl(ctx)
 	})
 	d.goroutines.Go(func() {
--- a/daemon/node_test.go
+++ b/daemon/node_test.go
@@ -215,3 +215,37 @@
 	})
 	qt.Assert(t, err, qt.ErrorMatches, `.*site "nowhere" is not declared.*`)
 }
+
+// Guards against a daemon that never stops: right after its start, a goroutine that Stop waits for
+// waited itself until the daemon had stopped.
+func TestDaemonStopsRightAfterItsStart(t *testing.T) {
+	standIns, err := platform.Start(platform.Settings{})
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(standIns.Stop)
+	const starts = 400
+	for number := range starts {
+		started, startErr := daemon.Start(daemon.Settings{
+			ID:          fmt.Sprintf("entry-%d", number),
+			Zone:        "quito-a",
+			Peers:       "127.0.0.1:0",
+			Table:       standIns.TableAddress(),
+			VMList:      standIns.VMListAddress(),
+			PeerKey:     "test-peer-key-0123456789",
+			DrainTime:   time.Minute,
+			UnreadyTime: time.Millisecond,
+			IdleTime:    10 * time.Second,
+		}, zap.NewNop())
+		qt.Assert(t, startErr, qt.IsNil)
+		time.Sleep(time.Duration(number%50) * 10 * time.Microsecond)
+		stopped := make(chan struct{})
+		go func() {
+			started.Stop()
+			close(stopped)
+		}()
+		select {
+		case <-stopped:
+		case <-time.After(time.Minute):
+			t.Fatalf("start %d: not stopped after a minute", number)
+		}
+	}
+}
