--- a/core/plan/build.go
+++ b/core/plan/build.go
@@ -1,8 +1,8 @@
 package plan
 
 import (
-	"maps"
 	"fmt"
+	"maps"
 	"sort"
 
 	"github.com/pkg/errors"
