Observability: failed connects, checks for a crash, and probes of members

Failed requests did not show whether a connect was refused or timed out, nor whether other servers could be reached at that moment. The result of a check for a crash was not logged, and of a check of a group only the worst member.

--- a/entry/stallchecks.go
+++ b/entry/stallchecks.go
@@ -69,9 +69,20 @@
 		}()
 	}
 	var worstFault memberFault
+	unresponsive := 0
 	for range members {
-		worstFault = worstFault.worse(<-faults)
+		fault := <-faults
+		if fault.isUnresponsive() {
+			unresponsive++
+		}
+		worstFault = worstFault.worse(fault)
 	}
+	d.log.Info("groups: members probed",
+		zap.String("group", head.Membership.Group),
+		zap.Int64("epoch", head.Membership.Epoch),
+		zap.Int("members", len(members)),
+		zap.Int("unresponsive", unresponsive),
+		zap.String("member", worstFault.serverID))
 	if !worstFault.isFault() {
 		return
 	}
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -169,7 +169,9 @@
 // be hundreds of milliseconds later.
 func (j *job) send(selected selection, head []byte) (*backend.Exchange, error) {
 	server := selected.server
+	startedAt := time.Now()
 	exchange, err := j.server.backends.Connect(server.ID, server.Address)
+	j.server.recordConnect(server, startedAt, err)
 	if err != nil {
 		return nil, err
 	}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -121,6 +121,10 @@
 	lateStreams     urgency.LateLimiter
 	sizes           usage.SizeEstimator
 	budgets         *retry.Budgets
+	// lastConnect is the last successful connect to any backend server. connectThrottle limits the
+	// log lines about failed ones and about checks for a crash.
+	lastConnect     lastSuccess
+	connectThrottle logline.Throttle
 	// retryThrottle limits the log lines about the retry budgets.
 	retryThrottle logline.Throttle
 	// directives holds the directives that servers sent: pauses, and notices that they drain.
@@ -216,6 +220,7 @@
 	server.directiveThrottle.Interval = throttledLogInterval
 	server.limitThrottle.Interval = throttledLogInterval
 	server.retryThrottle.Interval = throttledLogInterval
+	server.connectThrottle.Interval = throttledLogInterval
 	server.http = &fasthttp.Server{
 		Handler:                      server.handle,
 		ErrorHandler:                 server.handleBadRequest,
--- a/io/gateway/quarantine.go
+++ b/io/gateway/quarantine.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -104,8 +105,18 @@
 // recordCrashes checks whether a server is down, and if so records a crash for each request
 // that was in flight there.
 func (s *Server) recordCrashes(server fleet.Server) {
+	startedAt := time.Now()
 	isDown := s.backends.IsDown(server.Address)
 	crashes := s.crashChecks.finish(server)
+	if mayWrite, suppressed := s.connectThrottle.Allow("crash/" + server.Service); mayWrite {
+		s.log.Info("servers: checked for a crash",
+			zap.String("server", server.ID),
+			zap.Bool("is_down", isDown),
+			zap.Int64("took_ms", time.Since(startedAt).Milliseconds()),
+			zap.Int64("last_success_age_ms", s.lastConnect.ageMs()),
+			zap.Int("requests", len(crashes)),
+			zap.Int("lines_left_out", suppressed))
+	}
 	if !isDown {
 		metrics.GetOrRegisterCounter(countCrashesRefuted, s.registry).Inc(int64(len(crashes)))
 		return
