Incident: tests that reproduce the loss of links to the servers

Daemons connect to backend servers by a tcp.Dialer, so that tests can inject the loss of one daemon's links (lab/link): connects that hang, are refused or reset, one direction only, and open connections that live on. No logic changes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -36,6 +36,7 @@
 	"headcourse/io/kernel"
 	"headcourse/io/logline"
 	"headcourse/io/relay"
+	"headcourse/io/tcp"
 	"headcourse/platform"
 )
 
@@ -77,7 +78,9 @@
 	startedAt time.Time
 	store     *platform.Store
 	// rowWriter batches writes of daemon rows.
-	rowWriter    *rowstore.Batcher
+	rowWriter *rowstore.Batcher
+	// dialer connects to backend servers.
+	dialer       tcp.Dialer
 	engines      *platform.EngineClient
 	gateway      *gateway.Server
 	readiness    *readiness
@@ -174,7 +177,12 @@
 
 // Start starts a daemon with settings that have been checked.
 func Start(nodeSettings settings.Settings, log *zap.Logger) (*Daemon, error) {
-	d := newDaemon(nodeSettings, log)
+	return StartWithDialer(nodeSettings, log, tcp.DirectDialer{})
+}
+
+// StartWithDialer starts a daemon that connects to backend servers by a dialer.
+func StartWithDialer(nodeSettings settings.Settings, log *zap.Logger, dialer tcp.Dialer) (*Daemon, error) {
+	d := newDaemon(nodeSettings, log, dialer)
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -185,14 +193,15 @@
 }
 
 // newDaemon returns a daemon that does not listen or run yet.
-func newDaemon(nodeSettings settings.Settings, log *zap.Logger) *Daemon {
+func newDaemon(nodeSettings settings.Settings, log *zap.Logger, dialer tcp.Dialer) *Daemon {
 	d := &Daemon{
 		settings:       nodeSettings,
 		log:            log,
 		registry:       metrics.NewRegistry(),
 		startID:        uuid.NewString(),
 		startedAt:      time.Now(),
-		engines:        platform.NewEngineClient(),
+		engines:        platform.NewEngineClient(dialer),
+		dialer:         dialer,
 		stalledHeads:   make(chan fleet.Server, stallQueueCapacity),
 		pendingReports: make(chan report, reportQueueCapacity),
 		viewChanged:    make(chan struct{}, 1),
@@ -254,6 +263,7 @@
 		Registry: d.registry,
 		Log:      d.log,
 		Clock:    d.bootClock,
+		Dialer:   d.dialer,
 	})
 	if err != nil {
 		return err
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -15,6 +15,7 @@
 
 	"headcourse/core/settings"
 	"headcourse/entry"
+	"headcourse/lab/link"
 	"headcourse/lab/standin"
 	"headcourse/platform"
 	"headcourse/platform/wire"
@@ -24,6 +25,9 @@
 // test.
 const awaitTimeout = 30 * time.Second
 
+// siteNames are the names of the daemons of a site.
+var siteNames = []string{"front-a", "front-b", "front-c", "front-d", "front-e"}
+
 // site is a stand-in of the platform with some daemons.
 type site struct {
 	t       *testing.T
@@ -31,8 +35,10 @@
 	// initialStore is a copy of the store from before the first daemon started.
 	initialStore standin.Snapshot
 	daemons      []*entry.Daemon
-	logs         *observer.ObservedLogs
-	log          *zap.Logger
+	// links are the daemons' links to the backend servers.
+	links []*link.Link
+	logs  *observer.ObservedLogs
+	log   *zap.Logger
 }
 
 // newSite starts a platform and daemons, and waits until groups of both models serve.
@@ -65,8 +71,7 @@
 		log:          zap.New(core),
 	}
 	t.Cleanup(s.close)
-	names := []string{"front-a", "front-b", "front-c", "front-d", "front-e"}
-	for _, name := range names[:daemons] {
+	for _, name := range siteNames[:daemons] {
 		s.daemons = append(s.daemons, s.startDaemonWith(name, edit))
 	}
 	s.awaitGroups()
@@ -87,8 +92,10 @@
 	nodeSettings, err := platform.ReadSettings(path)
 	qt.Assert(s.t, err, qt.IsNil)
 	edit(&nodeSettings)
-	daemon, err := entry.Start(nodeSettings, s.log.With(zap.String("daemon", name)))
+	links := &link.Link{}
+	daemon, err := entry.StartWithDialer(nodeSettings, s.log.With(zap.String("daemon", name)), links)
 	qt.Assert(s.t, err, qt.IsNil)
+	s.links = append(s.links, links)
 	return daemon
 }
 
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -13,11 +13,9 @@
 	"cmp"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
 	"headcourse/io/http1"
 	"headcourse/io/tcp"
@@ -31,8 +29,6 @@
 	// time. It is dropped keepAliveMargin before that time ends.
 	defaultKeepAlive = 4 * time.Second
 	keepAliveMargin  = 700 * time.Millisecond
-	// unackedTimeout closes connections to peers that do not acknowledge sent bytes any more.
-	unackedTimeout = 2 * time.Second
 	// closeProbeTime is how long a new connection is watched for an immediate close by the
 	// server: several times the latency of the links.
 	closeProbeTime = 30 * time.Millisecond
@@ -45,6 +41,8 @@
 type Client struct {
 	// ConnectTimeout bounds connecting; 0 means DefaultConnectTimeout.
 	ConnectTimeout time.Duration
+	// Dialer opens connections; nil means directly. Set it before use.
+	Dialer tcp.Dialer
 
 	mutex sync.Mutex
 	idle  map[string][]*conn
@@ -111,12 +109,11 @@
 
 // dial opens a connection.
 func (c *Client) dial(address string) (net.Conn, error) {
-	dialer := net.Dialer{
-		Timeout:   cmp.Or(c.ConnectTimeout, DefaultConnectTimeout),
-		KeepAlive: -1,
-		Control:   setUnackedTimeout,
+	dialer := c.Dialer
+	if dialer == nil {
+		dialer = tcp.DirectDialer{}
 	}
-	netConn, err := dialer.Dial("tcp", address)
+	netConn, err := dialer.Dial(address, cmp.Or(c.ConnectTimeout, DefaultConnectTimeout))
 	if err != nil {
 		return nil, err
 	}
@@ -152,18 +149,6 @@
 	}
 }
 
-// setUnackedTimeout bounds how long sent bytes may stay unacknowledged.
-func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return optErr
-}
-
 // popIdle removes and returns the most recently used idle connection, or nil.
 func (c *Client) popIdle(server string) *conn {
 	c.mutex.Lock()
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -187,6 +187,8 @@
 	Limits   *ratelimit.Limiter
 	Registry metrics.Registry
 	Log      *zap.Logger
+	// Dialer opens connections to backend servers; nil means directly.
+	Dialer tcp.Dialer
 	// Clock continues while the VM is suspended, as clients' timeouts do.
 	Clock boottime.Clock
 	// MaxViewWait is the maximum time that a request waits for the first view; 0 means the
@@ -209,12 +211,14 @@
 		clock:       options.Clock,
 		log:         options.Log,
 		registry:    options.Registry,
-		backends:    &backend.Client{},
-		budgets:     options.Budgets,
-		ledger:      options.Ledger,
-		limits:      options.Limits,
-		listener:    listener,
-		stop:        stop,
+		backends: &backend.Client{
+			Dialer: options.Dialer,
+		},
+		budgets:  options.Budgets,
+		ledger:   options.Ledger,
+		limits:   options.Limits,
+		listener: listener,
+		stop:     stop,
 	}
 	server.directives.Clock = options.Clock
 	server.directiveThrottle.Interval = throttledLogInterval
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -15,6 +15,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"headcourse/io/tcp"
 )
 
 // Error is the error of a failed exchange.
@@ -50,6 +52,8 @@
 	ConnectTimeout time.Duration
 	IOTimeout      time.Duration
 	MaxIdleTime    time.Duration
+	// Dialer opens connections; nil means directly. Set it before use.
+	Dialer tcp.Dialer
 
 	mutex    sync.Mutex
 	pooled   map[string]*fasthttp.HostClient
@@ -143,7 +147,7 @@
 
 // dial connects to a peer.
 func (c *Client) dial(address string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", address, orDefault(c.ConnectTimeout, defaultConnectTimeout))
+	conn, err := c.connect(address, orDefault(c.ConnectTimeout, defaultConnectTimeout))
 	if err != nil {
 		return nil, dialError{
 			error: err,
@@ -155,6 +159,14 @@
 	}, nil
 }
 
+// connect opens a connection.
+func (c *Client) connect(address string, timeout time.Duration) (net.Conn, error) {
+	if c.Dialer == nil {
+		return net.DialTimeout("tcp", address, timeout)
+	}
+	return c.Dialer.Dial(address, timeout)
+}
+
 // orDefault returns value, or fallback if value is 0.
 func orDefault(value, fallback time.Duration) time.Duration {
 	if value == 0 {
