Connect to backend servers through other daemons when the own links are lost

Cause: each attempt connected directly, and nothing else was tried; what earlier attempts or other daemons knew of the link was not used.

A connect that takes longer than 60 ms, or is refused while connects to other servers fail too, goes through another daemon (io/tunnel): it connects to the server and copies bytes. Deadlines, retries, limits, directives and disconnects stay with the daemon that accepted the request. A connect through a peer proves that the links are lost, not the server; two such servers of a service isolate the daemon from it (core/reach), and a direct connect now and then finds the end. Peers accept tunnels from listed daemons only, to servers in their view.

--- a/core/neighbours/neighbours.go
+++ b/core/neighbours/neighbours.go
@@ -50,6 +50,8 @@
 	Zone string `json:"zone"`
 	// Address is the IP:port at which the daemon relays tables.
 	Address string `json:"address"`
+	// TunnelAddress is the IP:port at which the daemon opens tunnels to backend servers; empty: none.
+	TunnelAddress string `json:"tunnel,omitempty"`
 	// Capacity is the capacity of the daemon's VM, in any unit that is the same for all.
 	Capacity float64 `json:"strength"`
 }
@@ -79,6 +81,9 @@
 	if _, err := netip.ParseAddrPort(d.Address); err != nil || d.Name == "" {
 		return errors.Errorf("decode daemon %q: the name is empty or address %.80q is not IP:port", d.Name, d.Address)
 	}
+	if _, err := netip.ParseAddrPort(d.TunnelAddress); err != nil && d.TunnelAddress != "" {
+		return errors.Errorf("decode daemon %q: tunnel %.80q is not IP:port", d.Name, d.TunnelAddress)
+	}
 	if !(d.Capacity >= 0) {
 		return errors.Errorf("decode daemon %q: strength %v is not 0 or more", d.Name, d.Capacity)
 	}
@@ -214,6 +219,17 @@
 	return slices.Contains(l.daemons, self)
 }
 
+// Others returns all daemons but one.
+func (l List) Others(name string) []Daemon {
+	others := make([]Daemon, 0, len(l.daemons))
+	for _, daemon := range l.daemons {
+		if daemon.Name != name {
+			others = append(others, daemon)
+		}
+	}
+	return others
+}
+
 // relays returns the relays.
 func (l List) relays() []Daemon {
 	relays, _ := l.relaysAndStandbys()
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -23,6 +23,8 @@
 	StoreAddress     string
 	// RelayAddress is the IP:port at which other daemons can watch the store's tables.
 	RelayAddress string
+	// TunnelAddress is the IP:port at which other daemons can open tunnels to backend servers.
+	TunnelAddress string
 	// RelativeCapacity is the capacity of the VM relative to others.
 	RelativeCapacity float64
 	// MetricsAddress is the IP:port at which metrics are served; empty: not served.
@@ -93,6 +95,10 @@
 			name:  "address for other daemons",
 			value: s.RelayAddress,
 		},
+		{
+			name:  "address for tunnels",
+			value: s.TunnelAddress,
+		},
 		{
 			name:  "address of the store",
 			value: s.StoreAddress,
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -17,6 +17,7 @@
 		ClientAddress:    "10.2.3.4:8080",
 		ReadinessAddress: "10.2.3.4:8081",
 		RelayAddress:     "10.2.3.4:9000",
+		TunnelAddress:    "10.2.3.4:9001",
 		StoreAddress:     "[fd00::7]:7000",
 		StopTimeout:      4 * time.Second,
 		ApplyBound:       2 * time.Second,
--- a/entry/daemons.go
+++ b/entry/daemons.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"headcourse/core/neighbours"
+	"headcourse/core/reach"
 	"headcourse/core/rowstore"
 	"headcourse/io/relay"
 )
@@ -29,10 +31,11 @@
 // selfEntry returns this daemon's entry in the list.
 func (d *Daemon) selfEntry() neighbours.Daemon {
 	return neighbours.Daemon{
-		Name:     d.settings.Name,
-		Zone:     d.settings.Zone,
-		Capacity: d.settings.RelativeCapacity,
-		Address:  d.relayServer.Address(),
+		Name:          d.settings.Name,
+		Zone:          d.settings.Zone,
+		Capacity:      d.settings.RelativeCapacity,
+		Address:       d.relayServer.Address(),
+		TunnelAddress: d.tunnels.Address(),
 	}
 }
 
@@ -49,6 +52,10 @@
 	publishedRelays []byte
 	// isSelfMissing is set if a restored list lacks this daemon.
 	isSelfMissing bool
+	// tunnelPeers are the other daemons that open tunnels to backend servers, daemonIPs the IP
+	// addresses of all other daemons.
+	tunnelPeers []reach.Peer
+	daemonIPs   map[netip.Addr]bool
 	// relayNames are the relays that this daemon uses, in order, for the log.
 	relayNames []string
 	// known holds the names of all daemons that the list has contained since this daemon started.
@@ -212,6 +219,7 @@
 	}
 	directory.list = neighbours.NewList(daemons)
 	directory.initClients()
+	d.updateTunnelPeers()
 	relays := d.relayReaders(directory.list.RelaysFor(d.settings.Name, d.settings.Zone))
 	d.tableReader.SetPeers(rowstore.Peers{
 		Relays:    relays,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	"headcourse/core/fleet"
 	"headcourse/core/quarantine"
 	"headcourse/core/ratelimit"
+	"headcourse/core/reach"
 	"headcourse/core/retry"
 	"headcourse/core/rowstore"
 	"headcourse/core/settings"
@@ -37,6 +38,7 @@
 	"headcourse/io/logline"
 	"headcourse/io/relay"
 	"headcourse/io/tcp"
+	"headcourse/io/tunnel"
 	"headcourse/platform"
 )
 
@@ -79,8 +81,13 @@
 	store     *platform.Store
 	// rowWriter batches writes of daemon rows.
 	rowWriter *rowstore.Batcher
-	// dialer connects to backend servers.
-	dialer       tcp.Dialer
+	// direct connects to backend servers directly, dialer by any path. paths and peers are what this
+	// daemon knows of its paths; tunnels opens tunnels for other daemons.
+	direct       tcp.Dialer
+	dialer       *tunnel.Dialer
+	paths        reach.Paths
+	peers        reach.Peers
+	tunnels      *tunnel.Server
 	engines      *platform.EngineClient
 	gateway      *gateway.Server
 	readiness    *readiness
@@ -200,8 +207,7 @@
 		registry:       metrics.NewRegistry(),
 		startID:        uuid.NewString(),
 		startedAt:      time.Now(),
-		engines:        platform.NewEngineClient(dialer),
-		dialer:         dialer,
+		direct:         dialer,
 		stalledHeads:   make(chan fleet.Server, stallQueueCapacity),
 		pendingReports: make(chan report, reportQueueCapacity),
 		viewChanged:    make(chan struct{}, 1),
@@ -210,6 +216,8 @@
 		initialised:    newOnceEvent(),
 		readFailed:     newOnceEvent(),
 	}
+	d.initPaths()
+	d.engines = platform.NewEngineClient(d.dialer)
 	d.bootClock.Suspended = d.suspension.Suspended
 	d.storeClock.Clock = d.bootClock
 	d.serverLimits.Clock = d.bootClock
@@ -253,17 +261,18 @@
 func (d *Daemon) listen() error {
 	var err error
 	d.gateway, err = gateway.Listen(gateway.Options{
-		Address:  d.settings.ClientAddress,
-		Source:   d,
-		Codec:    platform.Codec{},
-		Meter:    &d.demandMeter,
-		Budgets:  &d.retryBudgets,
-		Ledger:   &d.crashLedger,
-		Limits:   &d.serverLimits,
-		Registry: d.registry,
-		Log:      d.log,
-		Clock:    d.bootClock,
-		Dialer:   d.dialer,
+		Address:    d.settings.ClientAddress,
+		Source:     d,
+		Codec:      platform.Codec{},
+		Meter:      &d.demandMeter,
+		Budgets:    &d.retryBudgets,
+		Ledger:     &d.crashLedger,
+		Limits:     &d.serverLimits,
+		Registry:   d.registry,
+		Log:        d.log,
+		Clock:      d.bootClock,
+		Dialer:     d.dialer,
+		IsDetoured: d.dialer.IsDetoured,
 	})
 	if err != nil {
 		return err
@@ -272,6 +281,10 @@
 	if err != nil {
 		return errors.Wrap(err, "start daemon")
 	}
+	d.tunnels, err = d.listenTunnels()
+	if err != nil {
+		return errors.Wrap(err, "start daemon")
+	}
 	d.relayServer, err = relay.Listen(relay.Options{
 		Address:         d.settings.RelayAddress,
 		Reader:          &d.tableCache,
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -19,6 +19,7 @@
 
 	"headcourse/io/http1"
 	"headcourse/io/tcp"
+	"headcourse/io/tunnel"
 )
 
 const (
@@ -29,6 +30,9 @@
 	// time. It is dropped keepAliveMargin before that time ends.
 	defaultKeepAlive = 4 * time.Second
 	keepAliveMargin  = 700 * time.Millisecond
+	// maxTunnelAge is how long a connection through another daemon is reused, so that requests return
+	// to direct connections soon after these work again.
+	maxTunnelAge = 2 * time.Second
 	// closeProbeTime is how long a new connection is watched for an immediate close by the
 	// server: several times the latency of the links.
 	closeProbeTime = 30 * time.Millisecond
@@ -41,8 +45,10 @@
 type Client struct {
 	// ConnectTimeout bounds connecting; 0 means DefaultConnectTimeout.
 	ConnectTimeout time.Duration
-	// Dialer opens connections; nil means directly. Set it before use.
-	Dialer tcp.Dialer
+	// Dialer opens connections; nil means directly. IsDetoured, if set, reports whether new connections
+	// to an address go through another daemon, so that kept direct ones may hang. Set them before use.
+	Dialer     tcp.Dialer
+	IsDetoured func(address string) bool
 
 	mutex sync.Mutex
 	idle  map[string][]*conn
@@ -58,6 +64,9 @@
 	// reusableUntil is keepAliveMargin before the server may close the idle connection; zero for a
 	// connection that was never idle.
 	reusableUntil time.Time
+	openedAt      time.Time
+	// isTunnel is set if the connection goes through another daemon.
+	isTunnel bool
 }
 
 // ConnectionCounts returns how many connections were opened and how often one was reused.
@@ -89,7 +98,7 @@
 		if idle == nil {
 			break
 		}
-		if time.Now().Before(idle.reusableUntil) && tcp.Probe(idle.Conn) == tcp.Idle {
+		if c.mayReuse(idle, address) {
 			c.mutex.Lock()
 			c.reused++
 			c.mutex.Unlock()
@@ -101,12 +110,29 @@
 	if err != nil {
 		return nil, connectError(address, err)
 	}
+	_, isTunnel := netConn.(*tunnel.Conn)
 	return &conn{
-		Conn:   netConn,
-		reader: bufio.NewReaderSize(netConn, readBufferSize),
+		Conn:     netConn,
+		reader:   bufio.NewReaderSize(netConn, readBufferSize),
+		openedAt: time.Now(),
+		isTunnel: isTunnel,
 	}, nil
 }
 
+// mayReuse reports whether an idle connection to an address may be used again.
+func (c *Client) mayReuse(idle *conn, address string) bool {
+	if !time.Now().Before(idle.reusableUntil) {
+		return false
+	}
+	if idle.isTunnel && time.Since(idle.openedAt) > maxTunnelAge {
+		return false
+	}
+	if !idle.isTunnel && c.IsDetoured != nil && c.IsDetoured(address) {
+		return false
+	}
+	return tcp.Probe(idle.Conn) == tcp.Idle
+}
+
 // dial opens a connection.
 func (c *Client) dial(address string) (net.Conn, error) {
 	dialer := c.Dialer
@@ -123,10 +149,10 @@
 	return netConn, nil
 }
 
-// IsDown reports whether the server at an address is down: connecting to it fails, or it closes
-// the connection at once, as a proxy in front of a stopped server does. A running server that
-// only broke off an answer keeps the connection open. The call takes the time to connect and, if
-// that succeeds, closeProbeTime.
+// IsDown reports whether the server at an address is down: connecting to it fails, and not for the
+// daemon's own links, or it closes the connection at once, as a proxy in front of a stopped server
+// does. A running server that only broke off an answer keeps the connection open. The call takes the
+// time to connect and, if that succeeds, closeProbeTime.
 func (c *Client) IsDown(address string) bool {
 	netConn, err := c.dial(address)
 	if err != nil {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -187,8 +187,10 @@
 	Limits   *ratelimit.Limiter
 	Registry metrics.Registry
 	Log      *zap.Logger
-	// Dialer opens connections to backend servers; nil means directly.
-	Dialer tcp.Dialer
+	// Dialer opens connections to backend servers; nil means directly. IsDetoured, if set, reports
+	// whether new connections to an address go through another daemon.
+	Dialer     tcp.Dialer
+	IsDetoured func(address string) bool
 	// Clock continues while the VM is suspended, as clients' timeouts do.
 	Clock boottime.Clock
 	// MaxViewWait is the maximum time that a request waits for the first view; 0 means the
@@ -212,7 +214,8 @@
 		log:         options.Log,
 		registry:    options.Registry,
 		backends: &backend.Client{
-			Dialer: options.Dialer,
+			Dialer:     options.Dialer,
+			IsDetoured: options.IsDetoured,
 		},
 		budgets:  options.Budgets,
 		ledger:   options.Ledger,
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -27,7 +27,9 @@
 	// Refused is set if connecting failed other than by a timeout, mostly because nothing listens
 	// on the peer's port.
 	Refused bool
-	Cause   error
+	// Unconfirmed is set if connecting failed and it may be the fault of this daemon's own links.
+	Unconfirmed bool
+	Cause       error
 }
 
 // Error returns the failed step, the peer and the cause.
@@ -99,10 +101,13 @@
 	isDialFailure := errors.As(err, &dialErr) || errors.Is(err, fasthttp.ErrNoFreeConns)
 	var opErr *net.OpError
 	isRefused := isDialFailure && errors.As(err, &opErr) && !opErr.Timeout()
+	var failed *tcp.DialError
+	isUnconfirmed := errors.As(err, &failed) && !failed.Confirmed
 	return &Error{
 		Peer:            address,
 		MayHaveBeenSent: !isDialFailure,
 		Refused:         isRefused,
+		Unconfirmed:     isUnconfirmed,
 		Cause:           err,
 	}
 }
--- a/io/tcp/dial.go
+++ b/io/tcp/dial.go
@@ -40,3 +40,12 @@
 	}
 	return optErr
 }
+
+// LimitUnacked bounds how long bytes sent on an open connection may stay unacknowledged.
+func LimitUnacked(conn *net.TCPConn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUnackedTimeout("", "", raw)
+}
--- a/io/tcp/tcp.go
+++ b/io/tcp/tcp.go
@@ -22,8 +22,12 @@
 	Closed
 )
 
-// Probe returns the state of a connection. Connections that are not sockets count as Idle.
+// Probe returns the state of a connection. Connections that are not sockets count as Idle, those
+// that hold received bytes back, such as a tunnel, as Readable.
 func Probe(conn net.Conn) State {
+	if buffered, ok := conn.(interface{ Buffered() int }); ok && buffered.Buffered() > 0 {
+		return Readable
+	}
 	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return Idle
--- /dev/null
+++ b/io/tunnel/dialer.go
@@ -0,0 +1,257 @@
+package tunnel
+
+import (
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"headcourse/core/reach"
+	"headcourse/io/tcp"
+)
+
+// Fleet is what a daemon knows of the backend servers. Addresses are IP:port.
+type Fleet interface {
+	// ServiceOf returns the service of the server at an address.
+	ServiceOf(address string) (service string, ok bool)
+	// ControlServers returns the addresses of a few other servers of a service, chosen at random.
+	ControlServers(service, except string) []string
+}
+
+// Names of counters. countOpened counts connects through a peer, countDetoured those without a direct
+// try, and countHopeless those that were given up at once.
+const (
+	countOpened   = "tunnels_used.opened"
+	countDetoured = "tunnels_used.without_direct_try"
+	countHopeless = "tunnels_used.no_path"
+)
+
+// errNoPath is the error of a connect that is not tried, since recent ones to other servers failed on
+// all ways.
+var errNoPath = errors.New("no path to the servers of this service")
+
+// Dialer connects to backend servers, directly or through a peer. It implements tcp.Dialer. Errors
+// are of type *tcp.DialError.
+type Dialer struct {
+	// Direct connects directly.
+	Direct tcp.Dialer
+	Paths  *reach.Paths
+	Peers  *reach.Peers
+	// Candidates returns the other daemons.
+	Candidates func() []reach.Peer
+	Fleet      Fleet
+	Registry   metrics.Registry
+}
+
+// Dial connects to a server.
+func (d *Dialer) Dial(address string, timeout time.Duration) (net.Conn, error) {
+	service, _ := d.Fleet.ServiceOf(address)
+	plan := d.Paths.Plan(service, address)
+	if plan.IsHopeless {
+		d.count(countHopeless)
+		return nil, &tcp.DialError{
+			Cause: errNoPath,
+		}
+	}
+	if !plan.UsesDirect {
+		d.count(countDetoured)
+	}
+	r := &race{
+		dialer:   d,
+		service:  service,
+		address:  address,
+		deadline: time.Now().Add(timeout),
+		plan:     plan,
+		direct:   make(chan directResult, 1),
+		tunnels:  make(chan tunnelResult, 1),
+	}
+	return r.run()
+}
+
+// IsDetoured reports whether new connections to a server go through peers, so that kept direct ones
+// may hang.
+func (d *Dialer) IsDetoured(address string) bool {
+	if !d.Paths.HasDetours() {
+		return false
+	}
+	service, _ := d.Fleet.ServiceOf(address)
+	return d.Paths.IsDetoured(service, address)
+}
+
+// count increments a counter.
+func (d *Dialer) count(name string) {
+	metrics.GetOrRegisterCounter(name, d.Registry).Inc(1)
+}
+
+// directResult and tunnelResult are the results of the two ways.
+type directResult struct {
+	conn net.Conn
+	err  error
+}
+
+type tunnelResult struct {
+	conn     net.Conn
+	evidence reach.PeerOutcome
+	err      error
+}
+
+// race is one connect, by one way or by both at once. The first connection wins.
+type race struct {
+	dialer   *Dialer
+	service  string
+	address  string
+	deadline time.Time
+	plan     reach.Plan
+
+	direct        chan directResult
+	tunnels       chan tunnelResult
+	startedDirect bool
+	startedTunnel bool
+	// directErr and tunnelErr are set when a way has failed, evidence with the latter.
+	directErr error
+	tunnelErr error
+	evidence  reach.PeerOutcome
+}
+
+// run returns the first connection, or the error of both ways.
+func (r *race) run() (net.Conn, error) {
+	if r.plan.UsesDirect {
+		r.startDirect()
+	}
+	if r.plan.UsesTunnel {
+		r.startTunnel()
+	}
+	headStart := time.NewTimer(reach.DirectHeadStart)
+	defer headStart.Stop()
+	for {
+		select {
+		case <-headStart.C:
+			r.startTunnel()
+		case result := <-r.direct:
+			if result.err == nil {
+				r.record(reach.Connected)
+				r.abandonTunnel()
+				return result.conn, nil
+			}
+			r.directErr = result.err
+			if !r.startedTunnel && isRefusal(result.err) && r.isServerAtFault() {
+				return nil, r.failure()
+			}
+			r.startTunnel()
+		case result := <-r.tunnels:
+			if result.err == nil {
+				r.evidence = reach.PeerConnected
+				r.dialer.count(countOpened)
+				r.recordBesideTunnel()
+				return result.conn, nil
+			}
+			r.tunnelErr = result.err
+			r.evidence = result.evidence
+			r.startDirect()
+		}
+		if r.directErr != nil && r.tunnelErr != nil {
+			return nil, r.failure()
+		}
+	}
+}
+
+// startDirect starts a direct connect, once.
+func (r *race) startDirect() {
+	if r.startedDirect {
+		return
+	}
+	r.startedDirect = true
+	go func() {
+		conn, err := r.dialer.Direct.Dial(r.address, time.Until(r.deadline))
+		r.direct <- directResult{
+			conn: conn,
+			err:  err,
+		}
+	}()
+}
+
+// startTunnel starts to open a tunnel, once.
+func (r *race) startTunnel() {
+	if r.startedTunnel {
+		return
+	}
+	r.startedTunnel = true
+	peers := peerDialer{
+		peers:      r.dialer.Peers,
+		candidates: r.dialer.Candidates,
+	}
+	go func() {
+		conn, evidence, err := peers.dial(r.address, r.deadline)
+		r.tunnels <- tunnelResult{
+			conn:     conn,
+			evidence: evidence,
+			err:      err,
+		}
+	}()
+}
+
+// isServerAtFault reports whether the daemon connects to other servers, so that the failure is the
+// server's own.
+func (r *race) isServerAtFault() bool {
+	if !hasWorkingLinks(r.dialer.Direct, r.dialer.Fleet.ControlServers(r.service, r.address)) {
+		return false
+	}
+	r.evidence = reach.ServerFailed
+	return true
+}
+
+// isRefusal reports whether a direct connect failed other than by a timeout.
+func isRefusal(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && !opErr.Timeout()
+}
+
+// abandonTunnel closes a tunnel that opens after the direct connection.
+func (r *race) abandonTunnel() {
+	if !r.startedTunnel || r.tunnelErr != nil {
+		return
+	}
+	go func() {
+		if late := <-r.tunnels; late.conn != nil {
+			_ = late.conn.Close()
+		}
+	}()
+}
+
+// recordBesideTunnel records the outcome of the direct connect beside a tunnel that has opened. If the
+// direct connect is pending, it is awaited in the background.
+func (r *race) recordBesideTunnel() {
+	switch {
+	case r.directErr != nil:
+		r.record(reach.Failed)
+	case !r.startedDirect:
+		r.record(reach.NotTried)
+	default:
+		go func() {
+			late := <-r.direct
+			if late.err != nil {
+				r.record(reach.Failed)
+				return
+			}
+			r.record(reach.Connected)
+			_ = late.conn.Close()
+		}()
+	}
+}
+
+// record records the outcome.
+func (r *race) record(direct reach.DirectOutcome) {
+	r.dialer.Paths.Record(r.service, r.address, direct, r.evidence)
+}
+
+// failure returns the error of a connect that failed.
+func (r *race) failure() error {
+	isConfirmed := r.evidence == reach.ServerFailed || r.isServerAtFault()
+	r.record(reach.Failed)
+	return &tcp.DialError{
+		Refused:   isRefusal(r.directErr),
+		Confirmed: isConfirmed,
+		Cause:     r.directErr,
+	}
+}
--- a/lab/link/link.go
+++ b/lab/link/link.go
@@ -8,6 +8,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -129,12 +130,17 @@
 	// written ones were. Both are guarded by the link's mutex.
 	hasDropped bool
 	droppedAt  time.Time
+	// wasReset is set when the fault has reset the connection.
+	wasReset atomic.Bool
 }
 
 // Read reads bytes that the link lets pass, until the read deadline or the close.
 func (c *conn) Read(target []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(target)
+		if err != nil && c.wasReset.Load() {
+			return n, syscall.ECONNRESET
+		}
 		if !c.drops(true) {
 			return n, err
 		}
@@ -198,6 +204,7 @@
 // reset resets the connection. The caller holds the link's mutex.
 func (c *conn) reset() {
 	delete(c.link.conns, c)
+	c.wasReset.Store(true)
 	if open, ok := c.Conn.(*net.TCPConn); ok {
 		// A connection that is closed already needs no reset.
 		_ = open.SetLinger(0)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -215,24 +215,28 @@
 // the daemon is down.
 const minPort, maxPort = 12000, 30000
 
-// freePorts returns three ports that are free now and not assigned to another daemon.
+// isFree reports whether a port is free now.
+func isFree(port int) bool {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	if err != nil {
+		return false
+	}
+	return listener.Close() == nil
+}
+
+// freePorts returns three ports that are free now and not assigned to another daemon, each with the
+// port after it.
 func (s *soak) freePorts() ([3]int, error) {
 	var ports [3]int
 	const attempts = 1000
 	found := 0
 	for range attempts {
 		port := minPort + rand.IntN(maxPort-minPort)
-		if s.usedPorts[port] {
+		if s.usedPorts[port] || s.usedPorts[port+1] || !isFree(port) || !isFree(port+1) {
 			continue
 		}
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
-		}
-		if err = listener.Close(); err != nil {
-			return ports, errors.Wrapf(err, "release port %d", port)
-		}
 		s.usedPorts[port] = true
+		s.usedPorts[port+1] = true
 		ports[found] = port
 		if found++; found == len(ports) {
 			return ports, nil
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -467,8 +467,17 @@
   Address: %q
 `
 
+// lastPort returns the last port of the range that begins with a daemon's port for relays; 0 means
+// any free port.
+func lastPort(relayPort int) int {
+	if relayPort == 0 {
+		return 0
+	}
+	return relayPort + 1
+}
+
 // WriteSettings writes the settings file of a daemon and returns its path. A port of 0 makes
-// the daemon choose a free port.
+// the daemon choose a free port. The port after relayPort must be free too.
 func (p *Platform) WriteSettings(name string, clientPort, readyPort, relayPort int) (string, error) {
 	return p.WriteSettingsWithStore(name, p.Store.address, clientPort, readyPort, relayPort)
 }
@@ -477,7 +486,7 @@
 // given address, such as that of a proxy.
 func (p *Platform) WriteSettingsWithStore(name, storeAddress string, clientPort, readyPort, relayPort int) (string, error) {
 	path := filepath.Join(p.settingsDir, name+".yaml")
-	text := fmt.Sprintf(settingsTemplate, name, Zone(0), clientPort, readyPort, relayPort, relayPort, RetryShare, RetryWindow.Seconds(), RetryBurst, storeAddress)
+	text := fmt.Sprintf(settingsTemplate, name, Zone(0), clientPort, readyPort, relayPort, lastPort(relayPort), RetryShare, RetryWindow.Seconds(), RetryBurst, storeAddress)
 	const fileMode = 0o600
 	return path, errors.Wrapf(os.WriteFile(path, []byte(text), fileMode), "write settings of %s", name)
 }
