Probes that nothing confirms condemn no server

What clients saw: after links of six of nine daemons hung for 12 s, no server was left at any daemon for seconds. Five daemons that were cut off reported all twelve groups as stalled, and the leader, cut off too, ended all of them, while three daemons reached every member.

Cause: a daemon took the failure of its own links for the state of servers.

If no peer reaches the server either, the failure counts only if an observer connects to other servers of the service; otherwise the probe's status is unknown, which neither reports a stall nor ends a group.

--- a/core/assembly/probe.go
+++ b/core/assembly/probe.go
@@ -25,16 +25,18 @@
 type ProbeStatus int
 
 // The statuses of probes. Unanswered: the server did not answer. Refused: nothing listens at
-// the server's address, or another server does.
+// the server's address, or another server does. Unknown: the daemon did not reach the server, and
+// nothing shows that this is the server's fault.
 const (
 	Unanswered ProbeStatus = iota
 	Answered
 	Refused
+	Unknown
 )
 
 // String returns the name of the status in logs.
 func (s ProbeStatus) String() string {
-	return [...]string{"silent", "alive", "refused"}[s]
+	return [...]string{"silent", "alive", "refused", "unknown"}[s]
 }
 
 // ProbeResult is the result of a probe of a server.
@@ -64,8 +66,12 @@
 	unanswered int
 }
 
-// ProbeCompleted handles the result of a probe of a server.
+// ProbeCompleted handles the result of a probe of a server. An unknown result leaves the state as it
+// was.
 func (c *Controller) ProbeCompleted(id string, result ProbeResult) {
+	if result.Status == Unknown {
+		return
+	}
 	if c.probeStates == nil {
 		c.probeStates = map[string]probeState{}
 	}
--- a/core/assembly/sim_test.go
+++ b/core/assembly/sim_test.go
@@ -55,6 +55,8 @@
 	evacuated    evacuation.Zones
 	// isIdle is true while no client has sent a request.
 	isIdle bool
+	// hasLeaderLostLinks is set if the leader's probes reach no server, and show nothing about them.
+	hasLeaderLostLinks bool
 }
 
 // delayedOrder is an order that is carried out later.
@@ -226,6 +228,11 @@
 // probe returns the result of a probe of a server.
 func (s *simFleet) probe(server fleet.Server) assembly.ProbeResult {
 	simulated := s.servers[server.ID]
+	if s.hasLeaderLostLinks {
+		return assembly.ProbeResult{
+			Status: assembly.Unknown,
+		}
+	}
 	if simulated == nil || simulated.hasCrashed {
 		return assembly.ProbeResult{
 			Status: assembly.Unanswered,
--- a/core/assembly/suspect_test.go
+++ b/core/assembly/suspect_test.go
@@ -26,6 +26,23 @@
 	})
 }
 
+// Guards against a leader that ends groups because it has lost its own links to their members.
+func TestProbesThatShowNothingEndNoGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, c := newStartedFleet(6)
+		groups := len(s.records)
+		s.hasLeaderLostLinks = true
+		for group, record := range s.records {
+			for _, member := range record.Members {
+				c.Suspect(group, record.Epoch, member)
+			}
+		}
+		runFor(s, c, false, 5*time.Second)
+		qt.Assert(t, len(s.records), qt.Equals, groups)
+		qt.Assert(t, s.countServing("large"), qt.Equals, 6)
+	})
+}
+
 func TestSuspicionClearsWhenReportedMemberAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, c := newStartedFleet(6)
--- a/entry/stallchecks.go
+++ b/entry/stallchecks.go
@@ -138,7 +138,7 @@
 			break
 		}
 	}
-	if result.Status == assembly.Answered && !result.IsSlow() {
+	if result.Status == assembly.Unknown || result.Status == assembly.Answered && !result.IsSlow() {
 		return memberFault{}
 	}
 	return memberFault{
--- a/entry/tunnels.go
+++ b/entry/tunnels.go
@@ -137,11 +137,12 @@
 	return "", false
 }
 
-// ControlServers returns the addresses of other servers of a service, chosen at random.
+// ControlServers returns the addresses of other servers of a service, chosen at random. Without a
+// service, because the entry of the server in question has expired, they may be of any service.
 func (s *serverAddresses) ControlServers(service, except string) []string {
 	var others []string
 	for _, server := range s.servers() {
-		if server.Service == service && server.Address != except {
+		if (server.Service == service || service == "") && server.Address != except {
 			others = append(others, server.Address)
 		}
 	}
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -15,7 +15,8 @@
 type Fleet interface {
 	// ServiceOf returns the service of the server at an address.
 	ServiceOf(address string) (service string, ok bool)
-	// ControlServers returns the addresses of a few other servers of a service, chosen at random.
+	// ControlServers returns the addresses of a few other servers of a service, chosen at random; of
+	// any service if the service is empty.
 	ControlServers(service, except string) []string
 }
 
