A daemon's lost links are not reported as crashes of servers

The check connects through other daemons too, and a server counts as down only if an observer with working links confirms it.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -156,7 +156,8 @@
 func (c *Client) IsDown(address string) bool {
 	netConn, err := c.dial(address)
 	if err != nil {
-		return true
+		var failed *tcp.DialError
+		return !errors.As(err, &failed) || failed.Confirmed
 	}
 	defer func() { _ = netConn.Close() }()
 	time.Sleep(closeProbeTime)
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -15,6 +15,7 @@
 
 	"headcourse/io/backend"
 	"headcourse/io/http1"
+	"headcourse/io/tcp"
 )
 
 const (
@@ -344,3 +345,28 @@
 	}
 	qt.Assert(t, openedConns(client), qt.Equals, int64(1))
 }
+
+// failingDialer fails all connects.
+type failingDialer struct {
+	isConfirmed bool
+}
+
+// Dial fails.
+func (f failingDialer) Dial(string, time.Duration) (net.Conn, error) {
+	return nil, &tcp.DialError{
+		Confirmed: f.isConfirmed,
+		Cause:     errors.New("no connection"),
+	}
+}
+
+// Guards against a server that is taken for crashed because a daemon has lost its own links.
+func TestServerIsDownOnlyIfConfirmed(t *testing.T) {
+	for _, isConfirmed := range []bool{true, false} {
+		client := &backend.Client{
+			Dialer: failingDialer{
+				isConfirmed: isConfirmed,
+			},
+		}
+		qt.Check(t, client.IsDown("127.0.0.1:1"), qt.Equals, isConfirmed)
+	}
+}
