Requests on a link that hangs move as soon as the link is known as lost

What clients saw: while links of a daemon hung, streams in flight stood still for up to two seconds, until the connection's bytes stayed unacknowledged.

Cause: a request's silence is the shorter one of its own and its server's, and other requests made progress at the server through tunnels.

A direct exchange with a server that only peers reach counts its own silence, and fails over at the threshold for known lost members. A direct connect that is overtaken by a tunnel is a detour until it succeeds.

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -47,11 +47,13 @@
 // DirectOutcome is the outcome of a direct connect.
 type DirectOutcome int
 
-// Outcomes of direct connects. NotTried: none was made, or it was abandoned.
+// Outcomes of direct connects. NotTried: none was made. Pending: it takes longer than a tunnel that was
+// started later, so it will most likely fail.
 const (
 	NotTried DirectOutcome = iota
 	Connected
 	Failed
+	Pending
 )
 
 // PeerOutcome is what peers found when they connected to a server.
@@ -162,7 +164,7 @@
 	defer p.mutex.Unlock()
 	state := p.services[service]
 	if state == nil {
-		if direct != Failed {
+		if direct != Failed && direct != Pending {
 			return
 		}
 		state = p.create(service)
@@ -174,7 +176,7 @@
 	switch {
 	case direct == Connected:
 		p.recordConnected(service, state, server, now)
-	case direct == Failed && peers == PeerConnected:
+	case (direct == Failed || direct == Pending) && peers == PeerConnected:
 		p.recordDetour(service, state, server, now)
 	case direct == Failed && peers == ServerFailed:
 		// The server is down, which says nothing about the links.
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -93,6 +93,16 @@
 	})
 }
 
+// Guards against requests that wait for a link that hangs until the connect has timed out.
+func TestPendingConnectBesideTunnelIsDetouredUntilItSucceeds(t *testing.T) {
+	var paths reach.Paths
+	paths.Record(service, "a", reach.Pending, reach.PeerConnected)
+	qt.Assert(t, paths.IsDetoured(service, "a"), qt.IsTrue)
+	paths.Record(service, "a", reach.Connected, reach.PeerConnected)
+	qt.Assert(t, paths.IsDetoured(service, "a"), qt.IsFalse)
+	qt.Assert(t, paths.IsIsolated(service), qt.IsFalse)
+}
+
 func TestUnusedDetourExpires(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var paths reach.Paths
--- a/entry/cutoff_test.go
+++ b/entry/cutoff_test.go
@@ -142,3 +142,41 @@
 	qt.Assert(t, s.lines(`"is_down":true`), qt.HasLen, 0)
 	qt.Assert(t, s.lines("request held"), qt.HasLen, 0)
 }
+
+// Guards against streams that wait for the end of a connection on a link that hangs, because other
+// requests make progress at the same server by another way.
+func TestStreamsOnHangingLinkMoveToOtherServers(t *testing.T) {
+	s := newSite(t, 3)
+	leader := s.leader()
+	qt.Assert(t, leader >= 0, qt.IsTrue)
+	s.earnRetries(leader, get)
+	for range 30 {
+		qt.Assert(t, isSuccess(s.client(leader, standin.KeyCuenca).Stream(context.Background(), standin.ModelLarge, 5)), qt.IsTrue)
+	}
+	const streams, events = 6, 150
+	answers := make(chan standin.Answer, streams)
+	for range streams {
+		go func() {
+			answers <- s.client(leader, standin.KeyCuenca).Stream(context.Background(), standin.ModelLarge, events)
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.links[leader].SetFault(link.Hung)
+	ctx, stop := context.WithCancel(context.Background())
+	var others sync.WaitGroup
+	for range 4 {
+		others.Go(func() {
+			for ctx.Err() == nil {
+				s.client(leader, standin.KeyCuenca).Stream(ctx, standin.ModelLarge, 20)
+			}
+		})
+	}
+	for range streams {
+		answer := <-answers
+		qt.Check(t, isSuccess(answer), qt.IsTrue, qt.Commentf("%+v", answer))
+	}
+	stop()
+	others.Wait()
+	qt.Assert(t, s.lines(":stalled"), qt.Not(qt.HasLen), 0)
+	qt.Assert(t, s.lines(":connection_broken"), qt.HasLen, 0)
+}
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -127,12 +127,17 @@
 	if idle.isTunnel && time.Since(idle.openedAt) > maxTunnelAge {
 		return false
 	}
-	if !idle.isTunnel && c.IsDetoured != nil && c.IsDetoured(address) {
+	if !idle.isTunnel && c.IsLinkLost(address) {
 		return false
 	}
 	return tcp.Probe(idle.Conn) == tcp.Idle
 }
 
+// IsLinkLost reports whether new connections to an address go through another daemon.
+func (c *Client) IsLinkLost(address string) bool {
+	return c.IsDetoured != nil && c.IsDetoured(address)
+}
+
 // dial opens a connection.
 func (c *Client) dial(address string) (net.Conn, error) {
 	dialer := c.Dialer
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -39,6 +39,11 @@
 	aborted     atomic.Bool
 }
 
+// IsTunnel reports whether the connection goes through another daemon.
+func (e *Exchange) IsTunnel() bool {
+	return e.conn.isTunnel
+}
+
 // Send writes the request and must be called only once. The error is a *http1.Error, which
 // means that part of the request may have been sent; the exchange is then aborted.
 func (e *Exchange) Send(head, body []byte) error {
--- a/io/gateway/watchdog.go
+++ b/io/gateway/watchdog.go
@@ -96,8 +96,15 @@
 	}
 	tracker := &w.job.server.tracker
 	thresholds := tracker.SilenceThresholds(w.class, w.phase)
-	silence := min(time.Since(w.lastProgressAt), tracker.SilenceDuration(w.server.ID))
-	action, next := thresholds.Action(silence, w.job.server.source.HasUnresponsiveMember(w.server))
+	isLinkLost := w.isLinkLost()
+	silence := time.Since(w.lastProgressAt)
+	if !isLinkLost {
+		silence = min(silence, tracker.SilenceDuration(w.server.ID))
+	}
+	action, next := thresholds.Action(silence, isLinkLost || w.job.server.source.HasUnresponsiveMember(w.server))
+	if action == balancer.Reroute && isLinkLost && w.failOver(len(w.job.untriedServers()) > 0) {
+		return
+	}
 	if action != balancer.Wait && !w.isEjected {
 		w.isEjected = true
 		tracker.Eject(w.server.ID)
@@ -105,15 +112,30 @@
 	}
 	if action == balancer.Reroute {
 		w.job.server.source.ReportStall(w.server)
-		if w.mayFailOver && w.hasAlternative() && w.job.prepayRetry() {
-			w.aborted.Store(true)
-			w.exchange.Abort()
+		if w.failOver(w.hasAlternative()) {
 			return
 		}
 	}
 	w.timer.Reset(next)
 }
 
+// isLinkLost reports whether new connections to the server go through other daemons, while this exchange
+// has a direct one. Other requests then make progress at the server although this one cannot.
+func (w *watchdog) isLinkLost() bool {
+	return !w.exchange.IsTunnel() && w.job.server.backends.IsLinkLost(w.server.Address)
+}
+
+// failOver aborts the exchange, so that the request is sent to another server, if it may be and there is
+// one. It reports whether it did.
+func (w *watchdog) failOver(hasAlternative bool) bool {
+	if !w.mayFailOver || !hasAlternative || !w.job.prepayRetry() {
+		return false
+	}
+	w.aborted.Store(true)
+	w.exchange.Abort()
+	return true
+}
+
 // hasAborted reports whether the watchdog aborted the exchange.
 func (w *watchdog) hasAborted() bool {
 	return w.aborted.Load()
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -229,6 +229,7 @@
 	case !r.startedDirect:
 		r.record(reach.NotTried)
 	default:
+		r.record(reach.Pending)
 		go func() {
 			late := <-r.direct
 			if late.err != nil {
