Soak: daemons lose their links to all servers; two faults that it found

The soak's daemons run as headcourse-lab daemon, the same code with links that a file breaks (lab/link): hung, one way, reset, refused, hung for new connections. A row of the fault table cuts random daemons, all of them too, and a check at the end all but one, by the users' formula over first attempts.

A service with few requests used kept connections 0.9 s after the fault. While any link is known as lost, direct connections that were idle for 0.3 s are not reused. The one daemon whose links were back refused tunnels, as it had not tried a direct connect since, and the others gave up connects at once. It tries one for others too when it is due, and connects are given up only after a second without any success. TestPeerWhoseLinksAreBackHelpsOthers.

--- a/command/entry.go
+++ b/command/entry.go
@@ -11,6 +11,7 @@
 	"headcourse/core/settings"
 	"headcourse/entry"
 	"headcourse/io/logline"
+	"headcourse/io/tcp"
 	"headcourse/platform"
 )
 
@@ -20,6 +21,8 @@
 	Settings string `name:"settings" help:"Path of the settings file. Default: the path that the platform passes to the process."`
 	Metrics  int    `name:"metrics-port" env:"HEADCOURSE_METRICS_PORT" default:"0" help:"Port on which metrics are served, on the VM's address; 0: none."`
 	LogLevel string `name:"log-level" env:"HEADCOURSE_LOG_LEVEL" default:"info" enum:"debug,info,warn,error" help:"Minimum log level: ${enum}."`
+	// Dialer connects to backend servers directly; nil means by the operating system.
+	Dialer tcp.Dialer `kong:"-"`
 }
 
 const (
@@ -53,7 +56,11 @@
 			cause: err,
 		}
 	}
-	daemon, err := entry.Start(initial.WithMetricsPort(e.Metrics), log)
+	dialer := e.Dialer
+	if dialer == nil {
+		dialer = tcp.DirectDialer{}
+	}
+	daemon, err := entry.StartWithDialer(initial.WithMetricsPort(e.Metrics), log, dialer)
 	if err != nil {
 		return err
 	}
--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -29,8 +29,10 @@
 	// counts as isolated from their service. One server may have lost its own link to this VM.
 	minDetouredServers = 2
 	// minUnreachableServers is the number of servers that neither the daemon nor a peer connected to
-	// from which on further connects fail at once.
+	// from which on further connects fail at once, if nobody has connected for minUnreachableTime:
+	// peers need as long to find out that their own links are back.
 	minUnreachableServers = 3
+	minUnreachableTime    = time.Second
 	// evidenceTTL is how long a failed connect, or a detour that is not used, is remembered.
 	evidenceTTL = 5 * time.Second
 )
@@ -87,7 +89,7 @@
 	// detouredSince are those that were found since the last direct connect.
 	detouredSince map[string]bool
 	// unreachable are servers that neither the daemon nor a peer connected to since anyone did.
-	unreachable map[string]time.Time
+	unreachable map[string]failures
 	// isolatedAt is zero unless the daemon is isolated. nextDirectAt is when the next direct connect
 	// is due while it is, nextTryAt that of any connect while all are hopeless.
 	isolatedAt   time.Time
@@ -95,6 +97,12 @@
 	nextTryAt    time.Time
 }
 
+// failures are the failed connects to a server since anyone connected to one of its service.
+type failures struct {
+	firstAt time.Time
+	lastAt  time.Time
+}
+
 // detour is a server that only peers reach.
 type detour struct {
 	nextDirectAt time.Time
@@ -184,7 +192,7 @@
 		delete(state.detouredSince, server)
 		p.updateHasDetours()
 	case direct == Failed:
-		state.unreachable[server] = now
+		state.recordUnreachable(server, now)
 	}
 }
 
@@ -196,7 +204,7 @@
 	state := &servicePaths{
 		detours:       map[string]*detour{},
 		detouredSince: map[string]bool{},
-		unreachable:   map[string]time.Time{},
+		unreachable:   map[string]failures{},
 	}
 	p.services[service] = state
 	return state
@@ -268,6 +276,16 @@
 	return state != nil && (state.isIsolated() || state.detours[server] != nil)
 }
 
+// recordUnreachable records a server that neither the daemon nor a peer connected to.
+func (s *servicePaths) recordUnreachable(server string, now time.Time) {
+	failed := s.unreachable[server]
+	if failed.firstAt.IsZero() {
+		failed.firstAt = now
+	}
+	failed.lastAt = now
+	s.unreachable[server] = failed
+}
+
 // isIsolated reports whether only peers reach the servers of the service.
 func (s *servicePaths) isIsolated() bool {
 	return !s.isolatedAt.IsZero()
@@ -275,15 +293,18 @@
 
 // isHopeless reports whether recent connects to several servers failed for the daemon and its peers.
 func (s *servicePaths) isHopeless(now time.Time) bool {
-	recent := 0
-	for server, at := range s.unreachable {
-		if now.Sub(at) > evidenceTTL {
+	for server, failed := range s.unreachable {
+		if now.Sub(failed.lastAt) > evidenceTTL {
 			delete(s.unreachable, server)
-			continue
 		}
-		recent++
 	}
-	return recent >= minUnreachableServers
+	oldest := now
+	for _, failed := range s.unreachable {
+		if failed.firstAt.Before(oldest) {
+			oldest = failed.firstAt
+		}
+	}
+	return len(s.unreachable) >= minUnreachableServers && now.Sub(oldest) >= minUnreachableTime
 }
 
 // expire removes detours that are not used.
--- a/core/reach/paths_test.go
+++ b/core/reach/paths_test.go
@@ -118,9 +118,17 @@
 func TestConnectsFailAtOnceWhenNoWayIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var paths reach.Paths
-		for _, server := range []string{"a", "b", "c"} {
-			paths.Record(service, server, reach.Failed, reach.NoEvidence)
+		fail := func() {
+			for _, server := range []string{"a", "b", "c"} {
+				paths.Record(service, server, reach.Failed, reach.NoEvidence)
+			}
+		}
+		fail()
+		for range 5 {
+			qt.Assert(t, paths.Plan(service, "d").IsHopeless, qt.IsFalse)
 		}
+		time.Sleep(time.Second)
+		fail()
 		qt.Assert(t, paths.Plan(service, "d").IsHopeless, qt.IsFalse)
 		qt.Assert(t, paths.Plan(service, "d").IsHopeless, qt.IsTrue)
 		time.Sleep(500 * time.Millisecond)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -261,18 +261,18 @@
 func (d *Daemon) listen() error {
 	var err error
 	d.gateway, err = gateway.Listen(gateway.Options{
-		Address:    d.settings.ClientAddress,
-		Source:     d,
-		Codec:      platform.Codec{},
-		Meter:      &d.demandMeter,
-		Budgets:    &d.retryBudgets,
-		Ledger:     &d.crashLedger,
-		Limits:     &d.serverLimits,
-		Registry:   d.registry,
-		Log:        d.log,
-		Clock:      d.bootClock,
-		Dialer:     d.dialer,
-		IsDetoured: d.dialer.IsDetoured,
+		Address:  d.settings.ClientAddress,
+		Source:   d,
+		Codec:    platform.Codec{},
+		Meter:    &d.demandMeter,
+		Budgets:  &d.retryBudgets,
+		Ledger:   &d.crashLedger,
+		Limits:   &d.serverLimits,
+		Registry: d.registry,
+		Log:      d.log,
+		Clock:    d.bootClock,
+		Dialer:   d.dialer,
+		Links:    d.dialer,
 	})
 	if err != nil {
 		return err
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -33,6 +33,9 @@
 	// maxTunnelAge is how long a connection through another daemon is reused, so that requests return
 	// to direct connections soon after these work again.
 	maxTunnelAge = 2 * time.Second
+	// maxSuspectIdleTime is how long a direct connection may be idle and still be reused while links to
+	// some servers are lost.
+	maxSuspectIdleTime = 300 * time.Millisecond
 	// closeProbeTime is how long a new connection is watched for an immediate close by the
 	// server: several times the latency of the links.
 	closeProbeTime = 30 * time.Millisecond
@@ -40,15 +43,24 @@
 	readBufferSize = 8 << 10
 )
 
+// Links are the states of the direct links to backend servers.
+type Links interface {
+	// IsDetoured reports whether new connections to an address go through another daemon, so that kept
+	// direct ones may hang.
+	IsDetoured(address string) bool
+	// HasDetours reports whether new connections to any address do.
+	HasDetours() bool
+}
+
 // Client pools connections to backend servers. The zero value is ready to use and safe for
 // concurrent use.
 type Client struct {
 	// ConnectTimeout bounds connecting; 0 means DefaultConnectTimeout.
 	ConnectTimeout time.Duration
-	// Dialer opens connections; nil means directly. IsDetoured, if set, reports whether new connections
-	// to an address go through another daemon, so that kept direct ones may hang. Set them before use.
-	Dialer     tcp.Dialer
-	IsDetoured func(address string) bool
+	// Dialer opens connections; nil means directly. Links, if set, are the states of the direct links.
+	// Set them before use.
+	Dialer tcp.Dialer
+	Links  Links
 
 	mutex sync.Mutex
 	idle  map[string][]*conn
@@ -65,6 +77,7 @@
 	// connection that was never idle.
 	reusableUntil time.Time
 	openedAt      time.Time
+	releasedAt    time.Time
 	// isTunnel is set if the connection goes through another daemon.
 	isTunnel bool
 }
@@ -127,15 +140,21 @@
 	if idle.isTunnel && time.Since(idle.openedAt) > maxTunnelAge {
 		return false
 	}
-	if !idle.isTunnel && c.IsLinkLost(address) {
+	if !idle.isTunnel && (c.IsLinkLost(address) || c.mayHang(idle)) {
 		return false
 	}
 	return tcp.Probe(idle.Conn) == tcp.Idle
 }
 
+// mayHang reports whether a direct connection has been idle for so long that its link may have been lost
+// as those to other servers were.
+func (c *Client) mayHang(idle *conn) bool {
+	return c.Links != nil && c.Links.HasDetours() && time.Since(idle.releasedAt) > maxSuspectIdleTime
+}
+
 // IsLinkLost reports whether new connections to an address go through another daemon.
 func (c *Client) IsLinkLost(address string) bool {
-	return c.IsDetoured != nil && c.IsDetoured(address)
+	return c.Links != nil && c.Links.IsDetoured(address)
 }
 
 // dial opens a connection.
@@ -200,7 +219,8 @@
 	if keepAlive == 0 {
 		keepAlive = defaultKeepAlive
 	}
-	released.reusableUntil = time.Now().Add(keepAlive - keepAliveMargin)
+	released.releasedAt = time.Now()
+	released.reusableUntil = released.releasedAt.Add(keepAlive - keepAliveMargin)
 	c.addIdle(server, released)
 }
 
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -370,3 +370,55 @@
 		qt.Check(t, client.IsDown("127.0.0.1:1"), qt.Equals, isConfirmed)
 	}
 }
+
+// lostLinks are links of which some are lost.
+type lostLinks struct {
+	isDetoured bool
+}
+
+// IsDetoured reports whether the link to the server is lost.
+func (l *lostLinks) IsDetoured(string) bool {
+	return l.isDetoured
+}
+
+// HasDetours reports that some link is lost.
+func (l *lostLinks) HasDetours() bool {
+	return true
+}
+
+// Guards against requests on kept connections that hang, while new connections would not.
+func TestKeptConnectionOfLostLinkIsNotReused(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		isDetoured bool
+		idleTime   time.Duration
+		wantReused int64
+	}{
+		{
+			name:       "other link lost a moment ago",
+			wantReused: 1,
+		},
+		{
+			name:       "link of this server lost",
+			isDetoured: true,
+		},
+		{
+			name:     "other link lost, long idle",
+			idleTime: 400 * time.Millisecond,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := startServer(t, respond(completeAnswer), respond(completeAnswer))
+			client := &backend.Client{
+				Links: &lostLinks{
+					isDetoured: test.isDetoured,
+				},
+			}
+			s.roundTrip(client)
+			time.Sleep(test.idleTime)
+			s.roundTrip(client)
+			_, reused := client.ConnectionCounts()
+			qt.Assert(t, reused, qt.Equals, test.wantReused)
+		})
+	}
+}
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -187,10 +187,10 @@
 	Limits   *ratelimit.Limiter
 	Registry metrics.Registry
 	Log      *zap.Logger
-	// Dialer opens connections to backend servers; nil means directly. IsDetoured, if set, reports
-	// whether new connections to an address go through another daemon.
-	Dialer     tcp.Dialer
-	IsDetoured func(address string) bool
+	// Dialer opens connections to backend servers; nil means directly. Links, if set, are the states of
+	// the direct links.
+	Dialer tcp.Dialer
+	Links  backend.Links
 	// Clock continues while the VM is suspended, as clients' timeouts do.
 	Clock boottime.Clock
 	// MaxViewWait is the maximum time that a request waits for the first view; 0 means the
@@ -214,8 +214,8 @@
 		log:         options.Log,
 		registry:    options.Registry,
 		backends: &backend.Client{
-			Dialer:     options.Dialer,
-			IsDetoured: options.IsDetoured,
+			Dialer: options.Dialer,
+			Links:  options.Links,
 		},
 		budgets:  options.Budgets,
 		ledger:   options.Ledger,
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -80,6 +80,11 @@
 	return d.Paths.IsDetoured(service, address)
 }
 
+// HasDetours reports whether new connections to any server go through peers.
+func (d *Dialer) HasDetours() bool {
+	return d.Paths.HasDetours()
+}
+
 // count increments a counter.
 func (d *Dialer) count(name string) {
 	metrics.GetOrRegisterCounter(name, d.Registry).Inc(1)
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -214,7 +214,8 @@
 		return nil, resultUnknownServer
 	case s.active.Load() >= maxTunnels:
 		return nil, resultBusy
-	case s.options.Paths.IsIsolated(service):
+	case !s.options.Paths.Plan(service, request.Address).UsesDirect:
+		// An isolated daemon looks for the end of its isolation now and then, also for others.
 		return nil, resultNoLinks
 	}
 	// The daemon's own links are checked beside a connect that takes long, so that the answer is ready
--- a/io/tunnel/tunnel_test.go
+++ b/io/tunnel/tunnel_test.go
@@ -362,6 +362,26 @@
 	}
 }
 
+// Guards against a peer that stays isolated after its links are back, because no request of its own
+// tries a direct connect.
+func TestPeerWhoseLinksAreBackHelpsOthers(t *testing.T) {
+	address := listen(t, echo)
+	known := servers{address}
+	isolated := startPeer(t, tcp.DirectDialer{}, known, true)
+	isolated.paths.Record(service, "a", reach.Failed, reach.PeerConnected)
+	isolated.paths.Record(service, "b", reach.Failed, reach.PeerConnected)
+	dialer := newDialer(brokenLinks{}, known, isolated)
+	for end := time.Now().Add(awaitTimeout); ; time.Sleep(50 * time.Millisecond) {
+		conn, err := dialer.Dial(address, connectTimeout)
+		if err == nil {
+			qt.Assert(t, conn.Close(), qt.IsNil)
+			break
+		}
+		qt.Assert(t, time.Now().Before(end), qt.IsTrue)
+	}
+	qt.Assert(t, isolated.paths.IsIsolated(service), qt.IsFalse)
+}
+
 func TestPeerRejectsInvalidOpening(t *testing.T) {
 	through := startPeer(t, tcp.DirectDialer{}, servers{}, true)
 	for _, opening := range []string{"\n", "null\n", "{\"address\":7}\n", strings.Repeat("x", 5000), "{\"address\":\"127.0.0.1:1\"}\n"} {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"headcourse/lab/link"
 	"headcourse/lab/proxy"
 	"headcourse/lab/standin"
 )
@@ -131,6 +132,10 @@
 		name:  "all daemons killed in series while servers fail",
 		begin: killDaemonsInSeries,
 	},
+	{
+		name:  "daemons lose their links to all servers",
+		begin: cutOffDaemons,
+	},
 }
 
 // Range of the times between faults and of their durations.
@@ -170,6 +175,7 @@
 		d.storeProxy.SetFault(proxy.NoFault)
 		d.clientProxy.SetFault(proxy.NoFault)
 		s.signalDaemon(d, unix.SIGCONT)
+		s.setLink(d, link.NoFault)
 	}
 	s.serverProxiesMutex.Lock()
 	for _, serverProxy := range s.serverProxies {
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -126,6 +126,7 @@
 	failures = append(failures, s.checkEvacuation()...)
 	failures = append(failures, s.checkRestore()...)
 	failures = append(failures, s.checkRetries()...)
+	failures = append(failures, s.checkLinks()...)
 	close(stopSnapshots)
 	snapshotTaker.Wait()
 	stop()
--- a/labcommand/labcommand.go
+++ b/labcommand/labcommand.go
@@ -26,6 +26,7 @@
 	Fleet    FleetCommand    `cmd:"" help:"Summarise the logs of a fleet's daemons: calls to the store, and when changes reached them."`
 	Routes   RoutesCommand   `cmd:"" help:"Compare routing policies on the same load, in virtual time."`
 	Load     LoadCommand     `cmd:"" help:"Send callers' load to daemons and check every answer."`
+	Daemon   DaemonCommand   `cmd:"" help:"Run a daemon on an entry VM whose links to backend servers have the fault that a file names."`
 	Soak     SoakCommand     `cmd:"" help:"Inject random faults into daemons that soak/run starts, and check every answer."`
 }
 
