--- a/entry/cutoff_test.go
+++ b/entry/cutoff_test.go
@@ -180,3 +180,26 @@
 	qt.Assert(t, s.lines(":stalled"), qt.Not(qt.HasLen), 0)
 	qt.Assert(t, s.lines(":connection_broken"), qt.HasLen, 0)
 }
+
+// Guards against a log that does not show which daemon a request went through.
+func TestLogNamesPeerOfTunnelledRequest(t *testing.T) {
+	s := newSite(t, 2)
+	s.links[0].SetFault(link.Refused)
+	s.await(func() standin.Answer {
+		return get(s.client(0, standin.KeyCuenca))
+	}, isSuccess)
+	s.awaitTrue(func() bool {
+		s.client(0, standin.KeyCuenca).Stream(context.Background(), standin.ModelSmall, 3)
+		return len(s.lines("@"+siteNames[1])) > 0
+	})
+	s.awaitTrue(func() bool {
+		get(s.client(0, standin.KeyCuenca))
+		return len(s.lines("servers: only other daemons reach them")) > 0
+	})
+	s.links[0].SetFault(link.NoFault)
+	s.awaitTrue(func() bool {
+		get(s.client(0, standin.KeyCuenca))
+		s.client(0, standin.KeyCuenca).Stream(context.Background(), standin.ModelSmall, 3)
+		return len(s.lines("servers: reached directly again")) > 0
+	})
+}
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -78,8 +78,8 @@
 	reusableUntil time.Time
 	openedAt      time.Time
 	releasedAt    time.Time
-	// isTunnel is set if the connection goes through another daemon.
-	isTunnel bool
+	// peer is the daemon that the connection goes through; empty: it is direct.
+	peer string
 }
 
 // ConnectionCounts returns how many connections were opened and how often one was reused.
@@ -123,12 +123,15 @@
 	if err != nil {
 		return nil, connectError(address, err)
 	}
-	_, isTunnel := netConn.(*tunnel.Conn)
+	peer := ""
+	if through, ok := netConn.(*tunnel.Conn); ok {
+		peer = through.Peer()
+	}
 	return &conn{
 		Conn:     netConn,
 		reader:   bufio.NewReaderSize(netConn, readBufferSize),
 		openedAt: time.Now(),
-		isTunnel: isTunnel,
+		peer:     peer,
 	}, nil
 }
 
@@ -137,10 +140,10 @@
 	if !time.Now().Before(idle.reusableUntil) {
 		return false
 	}
-	if idle.isTunnel && time.Since(idle.openedAt) > maxTunnelAge {
+	if idle.peer != "" && time.Since(idle.openedAt) > maxTunnelAge {
 		return false
 	}
-	if !idle.isTunnel && (c.IsLinkLost(address) || c.mayHang(idle)) {
+	if idle.peer == "" && (c.IsLinkLost(address) || c.mayHang(idle)) {
 		return false
 	}
 	return tcp.Probe(idle.Conn) == tcp.Idle
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -39,9 +39,9 @@
 	aborted     atomic.Bool
 }
 
-// IsTunnel reports whether the connection goes through another daemon.
-func (e *Exchange) IsTunnel() bool {
-	return e.conn.isTunnel
+// Peer returns the daemon that the connection goes through; empty if it is direct.
+func (e *Exchange) Peer() string {
+	return e.conn.peer
 }
 
 // Send writes the request and must be called only once. The error is a *http1.Error, which
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -98,13 +98,14 @@
 		j.setExchange(nil)
 	}
 	j.reportOutcome(server, result)
-	j.recordAttempt(server, result.reason)
+	j.recordAttempt(server, j.peer, result.reason)
 	return result
 }
 
 // exchangeWith sends the request and reads the answer.
 func (j *job) exchangeWith(selected selection, head []byte) attemptResult {
 	server := selected.server
+	j.peer = ""
 	exchange, err := j.send(selected, head)
 	switch {
 	case errors.Is(err, errPaused):
@@ -127,6 +128,7 @@
 			mayHaveRun: sent,
 		}
 	}
+	j.peer = exchange.Peer()
 	j.setExchange(exchange)
 	watch := j.watchAnswerStart(server, exchange)
 	defer watch.stop()
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -57,6 +57,8 @@
 	// a retry, and needs retry budget, only if this is above 0.
 	possibleArrivals int
 	attemptTrail     []string
+	// peer is the daemon that the last attempt went through; empty if it was direct.
+	peer string
 	// cachedDigest is the digest of the request's content; it is valid if hasDigest is set.
 	cachedDigest quarantine.Digest
 	hasDigest    bool
--- a/io/gateway/requestlog.go
+++ b/io/gateway/requestlog.go
@@ -12,11 +12,14 @@
 )
 
 // recordAttempt adds an attempt to the trail in the request's log line.
-func (j *job) recordAttempt(server fleet.Server, reason request.Reason) {
+func (j *job) recordAttempt(server fleet.Server, peer string, reason request.Reason) {
 	entry := server.ID
 	if server.Membership.Group != "" {
 		entry += "/" + server.Membership.Group
 	}
+	if peer != "" {
+		entry += "@" + peer
+	}
 	if reason != request.ReasonNone {
 		entry += ":" + string(reason)
 	}
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -148,7 +148,7 @@
 	s.release()
 	if failed.reason != request.ReasonClientGone && failed.reason != request.ReasonDeadline {
 		s.job.reportOutcome(s.server, failed)
-		s.job.recordAttempt(s.server, failed.reason)
+		s.job.recordAttempt(s.server, s.exchange.Peer(), failed.reason)
 	}
 	for !s.hasEventWithoutID && s.job.mayRetry(failed) {
 		next := s.job.attempt(s.job.lastEventID)
--- a/io/gateway/watchdog.go
+++ b/io/gateway/watchdog.go
@@ -122,7 +122,7 @@
 // isLinkLost reports whether new connections to the server go through other daemons, while this exchange
 // has a direct one. Other requests then make progress at the server although this one cannot.
 func (w *watchdog) isLinkLost() bool {
-	return !w.exchange.IsTunnel() && w.job.server.backends.IsLinkLost(w.server.Address)
+	return w.exchange.Peer() == "" && w.job.server.backends.IsLinkLost(w.server.Address)
 }
 
 // failOver aborts the exchange, so that the request is sent to another server, if it may be and there is
--- a/io/tunnel/conn.go
+++ b/io/tunnel/conn.go
@@ -14,6 +14,8 @@
 type Conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// peer is the name of the peer.
+	peer string
 	// remaining is the number of bytes of the current frame that are not read yet.
 	remaining int
 	// hasEnded is set once the server's orderly close was read.
@@ -54,6 +56,11 @@
 	return err
 }
 
+// Peer returns the name of the daemon that the connection goes through.
+func (c *Conn) Peer() string {
+	return c.peer
+}
+
 // Buffered returns the number of bytes that were received and not read yet.
 func (c *Conn) Buffered() int {
 	return c.reader.Buffered()
--- a/io/tunnel/open.go
+++ b/io/tunnel/open.go
@@ -108,19 +108,19 @@
 	outcome := opened{
 		peer: peer,
 	}
-	outcome.conn, outcome.result, outcome.err = openAt(peer.Address, address, deadline)
+	outcome.conn, outcome.result, outcome.err = openAt(peer, address, deadline)
 	return outcome
 }
 
-// openAt asks the peer at an address for a tunnel to a server.
-func openAt(peerAddress, address string, deadline time.Time) (net.Conn, result, error) {
-	raw, err := tcp.DirectDialer{}.Dial(peerAddress, time.Until(deadline))
+// openAt asks a peer for a tunnel to the server at an address.
+func openAt(peer reach.Peer, address string, deadline time.Time) (net.Conn, result, error) {
+	raw, err := tcp.DirectDialer{}.Dial(peer.Address, time.Until(deadline))
 	if err != nil {
-		return nil, "", errors.Wrapf(err, "connect to peer %s", peerAddress)
+		return nil, "", errors.Wrapf(err, "connect to peer %s", peer.Name)
 	}
 	answer, reader, err := requestTunnel(raw, address, deadline)
 	if err == nil && answer.Result != resultConnected {
-		err = errors.Errorf("tunnel to %s through %s: %.40s", address, peerAddress, answer.Result)
+		err = errors.Errorf("tunnel to %s through %s: %.40s", address, peer.Name, answer.Result)
 	}
 	if err != nil {
 		_ = raw.Close()
@@ -129,6 +129,7 @@
 	return &Conn{
 		Conn:   raw,
 		reader: reader,
+		peer:   peer.Name,
 	}, resultConnected, nil
 }
 
--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// maxTunnels bounds the open tunnels of a peer. Each one takes two descriptors and some 20 KB.
+	// maxTunnels bounds the open tunnels of a peer. Each one takes two descriptors and at most 30 KB.
 	maxTunnels = 512
 	// maxOpening bounds the connections whose tunnel is not open yet.
 	maxOpening = 256
