Two servers that nobody reaches are enough to refuse at once

A service or a model with two servers never counted as without a way, since three unreachable servers were needed: requests waited three connects each (0.94 s).

--- a/core/reach/paths.go
+++ b/core/reach/paths.go
@@ -31,7 +31,7 @@
 	// minUnreachableServers is the number of servers that neither the daemon nor a peer connected to
 	// from which on further connects fail at once, if nobody has connected for minUnreachableTime:
 	// peers need as long to find out that their own links are back.
-	minUnreachableServers = 3
+	minUnreachableServers = 2
 	minUnreachableTime    = time.Second
 	// evidenceTTL is how long a failed connect, or a detour that is not used, is remembered.
 	evidenceTTL = 5 * time.Second
--- a/entry/cutoff_test.go
+++ b/entry/cutoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -203,3 +204,29 @@
 		return len(s.lines("servers: reached directly again")) > 0
 	})
 }
+
+// Guards against requests that wait for connects, and groups that end, while no daemon reaches the
+// servers.
+func TestRequestsAreRefusedAtOnceWhenNoDaemonReachesServers(t *testing.T) {
+	s := newSite(t, 3)
+	heads := s.standin.Heads(standin.ModelLarge)
+	for _, links := range s.links {
+		links.SetFault(link.Hung)
+	}
+	s.awaitTrue(func() bool {
+		qt.Assert(t, isSuccess(get(s.client(0, standin.KeyCuenca))), qt.IsFalse)
+		// Without a way left no attempt waits for a connect.
+		return len(s.lines(`"reason":"connect_failed","took_ms":0`)) > 0
+	})
+	answer := s.await(func() standin.Answer {
+		return get(s.client(1, standin.KeyCuenca))
+	}, hasStatus(http.StatusServiceUnavailable))
+	qt.Assert(t, answer.RetryAfter, qt.Not(qt.Equals), "")
+	qt.Assert(t, s.standin.Runs(answer.ID), qt.Equals, 0)
+	for _, links := range s.links {
+		links.SetFault(link.NoFault)
+	}
+	s.awaitGroups()
+	qt.Assert(t, s.lines("groups: group ends"), qt.HasLen, 0)
+	qt.Assert(t, len(s.standin.Heads(standin.ModelLarge)), qt.Equals, len(heads))
+}
