Observability: how an answer was framed and what followed its last event

The incident's log lines show broken answers as successes: nothing tells an orderly close from a last chunk, nor a whole event from a part of one.

What clients get is unchanged.

--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"headcourse/core/completeness"
 	"headcourse/io/http1"
 )
 
@@ -28,10 +29,9 @@
 	address string
 	conn    *conn
 	body    io.Reader
-	// isComplete is set when the whole answer has been read. endsAtClose is set if the answer
-	// ends when its connection closes.
-	isComplete  bool
-	endsAtClose bool
+	// isComplete is set when the whole answer has been read, by its framing.
+	isComplete bool
+	framing    completeness.Framing
 	// bodyWritten is closed when a long body has been written; nil for short bodies.
 	bodyWritten chan struct{}
 	writeErr    error
@@ -109,19 +109,22 @@
 	e.isComplete = false
 	switch length := head.ContentLength(); {
 	case hasNoBody(head.StatusCode()):
+		e.framing = completeness.FramedByStatus
 		e.body = emptyBody{}
 	case length >= 0:
+		e.framing = completeness.FramedByLength
 		e.body = &fixedLengthBody{
 			reader:    e.conn.reader,
 			remaining: length,
 		}
 	case length == -1:
+		e.framing = completeness.FramedByChunks
 		e.body = &chunkedBody{
 			reader:   httputil.NewChunkedReader(e.conn.reader),
 			exchange: e,
 		}
 	default:
-		e.endsAtClose = true
+		e.framing = completeness.FramedByClose
 		e.body = e.conn.reader
 	}
 	return nil
@@ -140,7 +143,7 @@
 	n, err := e.body.Read(target)
 	if errors.Is(err, io.EOF) {
 		// A connection that was closed by Abort may also end without an error.
-		if e.endsAtClose && e.aborted.Load() {
+		if e.framing == completeness.FramedByClose && e.aborted.Load() {
 			return n, io.ErrUnexpectedEOF
 		}
 		e.isComplete = true
@@ -160,10 +163,9 @@
 	return content, nil
 }
 
-// EndsAtClose reports whether only the close of the connection ends the answer, since it
-// has neither a length nor chunks.
-func (e *Exchange) EndsAtClose() bool {
-	return e.endsAtClose
+// Framing returns how the end of the answer is marked. It is valid after ReadHead.
+func (e *Exchange) Framing() completeness.Framing {
+	return e.framing
 }
 
 // Finish returns the connection to the pool after a complete answer, for keepFor (0: the
@@ -171,7 +173,7 @@
 // the connection or sent an answer to another request.
 func (e *Exchange) Finish(isReusable bool, keepFor time.Duration) {
 	e.once.Do(func() {
-		if !isReusable || !e.isComplete || e.endsAtClose || !e.isBodyWritten() || e.conn.reader.Buffered() > 0 {
+		if !isReusable || !e.isComplete || e.framing == completeness.FramedByClose || !e.isBodyWritten() || e.conn.reader.Buffered() > 0 {
 			e.aborted.Store(true)
 			_ = e.conn.Close()
 			return
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -154,7 +154,7 @@
 	case j.isStream(answer):
 		return j.beginStream(server, exchange, answer, isReusable, watch)
 	default:
-		return j.readBody(exchange, answer, isReusable, watch)
+		return j.readBody(server, exchange, answer, isReusable, watch)
 	}
 }
 
@@ -193,12 +193,16 @@
 }
 
 // readBody reads the body of an answer that is not a stream.
-func (j *job) readBody(exchange *backend.Exchange, answer request.Answer, isReusable bool, watch *watchdog) attemptResult {
+func (j *job) readBody(server fleet.Server, exchange *backend.Exchange, answer request.Answer, isReusable bool, watch *watchdog) attemptResult {
 	body, err := exchange.ReadAll(maxAnswerBytes)
 	if err != nil {
 		exchange.Abort()
 		return j.brokenResult(watch, err)
 	}
+	j.recordEnd(answerEnd{
+		server:  server,
+		framing: exchange.Framing(),
+	})
 	exchange.Finish(isReusable, answer.KeepAlive)
 	j.clearSuspicion(answer, exchange)
 	result := attemptResult{
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -127,6 +127,8 @@
 	connectThrottle logline.Throttle
 	// retryThrottle limits the log lines about the retry budgets.
 	retryThrottle logline.Throttle
+	// endThrottle limits the log lines about ends of answers.
+	endThrottle logline.Throttle
 	// directives holds the directives that servers sent: pauses, and notices that they drain.
 	directives directive.Registry
 	// directiveThrottle limits the log lines about directives.
@@ -228,6 +230,7 @@
 	server.limitThrottle.Interval = throttledLogInterval
 	server.retryThrottle.Interval = throttledLogInterval
 	server.connectThrottle.Interval = throttledLogInterval
+	server.endThrottle.Interval = throttledLogInterval
 	server.http = &fasthttp.Server{
 		Handler:                      server.handle,
 		ErrorHandler:                 server.handleBadRequest,
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -17,6 +17,8 @@
 	countResumed   = "streams_resumed."
 	countSucceeded = "requests_done."
 	countYielding  = "requests_yielding."
+	// countEnds is completed by the framing of the answer.
+	countEnds = "answers_ended."
 )
 
 // Names of histograms, in milliseconds.
--- a/io/gateway/quarantine.go
+++ b/io/gateway/quarantine.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"headcourse/core/completeness"
 	"headcourse/core/fleet"
 	"headcourse/core/quarantine"
 	"headcourse/core/request"
@@ -184,7 +185,7 @@
 // server crashes.
 func (j *job) clearSuspicion(answer request.Answer, exchange *backend.Exchange) {
 	isSuccess := answer.Status >= fasthttp.StatusOK && answer.Status < fasthttp.StatusMultipleChoices
-	if !isSuccess || exchange.EndsAtClose() {
+	if !isSuccess || exchange.Framing() == completeness.FramedByClose {
 		return
 	}
 	if cleared := j.server.ledger.RecordAnswer(j.digest()); cleared.HasRows() {
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -84,6 +84,12 @@
 	}
 	if errors.Is(err, io.EOF) {
 		s.isComplete = true
+		s.job.recordEnd(answerEnd{
+			server:          s.server,
+			framing:         s.exchange.Framing(),
+			events:          s.job.eventCount,
+			unfinishedBytes: len(s.splitter.Remainder()),
+		})
 		s.pending = append(s.pending, s.splitter.Remainder()...)
 		s.exchange.Finish(s.isReusable, s.answer.KeepAlive)
 		return err
