--- /dev/null
+++ b/io/gateway/rawserver_test.go
@@ -0,0 +1,143 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/platform/wire"
+)
+
+// rawServer is a backend server that controls every byte of its answers and how its connections end.
+type rawServer struct {
+	listener net.Listener
+	requests atomic.Int64
+}
+
+// rawAnswer is one answer.
+type rawAnswer struct {
+	contentType string
+	// framing is a header field, empty if only the close of the connection marks the end of the answer.
+	framing string
+	body    string
+	// proceed, if set, is awaited between body and rest.
+	proceed <-chan struct{}
+	rest    string
+	// resets makes the connection end with a reset instead of an orderly close.
+	resets bool
+	// stops makes the server stop listening before the connection ends, as a process that crashes does.
+	stops bool
+}
+
+// startRawServer starts a server. The function respond returns its answer to a request that resumes after the
+// event lastEventID, 0 for the whole answer.
+func startRawServer(t *testing.T, respond func(lastEventID int) rawAnswer) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &rawServer{
+		listener: listener,
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn, respond)
+		}
+	}()
+	return s
+}
+
+// address returns the IP:port of the server.
+func (s *rawServer) address() string {
+	return s.listener.Addr().String()
+}
+
+// serve answers one request. Writes to a disconnected gateway may fail.
+func (s *rawServer) serve(conn net.Conn, respond func(lastEventID int) rawAnswer) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	// The body is read, since unread bytes turn the close of a connection into a reset.
+	if _, err = io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	s.requests.Add(1)
+	lastEventID, _ := strconv.Atoi(request.Header.Get(wire.HeaderLastEvent))
+	answer := respond(lastEventID)
+	head := "HTTP/1.1 200 OK\r\n" + wire.HeaderSeal + ": seal\r\n" + wire.HeaderID + ": " + request.Header.Get(wire.HeaderID) +
+		"\r\nContent-Type: " + answer.contentType + "\r\n"
+	if answer.framing != "" {
+		head += answer.framing + "\r\n"
+	}
+	_, _ = io.WriteString(conn, head+"\r\n"+answer.body)
+	if answer.proceed != nil {
+		<-answer.proceed
+		_, _ = io.WriteString(conn, answer.rest)
+	}
+	if answer.stops {
+		_ = s.listener.Close()
+	}
+	if answer.resets {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// eventStreamType is the content type of event streams.
+const eventStreamType = "text/event-stream"
+
+// numberedEvents returns the events after lastEventID of a stream of three.
+func numberedEvents(lastEventID int) string {
+	var events strings.Builder
+	for i := lastEventID + 1; i <= 3; i++ {
+		fmt.Fprintf(&events, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return events.String()
+}
+
+// wholeStream responds with the rest of a stream of three events.
+func wholeStream(lastEventID int) rawAnswer {
+	return chunkedAnswer(numberedEvents(lastEventID))
+}
+
+// firstThen returns a function that responds to its first request with an answer, and to all further ones as
+// respond does. Servers may share it.
+func firstThen(first rawAnswer, respond func(lastEventID int) rawAnswer) func(lastEventID int) rawAnswer {
+	var hasResponded atomic.Bool
+	return func(lastEventID int) rawAnswer {
+		if hasResponded.CompareAndSwap(false, true) {
+			return first
+		}
+		return respond(lastEventID)
+	}
+}
+
+// chunkedAnswer returns a complete stream in chunks.
+func chunkedAnswer(body string) rawAnswer {
+	return rawAnswer{
+		contentType: eventStreamType,
+		framing:     "Transfer-Encoding: chunked",
+		body:        inChunks(body),
+	}
+}
+
+// inChunks returns a body as one chunk and the last chunk.
+func inChunks(body string) string {
+	if body == "" {
+		return "0\r\n\r\n"
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+}
--- /dev/null
+++ b/io/gateway/truncation_test.go
@@ -0,0 +1,244 @@
+package gateway_test
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/config"
+	"headcourse/io/gateway"
+	"headcourse/platform/wire"
+)
+
+// clientAnswer is an answer as a client receives it. err is set if the answer did not end as complete.
+type clientAnswer struct {
+	status int
+	body   string
+	err    error
+}
+
+// requestAnswer sends a request and reads the answer.
+func requestAnswer(t *testing.T, view gateway.View) clientAnswer {
+	t.Helper()
+	response := openAnswer(t, startGateway(t, newOptions(newSource(view))).Address())
+	body, err := io.ReadAll(response.Body)
+	return clientAnswer{
+		status: response.StatusCode,
+		body:   string(body),
+		err:    err,
+	}
+}
+
+// openAnswer sends a request and reads the head of the answer.
+func openAnswer(t *testing.T, address string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.Host = host
+	request.Header.Set(wire.HeaderID, "r1")
+	request.Header.Set(wire.HeaderDeadline, strconv.FormatInt(time.Minute.Milliseconds(), 10))
+	response, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// streamView returns a view of two servers of streams, which may be resumed or not.
+func streamView(isResumable bool, servers ...*rawServer) gateway.View {
+	var addresses []string
+	for _, server := range servers {
+		addresses = append(addresses, server.address())
+	}
+	view := serversView(config.Stream, addresses...)
+	view.Config.Routes[0].Resumable = isResumable
+	return view
+}
+
+// brokenStreams are the first parts of streams that were broken off, by name. Each has delivered the number of
+// whole events.
+var brokenStreams = map[string]struct {
+	answer rawAnswer
+	events int
+}{
+	"close inside an event": {
+		answer: rawAnswer{
+			contentType: eventStreamType,
+			body:        "id: 1\ndata: 1\n\nid: 2\nda",
+		},
+		events: 1,
+	},
+	"close before the blank line of an event": {
+		answer: rawAnswer{
+			contentType: eventStreamType,
+			body:        "id: 1\ndata: 1\n\nid: 2\ndata: 2\n",
+		},
+		events: 1,
+	},
+	"close inside the first event": {
+		answer: rawAnswer{
+			contentType: eventStreamType,
+			body:        "id: 1\nda",
+		},
+	},
+	"close before the first event": {
+		answer: rawAnswer{
+			contentType: eventStreamType,
+		},
+	},
+	"last chunk inside an event": {
+		answer: chunkedAnswer("id: 1\ndata: 1\n\nid: 2\nda"),
+		events: 1,
+	},
+	"length ends inside an event": {
+		answer: rawAnswer{
+			contentType: eventStreamType,
+			framing:     "Content-Length: 23",
+			body:        "id: 1\ndata: 1\n\nid: 2\nda",
+		},
+		events: 1,
+	},
+	"reset inside an event": {
+		answer: rawAnswer{
+			contentType: eventStreamType,
+			body:        "id: 1\ndata: 1\n\nid: 2\nda",
+			resets:      true,
+		},
+		events: 1,
+	},
+}
+
+// Guards against streams that were broken off inside an event and end as complete (ORDER).
+func TestStreamThatEndsInsideEventIsNotComplete(t *testing.T) {
+	for name, broken := range brokenStreams {
+		t.Run(name+", resumable", func(t *testing.T) {
+			respond := firstThen(broken.answer, wholeStream)
+			answer := requestAnswer(t, streamView(true, startRawServer(t, respond), startRawServer(t, respond)))
+			qt.Check(t, answer.status, qt.Equals, http.StatusOK)
+			qt.Check(t, answer.err, qt.IsNil)
+			qt.Check(t, answer.body, qt.Equals, numberedEvents(0))
+		})
+		t.Run(name+", not resumable", func(t *testing.T) {
+			respond := firstThen(broken.answer, wholeStream)
+			answer := requestAnswer(t, streamView(false, startRawServer(t, respond), startRawServer(t, respond)))
+			if broken.events == 0 {
+				qt.Check(t, answer.status, qt.Equals, http.StatusBadGateway)
+				return
+			}
+			qt.Check(t, answer.status, qt.Equals, http.StatusOK)
+			qt.Check(t, answer.err, qt.ErrorIs, io.ErrUnexpectedEOF)
+			// What the client has received is whole events only.
+			qt.Check(t, numberedEvents(0)[:len(answer.body)], qt.Equals, answer.body)
+			qt.Check(t, answer.body+numberedEvents(broken.events), qt.Equals, numberedEvents(0))
+		})
+	}
+}
+
+// Guards against answers of servers that crashed and whose connections their kernels closed in order: without a
+// length or chunks, they end like complete ones.
+func TestUnframedAnswerOfCrashedServerIsNotComplete(t *testing.T) {
+	t.Run("stream that ends between events", func(t *testing.T) {
+		respond := firstThen(rawAnswer{
+			contentType: eventStreamType,
+			body:        "id: 1\ndata: 1\n\n",
+			stops:       true,
+		}, wholeStream)
+		answer := requestAnswer(t, streamView(true, startRawServer(t, respond), startRawServer(t, respond)))
+		qt.Check(t, answer.err, qt.IsNil)
+		qt.Check(t, answer.body, qt.Equals, numberedEvents(0))
+	})
+	crashing := rawAnswer{
+		contentType: "text/plain",
+		body:        "level",
+		stops:       true,
+	}
+	whole := func(int) rawAnswer {
+		return rawAnswer{
+			contentType: "text/plain",
+			body:        "level 4",
+		}
+	}
+	t.Run("plain answer that may be repeated", func(t *testing.T) {
+		respond := firstThen(crashing, whole)
+		answer := requestAnswer(t, serversView(config.Safe, startRawServer(t, respond).address(), startRawServer(t, respond).address()))
+		qt.Check(t, answer.status, qt.Equals, http.StatusOK)
+		qt.Check(t, answer.body, qt.Equals, "level 4")
+	})
+	t.Run("plain answer that may not be repeated", func(t *testing.T) {
+		answer := requestAnswer(t, serversView(config.Unsafe, startRawServer(t, firstThen(crashing, whole)).address()))
+		qt.Check(t, answer.status, qt.Equals, http.StatusBadGateway)
+	})
+}
+
+// Guards against complete answers that are taken for broken ones: the close of the connection is a proper end
+// of an answer, and a stream may use any line end of the format and end with comments or blank lines.
+func TestUnframedAnswerOfRunningServerIsComplete(t *testing.T) {
+	for name, body := range map[string]string{
+		"line feeds":                  numberedEvents(0),
+		"carriage returns":            "id: 1\rdata: 1\r\rid: 2\rdata: 2\r\r",
+		"both":                        "id: 1\r\ndata: 1\r\n\r\nid: 2\r\ndata: 2\r\n\r\n",
+		"mixed line ends":             "id: 1\rdata: 1\n\r\nid: 2\r\ndata: 2\r\rid: 3\ndata: 3\n\r",
+		"byte order mark":             "\ufeffid: 1\ndata: 1\n\n",
+		"comment without a line end":  "id: 1\ndata: 1\n\n: end",
+		"comment and blank lines":     ": start\n\nid: 1\ndata: 1\n\n\n: end\n\n\n",
+		"events without IDs":          "data: 1\n\ndata: 2\n\n",
+		"line of a version, no event": "weight-versions: 4\nid: 1\ndata: 1\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := startRawServer(t, func(int) rawAnswer {
+				return rawAnswer{
+					contentType: eventStreamType,
+					body:        body,
+				}
+			})
+			answer := requestAnswer(t, streamView(true, server))
+			qt.Check(t, answer.err, qt.IsNil)
+			qt.Check(t, answer.body, qt.Equals, body)
+			qt.Check(t, server.requests.Load(), qt.Equals, int64(1))
+		})
+	}
+	t.Run("plain answer", func(t *testing.T) {
+		server := startRawServer(t, func(int) rawAnswer {
+			return rawAnswer{
+				contentType: "text/plain",
+				body:        "level 4",
+			}
+		})
+		answer := requestAnswer(t, serversView(config.Unsafe, server.address()))
+		qt.Check(t, answer.status, qt.Equals, http.StatusOK)
+		qt.Check(t, answer.body, qt.Equals, "level 4")
+	})
+}
+
+// Guards against events that are held back until the end of the stream, since their lines end with a carriage
+// return alone.
+func TestEventsAreDeliveredAtOnceWhateverTheirLineEnds(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r", "\r\n"} {
+		proceed := make(chan struct{})
+		server := startRawServer(t, func(int) rawAnswer {
+			return rawAnswer{
+				contentType: eventStreamType,
+				body:        "id: 1" + lineEnd + "data: 1" + lineEnd + lineEnd,
+				proceed:     proceed,
+				rest:        "id: 2" + lineEnd + "data: 2" + lineEnd + lineEnd,
+			}
+		})
+		address := startGateway(t, newOptions(newSource(streamView(true, server)))).Address()
+		opened := make(chan *http.Response, 1)
+		go func() { opened <- openAnswer(t, address) }()
+		const limit = 20 * time.Second
+		select {
+		case response := <-opened:
+			close(proceed)
+			body, err := io.ReadAll(response.Body)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, string(body), qt.Equals, "id: 1"+lineEnd+"data: 1"+lineEnd+lineEnd+"id: 2"+lineEnd+"data: 2"+lineEnd+lineEnd)
+		case <-time.After(limit):
+			close(proceed)
+			t.Fatalf("the first event is held back, line end %q", lineEnd)
+		}
+	}
+}
