--- a/io/gateway/truncation_test.go
+++ b/io/gateway/truncation_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,20 +22,14 @@
 	err    error
 }
 
-// requestAnswer sends a request and reads the answer.
+// requestAnswer sends a request through a new gateway and reads the answer.
 func requestAnswer(t *testing.T, view gateway.View) clientAnswer {
 	t.Helper()
-	response := openAnswer(t, startGateway(t, newOptions(newSource(view))).Address())
-	body, err := io.ReadAll(response.Body)
-	return clientAnswer{
-		status: response.StatusCode,
-		body:   string(body),
-		err:    err,
-	}
+	return readAnswer(t, startGateway(t, newOptions(newSource(view))).Address(), func() {})
 }
 
-// openAnswer sends a request and reads the head of the answer.
-func openAnswer(t *testing.T, address string) *http.Response {
+// readAnswer sends a request and reads the answer. It calls onHead between its head and its body.
+func readAnswer(t *testing.T, address string, onHead func()) clientAnswer {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+path, nil)
 	qt.Assert(t, err, qt.IsNil)
@@ -43,8 +38,14 @@
 	request.Header.Set(wire.HeaderDeadline, strconv.FormatInt(time.Minute.Milliseconds(), 10))
 	response, err := http.DefaultClient.Do(request)
 	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = response.Body.Close() })
-	return response
+	defer func() { _ = response.Body.Close() }()
+	onHead()
+	body, err := io.ReadAll(response.Body)
+	return clientAnswer{
+		status: response.StatusCode,
+		body:   string(body),
+		err:    err,
+	}
 }
 
 // streamView returns a view of two servers of streams, which may be resumed or not.
@@ -227,18 +228,19 @@
 			}
 		})
 		address := startGateway(t, newOptions(newSource(streamView(true, server)))).Address()
-		opened := make(chan *http.Response, 1)
-		go func() { opened <- openAnswer(t, address) }()
 		const limit = 20 * time.Second
-		select {
-		case response := <-opened:
+		var isTooLate atomic.Bool
+		timer := time.AfterFunc(limit, func() {
+			isTooLate.Store(true)
 			close(proceed)
-			body, err := io.ReadAll(response.Body)
-			qt.Check(t, err, qt.IsNil)
-			qt.Check(t, string(body), qt.Equals, "id: 1"+lineEnd+"data: 1"+lineEnd+lineEnd+"id: 2"+lineEnd+"data: 2"+lineEnd+lineEnd)
-		case <-time.After(limit):
-			close(proceed)
-			t.Fatalf("the first event is held back, line end %q", lineEnd)
-		}
+		})
+		answer := readAnswer(t, address, func() {
+			if timer.Stop() {
+				close(proceed)
+			}
+		})
+		qt.Check(t, isTooLate.Load(), qt.IsFalse, qt.Commentf("the first event is held back, line end %q", lineEnd))
+		qt.Check(t, answer.err, qt.IsNil)
+		qt.Check(t, answer.body, qt.Equals, "id: 1"+lineEnd+"data: 1"+lineEnd+lineEnd+"id: 2"+lineEnd+"data: 2"+lineEnd+lineEnd)
 	}
 }
