--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -110,6 +110,10 @@
 		if !ok {
 			return
 		}
+		if event.IsComment {
+			s.pending = append(s.pending, event.Raw...)
+			continue
+		}
 		if event.ID != 0 && event.ID <= s.job.lastEventID {
 			continue
 		}
