Streams that end inside an event are broken off, whatever their framing says

Clients of streams whose run crashed got the events so far, a part of the next one, and a proper end. The gateway took the end of the framing (an orderly close, a last chunk, the length) for completeness and added what was left in its splitter.

core/completeness decides for all answers: framing, format and server can each refute completeness. What ends inside an event, or by a close before any event, was broken off: it resumes after the last whole event, is tried again if nothing was delivered, or ends without the last chunk. Own reason, answer_truncated; the crash check and the ledger get it like a reset.

Whole streams of any line end stay whole.

--- /dev/null
+++ b/core/completeness/completeness.go
@@ -0,0 +1,78 @@
+// Package completeness decides whether the answer of a backend server is complete.
+//
+// There are three kinds of evidence, and each can refute completeness. The framing of HTTP: a length, a last chunk or,
+// if the answer has neither, an orderly close of its connection. The format: an event stream ends after a
+// complete event. The server: the kernel of a process that crashes also closes its connections in order, so
+// an answer that ends with its connection is complete only if its server goes on running.
+package completeness
+
+// Framing is how HTTP marks the end of an answer.
+type Framing string
+
+// The framings of answers. Only FramedByClose, which has neither a length nor chunks, cannot tell an answer
+// that was broken off from a complete one.
+const (
+	FramedByStatus Framing = "status"
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	FramedByClose  Framing = "close"
+)
+
+// ServerState is what is known of a server after its answer ended.
+type ServerState int
+
+// Unknown means that the server was not checked yet; Running that it accepts connections, leaves as planned or cannot
+// be reached; Down that it ended unexpectedly.
+const (
+	Unknown ServerState = iota
+	Running
+	Down
+)
+
+// End is the end of an answer that its framing marks as complete.
+type End struct {
+	Framing Framing
+	// IsStream is set for event streams. EventCount is the number of complete events that this server sent;
+	// HasUnfinishedEvent is set if a part of an event follows them.
+	IsStream           bool
+	EventCount         int
+	HasUnfinishedEvent bool
+	Server             ServerState
+}
+
+// Verdict is the decision about an end.
+type Verdict string
+
+// The verdicts. NeedsServerState means that the decision depends on the state of the server, which must be
+// checked. After all others but Complete, the answer was broken off.
+const (
+	Complete         Verdict = "complete"
+	NeedsServerState Verdict = "needs_server_state"
+	EndsInsideEvent  Verdict = "ends_inside_event"
+	HasNoEvents      Verdict = "has_no_events"
+	ServerCrashed    Verdict = "server_crashed"
+)
+
+// Decide returns the verdict about an end.
+func (e End) Decide() Verdict {
+	switch {
+	case e.IsStream && e.HasUnfinishedEvent:
+		return EndsInsideEvent
+	case e.Framing != FramedByClose:
+		return Complete
+	case e.IsStream && e.EventCount == 0:
+		return HasNoEvents
+	case e.Server == Unknown:
+		return NeedsServerState
+	case e.Server == Down:
+		return ServerCrashed
+	default:
+		return Complete
+	}
+}
+
+// WithServer returns the end with the state of its server.
+func (e End) WithServer(state ServerState) End {
+	e.Server = state
+	return e
+}
--- a/core/request/request.go
+++ b/core/request/request.go
@@ -115,6 +115,7 @@
 	ReasonServerRefused      Reason = "server_refused"
 	ReasonOtherServer        Reason = "other_server"
 	ReasonConnectionBroken   Reason = "connection_broken"
+	ReasonAnswerTruncated    Reason = "answer_truncated"
 	ReasonBadAnswer          Reason = "bad_answer"
 	ReasonServerError        Reason = "server_error"
 	ReasonStalled            Reason = "stalled"
--- a/io/gateway/answerend.go
+++ b/io/gateway/answerend.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"io"
+
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
@@ -8,36 +10,63 @@
 	"headcourse/core/fleet"
 )
 
-// answerEnd describes the end of an answer that was read without an error.
-type answerEnd struct {
-	server  fleet.Server
+// truncationError is the error of an answer that was broken off although its framing marks it as complete.
+type truncationError struct {
+	verdict completeness.Verdict
 	framing completeness.Framing
-	// events counts the complete events of a stream that the client has received, from all servers.
-	events int
-	// unfinishedBytes is the number of bytes after the last complete event.
-	unfinishedBytes int
 }
 
-// recordEnd counts the end of an answer and writes a log line about it if it may be incomplete: only the close
-// of the connection marks its end, or it ended inside an event.
-func (j *job) recordEnd(end answerEnd) {
-	metrics.GetOrRegisterCounter(countEnds+string(end.framing), j.server.registry).Inc(1)
-	if end.framing != completeness.FramedByClose && end.unfinishedBytes == 0 {
+// Error returns why the answer is incomplete.
+func (e *truncationError) Error() string {
+	return "answer broken off: " + string(e.verdict)
+}
+
+// Unwrap returns io.ErrUnexpectedEOF if the server closed the connection, as a crashing process does, and nil
+// otherwise.
+func (e *truncationError) Unwrap() error {
+	if e.framing == completeness.FramedByClose {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
+// checkEnd returns a truncationError unless an answer whose framing has ended is complete. The number of
+// unfinished bytes after the last event is for the log.
+func (j *job) checkEnd(server fleet.Server, end completeness.End, unfinishedBytes int) error {
+	verdict := end.Decide()
+	if verdict == completeness.NeedsServerState {
+		verdict = end.WithServer(completeness.Running).Decide()
+	}
+	j.recordEnd(server, end, verdict, unfinishedBytes)
+	if verdict == completeness.Complete {
+		return nil
+	}
+	return &truncationError{
+		verdict: verdict,
+		framing: end.Framing,
+	}
+}
+
+// recordEnd counts the end of an answer, and writes a log line about it if framing alone does not show that it is
+// complete.
+func (j *job) recordEnd(server fleet.Server, end completeness.End, verdict completeness.Verdict, unfinishedBytes int) {
+	metrics.GetOrRegisterCounter(countEnds+string(end.Framing), j.server.registry).Inc(1)
+	if verdict == completeness.Complete && end.Framing != completeness.FramedByClose {
 		return
 	}
-	subject := end.server.Service
-	if end.unfinishedBytes > 0 {
-		subject += "/unfinished"
+	if verdict != completeness.Complete {
+		metrics.GetOrRegisterCounter(countTruncated+string(verdict), j.server.registry).Inc(1)
 	}
-	mayWrite, suppressed := j.server.endThrottle.Allow(subject)
+	mayWrite, suppressed := j.server.endThrottle.Allow(server.Service + "/" + string(verdict))
 	if !mayWrite {
 		return
 	}
 	j.server.log.Info("servers: answer ended",
 		zap.String("request_id", j.request.ID),
-		zap.String("server", end.server.ID),
-		zap.String("framing", string(end.framing)),
-		zap.Int("events", end.events),
-		zap.Int("unfinished_bytes", end.unfinishedBytes),
+		zap.String("server", server.ID),
+		zap.String("framing", string(end.Framing)),
+		zap.Int("events", end.EventCount),
+		zap.Int("unfinished_bytes", unfinishedBytes),
+		zap.String("result", string(verdict)),
 		zap.Int("lines_left_out", suppressed))
 }
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"headcourse/core/balancer"
+	"headcourse/core/completeness"
 	"headcourse/core/config"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
@@ -199,10 +200,12 @@
 		exchange.Abort()
 		return j.brokenResult(watch, err)
 	}
-	j.recordEnd(answerEnd{
-		server:  server,
-		framing: exchange.Framing(),
-	})
+	if err = j.checkEnd(server, completeness.End{
+		Framing: exchange.Framing(),
+	}, 0); err != nil {
+		exchange.Abort()
+		return j.brokenResult(watch, err)
+	}
 	exchange.Finish(isReusable, answer.KeepAlive)
 	j.clearSuspicion(answer, exchange)
 	result := attemptResult{
@@ -289,11 +292,14 @@
 		reason = request.ReasonStalled
 	case j.timeLeft() < minTimeLeft:
 		reason = request.ReasonDeadline
+	case errors.As(err, new(*truncationError)):
+		reason = request.ReasonAnswerTruncated
 	}
+	isBroken := reason == request.ReasonConnectionBroken || reason == request.ReasonAnswerTruncated
 	return attemptResult{
 		reason:       reason,
 		mayHaveRun:   true,
-		closedByPeer: reason == request.ReasonConnectionBroken && isClosedByPeer(err),
+		closedByPeer: isBroken && isClosedByPeer(err),
 	}
 }
 
@@ -313,7 +319,7 @@
 		tracker.RecordFailure(server.ID, false)
 	case request.ReasonStalled:
 		tracker.Eject(server.ID)
-	case request.ReasonServerError, request.ReasonConnectionBroken, request.ReasonBadAnswer:
+	case request.ReasonServerError, request.ReasonConnectionBroken, request.ReasonAnswerTruncated, request.ReasonBadAnswer:
 		tracker.RecordActivity(server.ID)
 		tracker.RecordFailure(server.ID, true)
 	}
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -17,8 +17,9 @@
 	countResumed   = "streams_resumed."
 	countSucceeded = "requests_done."
 	countYielding  = "requests_yielding."
-	// countEnds is completed by the framing of the answer.
-	countEnds = "answers_ended."
+	// countEnds is completed by the framing of the answer, countTruncated by the verdict on its end.
+	countEnds      = "answers_ended."
+	countTruncated = "answers_truncated."
 )
 
 // Names of histograms, in milliseconds.
--- a/io/gateway/requestlog.go
+++ b/io/gateway/requestlog.go
@@ -24,7 +24,7 @@
 		entry += ":" + string(reason)
 	}
 	j.attemptTrail = append(j.attemptTrail, entry)
-	if reason == request.ReasonConnectionBroken {
+	if reason == request.ReasonConnectionBroken || reason == request.ReasonAnswerTruncated {
 		j.breakTimes = append(j.breakTimes, time.Since(j.lastSentAt))
 	}
 }
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"headcourse/core/balancer"
+	"headcourse/core/completeness"
 	"headcourse/core/eventstream"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
@@ -39,9 +40,10 @@
 	// hasEventWithoutID is set if an event had no ID, after which the stream cannot be resumed.
 	hasEventWithoutID bool
 	// sentAt is when the request was sent; lastEventAt is when this server's last event
-	// arrived.
+	// arrived; eventCount counts its events.
 	sentAt      time.Time
 	lastEventAt time.Time
+	eventCount  int
 	// deferredErr is an error that arrived together with events. It is returned after these
 	// have been passed on.
 	deferredErr error
@@ -72,36 +74,44 @@
 	return n, nil
 }
 
-// read reads from the server once and appends complete events to pending.
+// read reads from the server once and appends complete events to pending. It returns io.EOF only after a complete
+// answer.
 func (s *stream) read() error {
-	if s.deferredErr != nil {
-		return s.deferredErr
-	}
-	n, err := s.exchange.Read(s.buffer[:])
-	if n > 0 {
+	err := s.deferredErr
+	if err == nil {
+		var n int
+		n, err = s.exchange.Read(s.buffer[:])
 		s.splitter.Write(s.buffer[:n])
 		s.extractEvents()
 	}
-	if errors.Is(err, io.EOF) {
-		s.isComplete = true
-		s.job.recordEnd(answerEnd{
-			server:          s.server,
-			framing:         s.exchange.Framing(),
-			events:          s.job.eventCount,
-			unfinishedBytes: len(s.splitter.Remainder()),
-		})
-		s.pending = append(s.pending, s.splitter.Remainder()...)
-		s.exchange.Finish(s.isReusable, s.answer.KeepAlive)
-		return err
-	}
 	if err != nil && len(s.pending) > 0 {
-		// The next server resumes after these events, so they must be delivered first.
+		// A further server resumes after these events, so they must be delivered first.
 		s.deferredErr = err
 		return nil
 	}
+	if errors.Is(err, io.EOF) {
+		return s.end()
+	}
 	return err
 }
 
+// end ends a stream whose framing has ended. It returns io.EOF, or an error if the stream is not complete.
+func (s *stream) end() error {
+	remainder := s.splitter.Remainder()
+	if err := s.job.checkEnd(s.server, completeness.End{
+		Framing:            s.exchange.Framing(),
+		IsStream:           true,
+		EventCount:         s.eventCount,
+		HasUnfinishedEvent: s.splitter.HasUnfinishedEvent(),
+	}, len(remainder)); err != nil {
+		return err
+	}
+	s.isComplete = true
+	s.pending = append(s.pending, remainder...)
+	s.exchange.Finish(s.isReusable, s.answer.KeepAlive)
+	return io.EOF
+}
+
 // extractEvents appends complete events to pending, except those that the client has received
 // already.
 func (s *stream) extractEvents() {
@@ -114,6 +124,7 @@
 			s.pending = append(s.pending, event.Raw...)
 			continue
 		}
+		s.eventCount++
 		if event.ID != 0 && event.ID <= s.job.lastEventID {
 			continue
 		}
@@ -191,6 +202,7 @@
 	s.hasEventWithoutID = next.stream.hasEventWithoutID
 	s.sentAt = next.stream.sentAt
 	s.lastEventAt = next.stream.lastEventAt
+	s.eventCount = next.stream.eventCount
 	s.watchdog = nil
 }
 
