Answers without framing are complete only if their server goes on running

Clients of a server that crashed got the first part of its answer as complete, if the answer had neither a length nor chunks: the kernel of a process that crashes closes its connections in order, just as the end of such an answer does.

After a close that nothing else contradicts, the gateway connects to the server once. If that is refused, and not for the daemon's own links, and the server does not leave as planned, the answer was broken off: the stream resumes, a plain answer is tried again or ends with 502. Costs a connect for each such answer, without a wait; surplus connections and timeouts prove nothing.

--- a/core/directive/directive.go
+++ b/core/directive/directive.go
@@ -93,6 +93,13 @@
 	return e.isDraining || r.Clock.Until(e.pausedUntil) > 0
 }
 
+// IsDraining reports whether the start has announced that it drains.
+func (r *Registry) IsDraining(start string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.entries[start].isDraining
+}
+
 // RemainingPause returns the remaining pause of a start. It is 0 if the start is not paused,
 // or if it drains, since a drain has no end.
 func (r *Registry) RemainingPause(start string) time.Duration {
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -191,14 +191,33 @@
 	return tcp.Probe(netConn) == tcp.Closed
 }
 
+// IsRefused reports whether connects to an address are refused, and not for the daemon's own links: nothing
+// listens there. Unlike IsDown it does not wait, and a server that rejects surplus connections is not refused.
+func (c *Client) IsRefused(address string) bool {
+	netConn, err := c.dial(address)
+	if err == nil {
+		_ = netConn.Close()
+		return false
+	}
+	var failed *tcp.DialError
+	if errors.As(err, &failed) {
+		return failed.Refused && failed.Confirmed
+	}
+	return isRefusal(err)
+}
+
+// isRefusal reports whether a connect failed other than by a timeout.
+func isRefusal(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && !opErr.Timeout()
+}
+
 // connectError wraps the error of a failed connect.
 func connectError(address string, err error) error {
-	var opErr *net.OpError
-	isRefused := errors.As(err, &opErr) && !opErr.Timeout()
 	return &http1.Error{
 		Peer:            address,
 		MayHaveBeenSent: false,
-		Refused:         isRefused,
+		Refused:         isRefusal(err),
 		Cause:           err,
 	}
 }
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -349,11 +349,13 @@
 // failingDialer fails all connects.
 type failingDialer struct {
 	isConfirmed bool
+	isRefused   bool
 }
 
 // Dial fails.
 func (f failingDialer) Dial(string, time.Duration) (net.Conn, error) {
 	return nil, &tcp.DialError{
+		Refused:   f.isRefused,
 		Confirmed: f.isConfirmed,
 		Cause:     errors.New("no connection"),
 	}
@@ -371,6 +373,45 @@
 	}
 }
 
+// Guards against a running server whose answers are taken for broken: it may reject surplus connections, be slow
+// to accept them, or be reachable for other daemons only.
+func TestServerIsRefusedOnlyIfNothingListens(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	client := &backend.Client{}
+	qt.Check(t, client.IsRefused(listener.Addr().String()), qt.IsFalse)
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	qt.Check(t, client.IsRefused(listener.Addr().String()), qt.IsTrue)
+
+	for _, failing := range []failingDialer{
+		{},
+		{
+			isRefused: true,
+		},
+		{
+			isConfirmed: true,
+		},
+		{
+			isRefused:   true,
+			isConfirmed: true,
+		},
+	} {
+		client = &backend.Client{
+			Dialer: failing,
+		}
+		qt.Check(t, client.IsRefused("127.0.0.1:1"), qt.Equals, failing.isRefused && failing.isConfirmed)
+	}
+}
+
 // lostLinks are links of which some are lost.
 type lostLinks struct {
 	isDetoured bool
--- a/io/gateway/answerend.go
+++ b/io/gateway/answerend.go
@@ -35,7 +35,7 @@
 func (j *job) checkEnd(server fleet.Server, end completeness.End, unfinishedBytes int) error {
 	verdict := end.Decide()
 	if verdict == completeness.NeedsServerState {
-		verdict = end.WithServer(completeness.Running).Decide()
+		verdict = end.WithServer(j.server.serverState(server)).Decide()
 	}
 	j.recordEnd(server, end, verdict, unfinishedBytes)
 	if verdict == completeness.Complete {
@@ -47,6 +47,17 @@
 	}
 }
 
+// serverState returns the state of a server whose answer has just ended with its connection. A server that leaves
+// as planned may stop listening before its last answers end.
+func (s *Server) serverState(server fleet.Server) completeness.ServerState {
+	entry, isListed := s.source.View().Fleet.Server(server.ID)
+	isLeaving := !isListed || entry.Draining || s.directives.IsDraining(server.StartID())
+	if !isLeaving && s.backends.IsRefused(server.Address) {
+		return completeness.Down
+	}
+	return completeness.Running
+}
+
 // recordEnd counts the end of an answer, and writes a log line about it if framing alone does not show that it is
 // complete.
 func (j *job) recordEnd(server fleet.Server, end completeness.End, verdict completeness.Verdict, unfinishedBytes int) {
--- a/io/gateway/rawserver_test.go
+++ b/io/gateway/rawserver_test.go
@@ -25,9 +25,10 @@
 // rawAnswer is one answer.
 type rawAnswer struct {
 	contentType string
-	// framing is a header field, empty if only the close of the connection marks the end of the answer.
-	framing string
-	body    string
+	// header is a further header field. Without a length or chunks there, only the close of the connection
+	// marks the end of the answer.
+	header string
+	body   string
 	// proceed, if set, is awaited between body and rest.
 	proceed <-chan struct{}
 	rest    string
@@ -80,8 +81,8 @@
 	answer := respond(lastEventID)
 	head := "HTTP/1.1 200 OK\r\n" + wire.HeaderSeal + ": seal\r\n" + wire.HeaderID + ": " + request.Header.Get(wire.HeaderID) +
 		"\r\nContent-Type: " + answer.contentType + "\r\n"
-	if answer.framing != "" {
-		head += answer.framing + "\r\n"
+	if answer.header != "" {
+		head += answer.header + "\r\n"
 	}
 	_, _ = io.WriteString(conn, head+"\r\n"+answer.body)
 	if answer.proceed != nil {
@@ -129,7 +130,7 @@
 func chunkedAnswer(body string) rawAnswer {
 	return rawAnswer{
 		contentType: eventStreamType,
-		framing:     "Transfer-Encoding: chunked",
+		header:      "Transfer-Encoding: chunked",
 		body:        inChunks(body),
 	}
 }
--- a/io/gateway/truncation_test.go
+++ b/io/gateway/truncation_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"headcourse/core/config"
+	"headcourse/core/fleet"
 	"headcourse/io/gateway"
 	"headcourse/platform/wire"
 )
@@ -97,7 +98,7 @@
 	"length ends inside an event": {
 		answer: rawAnswer{
 			contentType: eventStreamType,
-			framing:     "Content-Length: 23",
+			header:      "Content-Length: 23",
 			body:        "id: 1\ndata: 1\n\nid: 2\nda",
 		},
 		events: 1,
@@ -214,6 +215,56 @@
 	})
 }
 
+// Guards against whole answers of leaving servers that are taken for broken ones: such a server stops listening
+// before its last answers end.
+func TestUnframedAnswerOfLeavingServerIsComplete(t *testing.T) {
+	for name, test := range map[string]struct {
+		header string
+		leave  func(view gateway.View) gateway.View
+	}{
+		"entry says draining": {
+			leave: func(view gateway.View) gateway.View {
+				servers := view.Fleet.Servers()
+				servers[0].Draining = true
+				view.Fleet = fleet.View{}.WithSnapshot(2, servers, time.Now())
+				return view
+			},
+		},
+		"entry was removed": {
+			leave: func(view gateway.View) gateway.View {
+				view.Fleet = fleet.View{}.WithSnapshot(2, nil, time.Now())
+				return view
+			},
+		},
+		"answer says draining": {
+			header: wire.HeaderLeaving + ": 1",
+			leave:  func(view gateway.View) gateway.View { return view },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			proceed := make(chan struct{})
+			server := startRawServer(t, func(int) rawAnswer {
+				return rawAnswer{
+					contentType: eventStreamType,
+					header:      test.header,
+					body:        numberedEvents(0)[:len(numberedEvents(0))/3],
+					proceed:     proceed,
+					rest:        numberedEvents(1),
+					stops:       true,
+				}
+			})
+			source := newSource(streamView(true, server))
+			answer := readAnswer(t, startGateway(t, newOptions(source)).Address(), func() {
+				source.view = test.leave(source.view)
+				close(proceed)
+			})
+			qt.Check(t, answer.err, qt.IsNil)
+			qt.Check(t, answer.body, qt.Equals, numberedEvents(0))
+			qt.Check(t, server.requests.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
 // Guards against events that are held back until the end of the stream, since their lines end with a carriage
 // return alone.
 func TestEventsAreDeliveredAtOnceWhateverTheirLineEnds(t *testing.T) {
