Streams are recognised by their media type, in any case and with parameters

A stream with Content-Type Text/Event-Stream; charset=utf-8 was taken for a plain answer: held back to its end and delivered with a length, also if it had been broken off inside an event. The gateway compared the bytes of the header's start.

TestStreamIsRecognisedByMediaType failed before.

--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -274,7 +274,8 @@
 	}
 	for _, header := range answer.Headers {
 		if header.Name == fasthttp.HeaderContentType {
-			return strings.HasPrefix(header.Value, "text/event-stream")
+			mediaType, _, _ := strings.Cut(header.Value, ";")
+			return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 		}
 	}
 	return false
--- a/io/gateway/truncation_test.go
+++ b/io/gateway/truncation_test.go
@@ -265,6 +265,20 @@
 	}
 }
 
+// Guards against streams that are taken for plain answers, and so delivered at their end and as complete: the
+// media type is case-insensitive and may have parameters.
+func TestStreamIsRecognisedByMediaType(t *testing.T) {
+	for _, contentType := range []string{"Text/Event-Stream; charset=utf-8", "text/event-stream;charset=utf-8", "TEXT/EVENT-STREAM ; a=b"} {
+		respond := firstThen(rawAnswer{
+			contentType: contentType,
+			body:        "id: 1\ndata: 1\n\nid: 2\nda",
+		}, wholeStream)
+		answer := requestAnswer(t, streamView(true, startRawServer(t, respond), startRawServer(t, respond)))
+		qt.Check(t, answer.err, qt.IsNil)
+		qt.Check(t, answer.body, qt.Equals, numberedEvents(0), qt.Commentf(contentType))
+	}
+}
+
 // Guards against events that are held back until the end of the stream, since their lines end with a carriage
 // return alone.
 func TestEventsAreDeliveredAtOnceWhateverTheirLineEnds(t *testing.T) {
