Events of streams are bounded to 1 MiB

A server that sends a stream without blank lines made the daemon hold all of it until the request's deadline: the splitter had no bound.

After 1 MiB the attempt ends with bad_answer, and the stream resumes elsewhere or is broken off. TestEventThatIsTooLongEndsStream failed before by its count of attempts (the first lasts to the deadline); plain answers were bounded already.

--- a/core/eventstream/eventstream.go
+++ b/core/eventstream/eventstream.go
@@ -11,6 +11,9 @@
 	"strconv"
 )
 
+// MaxEventBytes is the maximum size of one event, which bounds what a Splitter holds.
+const MaxEventBytes = 1 << 20
+
 // Event is one complete event, with the blank line that ends it, and the blank lines and comments before it.
 type Event struct {
 	Raw []byte
@@ -137,6 +140,12 @@
 	return s.pending[s.offset:]
 }
 
+// IsEventTooLong reports whether the next event exceeds MaxEventBytes, so that the stream must not be read
+// further. Next must have returned all events before.
+func (s *Splitter) IsEventTooLong() bool {
+	return len(s.Remainder()) > MaxEventBytes
+}
+
 // HasUnfinishedEvent reports whether the remainder is a part of an event: it has a field or the start of one, whereas
 // a complete stream may end with comments and blank lines. Next must have returned all events before.
 func (s *Splitter) HasUnfinishedEvent() bool {
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -295,6 +295,8 @@
 		reason = request.ReasonDeadline
 	case errors.As(err, new(*truncationError)):
 		reason = request.ReasonAnswerTruncated
+	case errors.Is(err, errEventTooLong):
+		reason = request.ReasonBadAnswer
 	}
 	isBroken := reason == request.ReasonConnectionBroken || reason == request.ReasonAnswerTruncated
 	return attemptResult{
--- a/io/gateway/stream.go
+++ b/io/gateway/stream.go
@@ -21,6 +21,9 @@
 // minEventGap is the gap below which two events count as received together.
 const minEventGap = time.Millisecond
 
+// errEventTooLong reports that a server sent an event of more than eventstream.MaxEventBytes.
+var errEventTooLong = errors.New("event too long")
+
 // stream passes a server's events on to the client, each as soon as it is complete. If the
 // server breaks off or stalls, the stream resumes at another server after the last event passed
 // on, within the same answer. A stream that cannot be resumed ends without the terminating
@@ -83,6 +86,9 @@
 		n, err = s.exchange.Read(s.buffer[:])
 		s.splitter.Write(s.buffer[:n])
 		s.extractEvents()
+		if s.splitter.IsEventTooLong() {
+			err = errEventTooLong
+		}
 	}
 	if err != nil && len(s.pending) > 0 {
 		// A further server resumes after these events, so they must be delivered first.
--- a/io/gateway/truncation_test.go
+++ b/io/gateway/truncation_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"headcourse/core/config"
+	"headcourse/core/eventstream"
 	"headcourse/core/fleet"
 	"headcourse/io/gateway"
 	"headcourse/platform/wire"
@@ -279,6 +281,24 @@
 	}
 }
 
+// Guards against memory that grows without a bound while a server sends a stream without blank lines.
+func TestEventThatIsTooLongEndsStream(t *testing.T) {
+	endless := func(int) rawAnswer {
+		return rawAnswer{
+			contentType: eventStreamType,
+			body:        "id: 1\ndata: 1\n\nid: 2\ndata: " + strings.Repeat("x", 2*eventstream.MaxEventBytes),
+			proceed:     make(chan struct{}),
+		}
+	}
+	first, second := startRawServer(t, endless), startRawServer(t, endless)
+	answer := requestAnswer(t, streamView(true, first, second))
+	qt.Check(t, answer.status, qt.Equals, http.StatusOK)
+	qt.Check(t, answer.err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	qt.Check(t, answer.body, qt.Equals, "id: 1\ndata: 1\n\n")
+	// Without the bound, the first attempt would last until the deadline.
+	qt.Check(t, first.requests.Load()+second.requests.Load(), qt.Equals, int64(2))
+}
+
 // Guards against events that are held back until the end of the stream, since their lines end with a carriage
 // return alone.
 func TestEventsAreDeliveredAtOnceWhateverTheirLineEnds(t *testing.T) {
