Answers to HEAD have no body

A HEAD request to a server that states the length of the body was answered 504 at its deadline: the gateway waited for a body that HTTP forbids, and the server was counted as broken. Found while the framings of answers were set against each other. TestAnswerToHeadHasNoBody failed before (504 instead of 200).

--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bytes"
 	"io"
 	"net/http/httputil"
 	"sync"
@@ -32,6 +33,8 @@
 	// isComplete is set when the whole answer has been read, by its framing.
 	isComplete bool
 	framing    completeness.Framing
+	// isHead is set for HEAD requests, whose answers have no body whatever length they state.
+	isHead bool
 	// bodyWritten is closed when a long body has been written; nil for short bodies.
 	bodyWritten chan struct{}
 	writeErr    error
@@ -47,6 +50,7 @@
 // Send writes the request and must be called only once. The error is a *http1.Error, which
 // means that part of the request may have been sent; the exchange is then aborted.
 func (e *Exchange) Send(head, body []byte) error {
+	e.isHead = bytes.HasPrefix(head, []byte(fasthttp.MethodHead+" "))
 	err := e.write(head, body)
 	if err == nil {
 		return nil
@@ -108,7 +112,7 @@
 	}
 	e.isComplete = false
 	switch length := head.ContentLength(); {
-	case hasNoBody(head.StatusCode()):
+	case e.isHead || hasNoBody(head.StatusCode()):
 		e.framing = completeness.FramedByStatus
 		e.body = emptyBody{}
 	case length >= 0:
--- a/io/gateway/truncation_test.go
+++ b/io/gateway/truncation_test.go
@@ -299,6 +299,27 @@
 	qt.Check(t, first.requests.Load()+second.requests.Load(), qt.Equals, int64(2))
 }
 
+// Guards against an answer to HEAD whose length is taken for that of a body, which never comes.
+func TestAnswerToHeadHasNoBody(t *testing.T) {
+	server := startRawServer(t, func(int) rawAnswer {
+		return rawAnswer{
+			contentType: "text/plain",
+			header:      "Content-Length: 7",
+			proceed:     t.Context().Done(),
+		}
+	})
+	address := startGateway(t, newOptions(newSource(serversView(config.Safe, server.address())))).Address()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodHead, "http://"+address+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	request.Host = host
+	request.Header.Set(wire.HeaderID, "r1")
+	request.Header.Set(wire.HeaderDeadline, "2000")
+	response, err := http.DefaultClient.Do(request)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, response.Body.Close(), qt.IsNil)
+	qt.Check(t, response.StatusCode, qt.Equals, http.StatusOK)
+}
+
 // Guards against events that are held back until the end of the stream, since their lines end with a carriage
 // return alone.
 func TestEventsAreDeliveredAtOnceWhateverTheirLineEnds(t *testing.T) {
