Engine client: the same decision on the ends of answers

On the path of headcourse serve, an answer without a length or chunks whose server had crashed was complete too, and was stored as the first answer of its idempotency key: fasthttp takes any orderly close for the end. It also forgets the framing once it has read the body, so bodies are read as streams.

The outcome is unknown now, with connection_lost. Framing and refusals are each decided in one place (http1.FramingOf, tcp.IsRefused), which four copies did.

--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -199,17 +199,7 @@
 		_ = netConn.Close()
 		return false
 	}
-	var failed *tcp.DialError
-	if errors.As(err, &failed) {
-		return failed.Refused && failed.Confirmed
-	}
-	return isRefusal(err)
-}
-
-// isRefusal reports whether a connect failed other than by a timeout.
-func isRefusal(err error) bool {
-	var opErr *net.OpError
-	return errors.As(err, &opErr) && !opErr.Timeout()
+	return tcp.IsServerRefusing(err)
 }
 
 // connectError wraps the error of a failed connect.
@@ -217,7 +207,7 @@
 	return &http1.Error{
 		Peer:            address,
 		MayHaveBeenSent: false,
-		Refused:         isRefusal(err),
+		Refused:         tcp.IsRefused(err),
 		Cause:           err,
 	}
 }
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -111,35 +111,27 @@
 		}
 	}
 	e.isComplete = false
-	switch length := head.ContentLength(); {
-	case e.isHead || hasNoBody(head.StatusCode()):
-		e.framing = completeness.FramedByStatus
+	e.framing = http1.FramingOf(head, e.isHead)
+	switch e.framing {
+	case completeness.FramedByStatus:
 		e.body = emptyBody{}
-	case length >= 0:
-		e.framing = completeness.FramedByLength
+	case completeness.FramedByLength:
 		e.body = &fixedLengthBody{
 			reader:    e.conn.reader,
-			remaining: length,
+			remaining: head.ContentLength(),
 		}
-	case length == -1:
-		e.framing = completeness.FramedByChunks
+	case completeness.FramedByChunks:
 		e.body = &chunkedBody{
 			reader:   httputil.NewChunkedReader(e.conn.reader),
 			exchange: e,
 		}
 	default:
-		e.framing = completeness.FramedByClose
 		e.body = e.conn.reader
 	}
 	return nil
 }
 
-// hasNoBody reports whether answers with a status never have a body.
-func hasNoBody(status int) bool {
-	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-}
-
-// Read reads the body. It returns io.EOF only at the end of a complete answer.
+// Read reads the body. It returns io.EOF only at the end of an answer that is complete by its framing.
 func (e *Exchange) Read(target []byte) (int, error) {
 	if e.isComplete {
 		return 0, io.EOF
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"headcourse/core/completeness"
 	"headcourse/core/order"
 	"headcourse/core/outcome"
 	"headcourse/io/http1"
@@ -158,7 +159,8 @@
 	if call.Stream {
 		client = &c.streaming
 	}
-	if err := client.Do(call.Address, request, response, call.NewConnection, call.Stream); err != nil {
+	// The head of an answer keeps its framing only if the body is read afterwards.
+	if err := client.Do(call.Address, request, response, call.NewConnection, true); err != nil {
 		fasthttp.ReleaseRequest(request)
 		fasthttp.ReleaseResponse(response)
 		return Reply{}, exchangeFailure(call, err)
@@ -176,7 +178,10 @@
 		reply.Stream = stream
 		return reply, nil
 	}
-	body, err := readBody(call, response)
+	body, err := io.ReadAll(response.BodyStream())
+	if err == nil {
+		err = c.checkEnd(call, &response.Header)
+	}
 	stream.Close()
 	if err != nil {
 		return Reply{}, exchangeFailure(call, &http1.Error{
@@ -211,12 +216,23 @@
 	request.SetBodyRaw(call.Body)
 }
 
-// readBody returns a copy of the body.
-func readBody(call Call, response *fasthttp.Response) ([]byte, error) {
-	if !call.Stream {
-		return append([]byte(nil), response.Body()...), nil
+// checkEnd returns an error if an answer that has been read to its end was broken off nevertheless.
+func (c *Client) checkEnd(call Call, head *fasthttp.ResponseHeader) error {
+	end := completeness.End{
+		Framing: http1.FramingOf(head, call.Method == fasthttp.MethodHead),
+	}
+	verdict := end.Decide()
+	if verdict == completeness.NeedsServerState {
+		state := completeness.Running
+		if c.control.IsRefused(call.Address) {
+			state = completeness.Down
+		}
+		verdict = end.WithServer(state).Decide()
 	}
-	return io.ReadAll(response.BodyStream())
+	if verdict != completeness.Complete {
+		return errors.Errorf("answer broken off: %s", verdict)
+	}
+	return nil
 }
 
 // exchangeFailure returns the failure of an exchange that ended with an error.
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"headcourse/core/completeness"
 	"headcourse/io/tcp"
 )
 
@@ -99,8 +100,7 @@
 	}
 	var dialErr dialError
 	isDialFailure := errors.As(err, &dialErr) || errors.Is(err, fasthttp.ErrNoFreeConns)
-	var opErr *net.OpError
-	isRefused := isDialFailure && errors.As(err, &opErr) && !opErr.Timeout()
+	isRefused := isDialFailure && tcp.IsRefused(err)
 	var failed *tcp.DialError
 	isUnconfirmed := errors.As(err, &failed) && !failed.Confirmed
 	return &Error{
@@ -112,6 +112,16 @@
 	}
 }
 
+// IsRefused reports whether connects to an address are refused, and not for this daemon's own links.
+func (c *Client) IsRefused(address string) bool {
+	conn, err := c.connect(address, orDefault(c.ConnectTimeout, defaultConnectTimeout))
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return tcp.IsServerRefusing(err)
+}
+
 // hostClient returns the client of one peer. Unpooled clients never keep connections, since all
 // their requests ask to close them.
 func (c *Client) hostClient(address string, useNewConn bool) *fasthttp.HostClient {
@@ -202,6 +212,23 @@
 	return c.Conn.Write(source)
 }
 
+// FramingOf returns how the end of an answer with a head is marked. hasNoBody is set if the answer has no body, by
+// the method of its request.
+func FramingOf(head *fasthttp.ResponseHeader, hasNoBody bool) completeness.Framing {
+	const chunked = -1
+	status, length := head.StatusCode(), head.ContentLength()
+	switch {
+	case hasNoBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
+		return completeness.FramedByStatus
+	case length >= 0:
+		return completeness.FramedByLength
+	case length == chunked:
+		return completeness.FramedByChunks
+	default:
+		return completeness.FramedByClose
+	}
+}
+
 // Answer is a copy of a complete answer.
 type Answer struct {
 	Status int
--- a/io/tcp/dialerror.go
+++ b/io/tcp/dialerror.go
@@ -1,5 +1,11 @@
 package tcp
 
+import (
+	"net"
+
+	"github.com/pkg/errors"
+)
+
 // DialError is the error of a connect that failed on all ways to the address.
 type DialError struct {
 	// Refused is set if the connect failed other than by a timeout.
@@ -19,3 +25,20 @@
 func (e *DialError) Unwrap() error {
 	return e.Cause
 }
+
+// IsRefused reports whether a connect failed other than by a timeout, mostly because nothing listens at the
+// address, or because this daemon's own link is lost.
+func IsRefused(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && !opErr.Timeout()
+}
+
+// IsServerRefusing reports whether a connect failed because nothing listens at the address. It is false if the fault
+// may be that of this daemon's own links.
+func IsServerRefusing(err error) bool {
+	var failed *DialError
+	if errors.As(err, &failed) {
+		return failed.Refused && failed.Confirmed
+	}
+	return IsRefused(err)
+}
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -141,7 +141,7 @@
 				return result.conn, nil
 			}
 			r.directErr = result.err
-			if !r.startedTunnel && isRefusal(result.err) && r.isServerAtFault() {
+			if !r.startedTunnel && tcp.IsRefused(result.err) && r.isServerAtFault() {
 				return nil, r.failure()
 			}
 			r.startTunnel()
@@ -207,12 +207,6 @@
 	return true
 }
 
-// isRefusal reports whether a direct connect failed other than by a timeout.
-func isRefusal(err error) bool {
-	var opErr *net.OpError
-	return errors.As(err, &opErr) && !opErr.Timeout()
-}
-
 // abandonTunnel closes a tunnel that opens after the direct connection.
 func (r *race) abandonTunnel() {
 	if !r.startedTunnel || r.tunnelErr != nil {
@@ -257,7 +251,7 @@
 	isConfirmed := r.evidence == reach.ServerFailed || r.isServerAtFault()
 	r.record(reach.Failed)
 	return &tcp.DialError{
-		Refused:   isRefusal(r.directErr),
+		Refused:   tcp.IsRefused(r.directErr),
 		Confirmed: isConfirmed,
 		Cause:     r.directErr,
 	}
