--- a/io/tunnel/server.go
+++ b/io/tunnel/server.go
@@ -234,7 +234,7 @@
 	switch {
 	case !<-checked:
 		return nil, resultNoLinks
-	case isRefusal(err):
+	case tcp.IsRefused(err):
 		return nil, resultRefused
 	default:
 		return nil, resultUnreachable
