Lab proxy: forward resets as resets

The soak's proxies ended a server's reset as an orderly close, so that daemons could not tell a broken answer without a length from a whole one: such a fault was not playable. TestEndOfConnectionIsForwardedAsItIs failed before.

--- a/lab/proxy/proxy.go
+++ b/lab/proxy/proxy.go
@@ -4,6 +4,7 @@
 package proxy
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -186,11 +187,16 @@
 				return
 			}
 		}
-		if err != nil {
-			if !isDropped {
-				_ = to.Close()
-			}
-			return
+		switch {
+		case err == nil:
+			continue
+		case isDropped:
+		case errors.Is(err, io.EOF):
+			_ = to.Close()
+		default:
+			// A reset must not look like the orderly end of what was sent.
+			reset(to)
 		}
+		return
 	}
 }
