Stand-in and soak: answers whose end the framing does not show

Servers of the stand-in answer without a length or chunks: whole, cut inside an event by an orderly close, reset between events, or crashing with all of their streams; or with a last chunk inside an event. The clients' ledger now also compares the bodies of plain answers.

--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -136,6 +136,14 @@
 		name:  "daemons lose their links to all servers",
 		begin: cutOffDaemons,
 	},
+	{
+		name:  "servers answer without a length",
+		begin: answerUnframed,
+	},
+	{
+		name:  "server that answers without a length crashes",
+		begin: crashUnframed,
+	},
 }
 
 // Range of the times between faults and of their durations.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -127,6 +127,7 @@
 	failures = append(failures, s.checkRestore()...)
 	failures = append(failures, s.checkRetries()...)
 	failures = append(failures, s.checkLinks()...)
+	failures = append(failures, s.checkUnframed()...)
 	close(stopSnapshots)
 	snapshotTaker.Wait()
 	stop()
--- a/lab/standin/answers.go
+++ b/lab/standin/answers.go
@@ -61,7 +61,11 @@
 // writeAnswer answers a request that is not streamed.
 func (s *Server) writeAnswer(w http.ResponseWriter, id string, body []byte, behaviour Behaviour) {
 	time.Sleep(processingTime)
-	content := "answer to " + id + " with " + strconv.Itoa(len(body)) + " bytes"
+	content := plainAnswer(id, len(body))
+	if behaviour.isUnframed() {
+		s.writeUnframedAnswer(w, content, behaviour)
+		return
+	}
 	switch behaviour {
 	case Truncating:
 		w.Header().Set("Content-Length", strconv.Itoa(len(content)))
@@ -74,6 +78,11 @@
 	}
 }
 
+// plainAnswer returns the answer to a request that is not streamed.
+func plainAnswer(id string, bodyBytes int) string {
+	return "answer to " + id + " with " + strconv.Itoa(bodyBytes) + " bytes"
+}
+
 // writeExtraAnswer writes the answer and then a second one that belongs to no request.
 func (s *Server) writeExtraAnswer(w http.ResponseWriter, content string) {
 	controller := http.NewResponseController(w)
@@ -109,19 +118,32 @@
 	tokens, _ := strconv.Atoi(maxTokens)
 	count := max(1, tokens/tokensPerEvent)
 	lastReceived, _ := strconv.Atoi(r.Header.Get(wire.HeaderLastEvent))
+	var events []string
+	for i := lastReceived + 1; i <= count; i++ {
+		events = append(events, StreamEvent(r.Header.Get(wire.HeaderID), i))
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	if behaviour.isUnframed() {
+		s.writeUnframedStream(w, r, behaviour, events)
+		return
+	}
 	controller := http.NewResponseController(w)
-	for i := lastReceived + 1; i <= count; i++ {
+	for i, event := range events {
 		time.Sleep(eventInterval)
 		if !s.awaitCompleteGroup(r) || r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
-		event := StreamEvent(r.Header.Get(wire.HeaderID), i)
-		if behaviour == Truncating && i == count/2 {
+		isCut := i == len(events)/2
+		if isCut && (behaviour == Truncating || behaviour == ChunkedTruncating) {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = controller.Flush()
+		}
+		if isCut && behaviour == Truncating {
 			panic(http.ErrAbortHandler)
 		}
+		if isCut && behaviour == ChunkedTruncating {
+			return
+		}
 		_, _ = io.WriteString(w, event)
 		_ = controller.Flush()
 	}
--- a/lab/standin/client.go
+++ b/lab/standin/client.go
@@ -84,6 +84,9 @@
 	}
 	answer.Err = errors.Wrap(err, "read answer")
 	c.check(answer, response.Header.Get(wire.HeaderID), path)
+	if isStream := headers[wire.HeaderModel] != ""; !isStream {
+		c.checkBody(answer, plainAnswer(id, len(body)))
+	}
 	return answer
 }
 
@@ -112,19 +115,22 @@
 		wire.HeaderModel:  model,
 		wire.HeaderTokens: "100," + strconv.Itoa(events*tokensPerEvent),
 	}, "prompt")
-	if answer.Status != http.StatusOK || answer.Err != nil {
-		return answer
-	}
 	var expected strings.Builder
 	for i := 1; i <= events; i++ {
 		expected.WriteString(StreamEvent(answer.ID, i))
 	}
-	if answer.Body != expected.String() {
-		c.Platform.recordViolation(fmt.Sprintf("stream %s ended as complete with %d bytes instead of the expected %d", answer.ID, len(answer.Body), expected.Len()))
-	}
+	c.checkBody(answer, expected.String())
 	return answer
 }
 
+// checkBody records a violation if a success ended as complete with another body.
+func (c *Client) checkBody(answer Answer, expected string) {
+	if answer.Status != http.StatusOK || answer.Err != nil || answer.Body == expected {
+		return
+	}
+	c.Platform.recordViolation(fmt.Sprintf("answer %s ended as complete with %d bytes instead of the expected %d", answer.ID, len(answer.Body), len(expected)))
+}
+
 // Await repeats send until an answer satisfies the condition or the timeout has passed. It
 // returns the last answer and whether that satisfies the condition.
 func Await(timeout time.Duration, send func() Answer, isSatisfied func(Answer) bool) (Answer, bool) {
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -24,6 +24,8 @@
 	// listenAddress is where the server listens; address may be that of a proxy.
 	listenAddress string
 	http          *http.Server
+	// crashed is closed when the current start ends. It is guarded by mutex.
+	crashed chan struct{}
 
 	mutex       sync.Mutex
 	isKilled    bool
@@ -54,12 +56,19 @@
 // Normal answers normally; Failing answers 500; Rejecting rejects requests as not executed;
 // Truncating closes the connection in the middle of an answer; ExtraAnswer sends a second
 // answer that belongs to no request after each answer that is not a stream.
+// The others affect answers without a length or chunks: Unframed ends them whole; UnframedTruncating closes the
+// connection in order inside an event, UnframedResetting resets it between two events. ChunkedTruncating writes
+// the last chunk inside an event.
 const (
 	Normal Behaviour = iota
 	Failing
 	Rejecting
 	Truncating
 	ExtraAnswer
+	Unframed
+	UnframedTruncating
+	UnframedResetting
+	ChunkedTruncating
 )
 
 // startServer starts a server and writes its entry.
@@ -117,6 +126,7 @@
 		ReadHeaderTimeout: time.Minute,
 	}
 	s.http = started
+	s.crashed = make(chan struct{})
 	s.listenAddress = listener.Addr().String()
 	// Two starts within one millisecond still get different values.
 	s.state.Born = max(s.state.Born+1, time.Now().UnixMilli())
@@ -137,7 +147,7 @@
 	if s.isKilled {
 		return nil
 	}
-	_ = s.http.Close()
+	s.end()
 	listener, err := net.Listen("tcp", s.listenAddress)
 	if err != nil {
 		return errors.Wrapf(err, "restart server %s", s.id)
@@ -206,20 +216,31 @@
 func (s *Server) Stop() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	_ = s.http.Close()
+	s.end()
 }
 
 // Kill ends the server without an announcement; its entry is removed after entryTTL.
 func (s *Server) Kill() {
 	s.mutex.Lock()
 	s.isKilled = true
-	_ = s.http.Close()
+	s.end()
 	s.mutex.Unlock()
 	time.AfterFunc(entryTTL, func() {
 		s.platform.Store.putFromPlatform(wire.TableServers, s.id, nil)
 	})
 }
 
+// end ends the current start, unless it has ended already. The mutex is held.
+func (s *Server) end() {
+	select {
+	case <-s.crashed:
+		return
+	default:
+	}
+	close(s.crashed)
+	_ = s.http.Close()
+}
+
 // writeEntry writes the server's entry unless the server was killed. The mutex is held.
 func (s *Server) writeEntry() {
 	if s.isKilled {
