Streams on routes of another kind: the same decision on their end

An event stream on a safe or unsafe route is read as a whole. If it ended inside an event with an orderly close or a last chunk, its client got the part with a length of its own. The format is checked there too now.

TestBufferedStreamThatEndsInsideEventIsNotComplete failed before.

--- a/io/gateway/answerend.go
+++ b/io/gateway/answerend.go
@@ -7,7 +7,9 @@
 	"go.uber.org/zap"
 
 	"headcourse/core/completeness"
+	"headcourse/core/eventstream"
 	"headcourse/core/fleet"
+	"headcourse/core/request"
 )
 
 // truncationError is the error of an answer that was broken off although its framing marks it as complete.
@@ -47,6 +49,27 @@
 	}
 }
 
+// checkBufferedEnd is checkEnd for an answer that was read as a whole. An event stream on a route of another kind
+// has the format of a stream too.
+func (j *job) checkBufferedEnd(server fleet.Server, framing completeness.Framing, answer request.Answer, body []byte) error {
+	end := completeness.End{
+		Framing: framing,
+	}
+	if !isEventStream(answer) {
+		return j.checkEnd(server, end, 0)
+	}
+	var splitter eventstream.Splitter
+	splitter.Write(body)
+	end.IsStream = true
+	for event, ok := splitter.Next(); ok; event, ok = splitter.Next() {
+		if !event.IsComment {
+			end.EventCount++
+		}
+	}
+	end.HasUnfinishedEvent = splitter.HasUnfinishedEvent()
+	return j.checkEnd(server, end, len(splitter.Remainder()))
+}
+
 // serverState returns the state of a server whose answer has just ended with its connection. A server that leaves
 // as planned may stop listening before its last answers end.
 func (s *Server) serverState(server fleet.Server) completeness.ServerState {
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -9,7 +9,6 @@
 	"github.com/valyala/fasthttp"
 
 	"headcourse/core/balancer"
-	"headcourse/core/completeness"
 	"headcourse/core/config"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
@@ -200,9 +199,7 @@
 		exchange.Abort()
 		return j.brokenResult(watch, err)
 	}
-	if err = j.checkEnd(server, completeness.End{
-		Framing: exchange.Framing(),
-	}, 0); err != nil {
+	if err = j.checkBufferedEnd(server, exchange.Framing(), answer, body); err != nil {
 		exchange.Abort()
 		return j.brokenResult(watch, err)
 	}
@@ -269,9 +266,11 @@
 
 // isStream reports whether the answer is an event stream on a stream route.
 func (j *job) isStream(answer request.Answer) bool {
-	if j.route.Kind != config.Stream || answer.Status != fasthttp.StatusOK {
-		return false
-	}
+	return j.route.Kind == config.Stream && answer.Status == fasthttp.StatusOK && isEventStream(answer)
+}
+
+// isEventStream reports whether the body of an answer has the format of an event stream.
+func isEventStream(answer request.Answer) bool {
 	for _, header := range answer.Headers {
 		if header.Name == fasthttp.HeaderContentType {
 			mediaType, _, _ := strings.Cut(header.Value, ";")
--- a/io/gateway/truncation_test.go
+++ b/io/gateway/truncation_test.go
@@ -283,6 +283,22 @@
 	}
 }
 
+// Guards against streams on routes of another kind, which are read as a whole, and delivered with a length although
+// they end inside an event.
+func TestBufferedStreamThatEndsInsideEventIsNotComplete(t *testing.T) {
+	for name, broken := range brokenStreams {
+		whole := func(int) rawAnswer { return chunkedAnswer(numberedEvents(0)) }
+		respond := firstThen(broken.answer, whole)
+		view := serversView(config.Safe, startRawServer(t, respond).address(), startRawServer(t, respond).address())
+		answer := requestAnswer(t, view)
+		qt.Check(t, answer.status, qt.Equals, http.StatusOK, qt.Commentf(name))
+		qt.Check(t, answer.body, qt.Equals, numberedEvents(0), qt.Commentf(name))
+
+		view = serversView(config.Unsafe, startRawServer(t, func(int) rawAnswer { return broken.answer }).address())
+		qt.Check(t, requestAnswer(t, view).status, qt.Equals, http.StatusBadGateway, qt.Commentf(name))
+	}
+}
+
 // Guards against memory that grows without a bound while a server sends a stream without blank lines.
 func TestEventThatIsTooLongEndsStream(t *testing.T) {
 	endless := func(int) rawAnswer {
