--- a/io/gateway/rawserver_test.go
+++ b/io/gateway/rawserver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -28,7 +29,12 @@
 	// header is a further header field. Without a length or chunks there, only the close of the connection
 	// marks the end of the answer.
 	header string
-	body   string
+	// precedingAnswer is written before this one.
+	precedingAnswer string
+	// id replaces the ID of the request, if it is set. isUnsigned leaves the signature out.
+	id         string
+	isUnsigned bool
+	body       string
 	// proceed, if set, is awaited between body and rest.
 	proceed <-chan struct{}
 	rest    string
@@ -79,8 +85,12 @@
 	s.requests.Add(1)
 	lastEventID, _ := strconv.Atoi(request.Header.Get(wire.HeaderLastEvent))
 	answer := respond(lastEventID)
-	head := "HTTP/1.1 200 OK\r\n" + wire.HeaderSeal + ": seal\r\n" + wire.HeaderID + ": " + request.Header.Get(wire.HeaderID) +
-		"\r\nContent-Type: " + answer.contentType + "\r\n"
+	head := answer.precedingAnswer + "HTTP/1.1 200 OK\r\n" +
+		wire.HeaderID + ": " + cmp.Or(answer.id, request.Header.Get(wire.HeaderID)) + "\r\n" +
+		"Content-Type: " + answer.contentType + "\r\n"
+	if !answer.isUnsigned {
+		head += wire.HeaderSeal + ": seal\r\n"
+	}
 	if answer.header != "" {
 		head += answer.header + "\r\n"
 	}
@@ -97,6 +107,12 @@
 	}
 }
 
+// Answers that may precede the answer to a request.
+const (
+	interimAnswer = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+	staleAnswer   = "HTTP/1.1 200 OK\r\n" + wire.HeaderID + ": former\r\n" + wire.HeaderSeal + ": seal\r\nContent-Length: 5\r\n\r\nother"
+)
+
 // eventStreamType is the content type of event streams.
 const eventStreamType = "text/event-stream"
 
--- a/io/gateway/truncation_test.go
+++ b/io/gateway/truncation_test.go
@@ -15,6 +15,7 @@
 	"headcourse/core/config"
 	"headcourse/core/eventstream"
 	"headcourse/core/fleet"
+	"headcourse/core/quarantine"
 	"headcourse/core/request"
 	"headcourse/io/gateway"
 	"headcourse/platform/wire"
@@ -107,6 +108,22 @@
 		},
 		events: 1,
 	},
+	"close inside an event after an interim answer": {
+		answer: rawAnswer{
+			contentType:     eventStreamType,
+			precedingAnswer: interimAnswer,
+			body:            "id: 1\ndata: 1\n\nid: 2\nda",
+		},
+		events: 1,
+	},
+	"close inside an event after a stale answer": {
+		answer: rawAnswer{
+			contentType:     eventStreamType,
+			precedingAnswer: staleAnswer,
+			body:            "id: 1\ndata: 1\n\nid: 2\nda",
+		},
+		events: 1,
+	},
 	"reset inside an event": {
 		answer: rawAnswer{
 			contentType: eventStreamType,
@@ -299,6 +316,69 @@
 	}
 }
 
+// Guards against a request that crashes servers and is not suspected, since the connections of its servers were
+// closed in order.
+func TestCrashInsideUnframedStreamIsRecorded(t *testing.T) {
+	crashing := startRawServer(t, func(int) rawAnswer {
+		return rawAnswer{
+			contentType: eventStreamType,
+			body:        "id: 1\ndata: 1\n\nid: 2\nda",
+			stops:       true,
+		}
+	})
+	source := &ledgerSource{
+		testSource: newSource(streamView(false, crashing)),
+	}
+	server := startWithLedger(t, source, &quarantine.Ledger{})
+	answer := readAnswer(t, server.Address(), func() {})
+	qt.Check(t, answer.err, qt.ErrorIs, io.ErrUnexpectedEOF)
+	for {
+		// The check runs beside the request.
+		if crashed, _ := source.reported(); len(crashed) == 1 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against an answer that is not the server's own answer to the request and reaches the client as a success:
+// it is not signed, belongs to another request, or is encoded.
+func TestForeignAnswerIsNotDelivered(t *testing.T) {
+	const text = "level 4"
+	framed := []rawAnswer{
+		{
+			body: text,
+		},
+		{
+			header: "Content-Length: 7",
+			body:   text,
+		},
+		{
+			header: "Transfer-Encoding: chunked",
+			body:   inChunks(text),
+		},
+	}
+	for _, foreign := range framed {
+		foreign.contentType = "text/plain"
+		unsigned, other, encoded := foreign, foreign, foreign
+		unsigned.isUnsigned = true
+		other.id = "another"
+		encoded.header = strings.TrimPrefix(foreign.header+"\r\nContent-Encoding: gzip", "\r\n")
+		for _, answer := range []rawAnswer{unsigned, other, encoded} {
+			comment := qt.Commentf("%+v", answer)
+			own := func(int) rawAnswer { return foreign }
+			respond := firstThen(answer, own)
+			received := requestAnswer(t, serversView(config.Safe, startRawServer(t, respond).address(), startRawServer(t, respond).address()))
+			qt.Check(t, received.status, qt.Equals, http.StatusOK, comment)
+			qt.Check(t, received.body, qt.Equals, text, comment)
+
+			foreignOnly := startRawServer(t, func(int) rawAnswer { return answer })
+			received = requestAnswer(t, serversView(config.Unsafe, foreignOnly.address()))
+			qt.Check(t, received.status, qt.Equals, http.StatusBadGateway, comment)
+		}
+	}
+}
+
 // Guards against memory that grows without a bound while a server sends a stream without blank lines.
 func TestEventThatIsTooLongEndsStream(t *testing.T) {
 	endless := func(int) rawAnswer {
