Relay of headcourse serve: the one splitter of event streams

An engine that ends its lines with CR or CRLF got its streams cut off with an error: the relay had a splitter of its own that knew LF only. It also took any event that begins with 'data: [DONE]' for the end. It uses core/eventstream now, with its bound on events, and compares the value of a data line.

TestStreamOfAnyLineEndIsRelayed failed before.

--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -168,6 +168,22 @@
 	qt.Assert(t, resumed, qt.DeepEquals, []string{"1", "2"})
 }
 
+// Guards against streams of engines that end their lines with CR or CRLF, which were not relayed, and against a part
+// of an event that is taken for the end of the stream.
+func TestStreamOfAnyLineEndIsRelayed(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r", "\r\n"} {
+		whole := strings.ReplaceAll("id: 1\ndata: a\n\n: comment\n\nid: 2\ndata: [DONE]?\n\ndata: [DONE]\n\n", "\n", lineEnd)
+		address := startServer(t, func(ctx *fasthttp.RequestCtx) {
+			ctx.SetContentType("text/event-stream")
+			ctx.SetBodyString(whole)
+		})
+		daemon := startTestServer(t, []string{address}, nil, nil)
+		body, _ := chatBody("x", 2, true)
+		got := daemon.call(t, "POST", "/v1/chat/completions", body)
+		qt.Assert(t, string(got.body), qt.Equals, whole)
+	}
+}
+
 // brokenReader is a reader that always fails.
 type brokenReader struct{}
 
--- a/io/caller/relay.go
+++ b/io/caller/relay.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"headcourse/core/eventstream"
 	"headcourse/core/idempotency"
 	"headcourse/core/outcome"
 	"headcourse/io/engine"
@@ -26,10 +26,10 @@
 	job     *job
 	stream  *engine.Stream
 	address string
-	// buffer is the read buffer. pending holds the bytes of an incomplete event, ready the
+	// buffer is the read buffer. splitter holds the bytes of an incomplete event, ready the
 	// complete events that are not forwarded yet.
 	buffer     []byte
-	pending    []byte
+	splitter   eventstream.Splitter
 	ready      []byte
 	position   int
 	isComplete bool
@@ -47,15 +47,12 @@
 	maxResumes = 3
 	// resumeDelay is the time between two attempts to resume a stream.
 	resumeDelay = 200 * time.Millisecond
-	// maxEventSize is the maximum size of one event, in bytes.
-	maxEventSize = 1 << 20
 )
 
-// Delimiters and fields of server-sent events.
+// The field whose value doneValue ends a complete stream.
 var (
-	eventEnd  = []byte("\n\n")
-	idField   = []byte("id:")
-	doneEvent = []byte("data: [DONE]")
+	dataField = []byte("data:")
+	doneValue = []byte("[DONE]")
 )
 
 // startRelay waits for the first event and then starts the answer. As nothing has
@@ -131,51 +128,55 @@
 	if r.isComplete {
 		return false
 	}
-	if err != nil || r.job.ctx.Err() != nil || len(r.pending) > maxEventSize {
+	if err != nil || r.job.ctx.Err() != nil || r.splitter.IsEventTooLong() {
 		r.resumeOrFail(err)
 	}
 	return r.failure == nil
 }
 
-// splitEvents appends data to pending, and moves complete events to ready.
+// splitEvents appends data to the splitter, and moves complete events to ready.
 func (r *relay) splitEvents(data []byte) {
-	r.pending = append(r.pending, data...)
+	r.splitter.Write(data)
 	for !r.isComplete {
-		end := bytes.Index(r.pending, eventEnd)
-		if end < 0 {
+		event, ok := r.splitter.Next()
+		if !ok {
 			return
 		}
-		event := r.pending[:end+len(eventEnd)]
 		if r.acceptEvent(event) {
-			r.ready = append(r.ready, event...)
-			r.recordEvent(event)
+			r.ready = append(r.ready, event.Raw...)
+			r.recordEvent(event.Raw)
 		}
-		r.pending = r.pending[len(event):]
 	}
 }
 
 // acceptEvent records the position of an event, and reports whether the event is new:
 // a resumed engine may repeat events.
-func (r *relay) acceptEvent(event []byte) bool {
-	if bytes.HasPrefix(event, doneEvent) {
-		r.isComplete = true
+func (r *relay) acceptEvent(event eventstream.Event) bool {
+	if event.ID == 0 {
+		r.isComplete = isDone(event.Raw)
 		return true
 	}
-	for line := range bytes.Lines(event) {
-		value, ok := bytes.CutPrefix(line, idField)
-		if !ok {
-			continue
-		}
-		position, err := strconv.Atoi(string(bytes.TrimSpace(value)))
-		if err != nil {
+	if event.ID <= int64(r.position) {
+		return false
+	}
+	r.position = int(event.ID)
+	return true
+}
+
+// isDone reports whether an event is the last one of a complete stream.
+func isDone(event []byte) bool {
+	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
+		value, ok := bytes.CutPrefix(line, dataField)
+		if ok && bytes.Equal(bytes.TrimSpace(value), doneValue) {
 			return true
 		}
-		if position <= r.position {
-			return false
-		}
-		r.position = position
 	}
-	return true
+	return false
+}
+
+// isLineEnd reports whether a character ends a line of an event stream.
+func isLineEnd(character rune) bool {
+	return character == '\r' || character == '\n'
 }
 
 // recordEvent appends an event to the answer to be stored, if the job has a claimed key
@@ -188,7 +189,7 @@
 
 // resumeOrFail resumes the stream after its connection broke, or ends it with a failure.
 func (r *relay) resumeOrFail(cause error) {
-	r.pending = nil
+	r.splitter = eventstream.Splitter{}
 	for r.job.ctx.Err() == nil && r.resumes < maxResumes && r.position > 0 {
 		r.resumes++
 		resumed, err := r.server.source.Engines().Resume(r.address, r.job.id, r.position)
