--- a/io/relay/compress.go
+++ b/io/relay/compress.go
@@ -157,12 +157,18 @@
 	return rows, errors.Wrap(err, "decode rows")
 }
 
-// decompress returns the original of a compressed value.
+// decompress returns the original of a compressed value. It fails if that exceeds maxDecompressedBytes.
 func decompress(value []byte) ([]byte, error) {
 	reader, err := gzip.NewReader(bytes.NewReader(value))
 	if err != nil {
 		return nil, errors.Wrap(err, "unpack value")
 	}
-	content, err := io.ReadAll(io.LimitReader(reader, maxDecompressedBytes))
-	return content, errors.Wrap(err, "unpack value")
+	content, err := io.ReadAll(io.LimitReader(reader, maxDecompressedBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack value")
+	}
+	if len(content) > maxDecompressedBytes {
+		return nil, errors.Errorf("unpack value: more than %d bytes", maxDecompressedBytes)
+	}
+	return content, nil
 }
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -158,6 +158,14 @@
 	qt.Assert(t, count.Load() < int64(len(value)/4), qt.IsTrue, qt.Commentf("%d bytes", count.Load()))
 }
 
+// Guards against a value beyond the bound of decompressed ones that is cut off and taken for the whole one.
+func TestValueThatIsTooLongIsAnError(t *testing.T) {
+	const tooLong = 64<<20 + 1
+	_, _, client := startServer(t, row("a", strings.Repeat("x", tooLong), 1))
+	_, err := client.Read(t.Context(), "t")
+	qt.Assert(t, err, qt.ErrorMatches, ".*more than .* bytes.*")
+}
+
 // A connection between daemons may stop responding and stay open: after a call that timed out,
 // it must not be reused.
 func TestUnresponsiveConnectionIsReplaced(t *testing.T) {
