Outages: their length by the clock that counts suspensions

After an hour of suspension an outage of the store had a length of -59m57s: its start was taken from one clock and its end from the other, so the servers whose entries had expired during the outage got no grace.

TestLengthOfOutageIncludesSuspension failed before (-59m57.6s).

--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -225,7 +225,7 @@
 	if f.failingSince.IsZero() {
 		return
 	}
-	downtime := time.Since(f.failingSince)
+	downtime := f.Clock.Since(f.failingSince)
 	f.failingSince = time.Time{}
 	if f.OnRecovery != nil {
 		f.OnRecovery(downtime)
--- a/core/rowstore/rowstore_test.go
+++ b/core/rowstore/rowstore_test.go
@@ -21,6 +21,8 @@
 	failures   int
 	recoveries int
 	tableCache rowstore.TableCache
+	// downtime is the length of the last outage.
+	downtime time.Duration
 }
 
 // startFollower starts a follower that ends with ctx.
@@ -63,8 +65,9 @@
 		OnFailure: func(error) {
 			recorded.failures++
 		},
-		OnRecovery: func(time.Duration) {
+		OnRecovery: func(downtime time.Duration) {
 			recorded.recoveries++
+			recorded.downtime = downtime
 		},
 		TableCache: &recorded.tableCache,
 		Clock:      clock,
@@ -101,6 +104,32 @@
 	})
 }
 
+// Guards against outages of a wrong length after a suspension: their start and their end were taken from different
+// clocks, so that an outage of seconds had a negative length, and servers got no grace after it.
+func TestLengthOfOutageIncludesSuspension(t *testing.T) {
+	runWithFakeClock(t, func(ctx context.Context, t *testing.T) {
+		suspended := time.Hour
+		clock := &rowstore.Freshness{
+			Clock: boottime.Clock{
+				Suspended: func() time.Duration { return suspended },
+			},
+		}
+		store := newFakeStore()
+		recorded := startFollowerWaiting(ctx, store, clock, time.Second)
+		advance(100 * time.Millisecond)
+		for _, suspension := range []time.Duration{0, time.Minute} {
+			store.update(func(f *fakeStore) { f.isDown = true })
+			advance(3 * time.Second)
+			suspended += suspension
+			store.update(func(f *fakeStore) { f.isDown = false })
+			advance(3 * time.Second)
+			qt.Assert(t, recorded.downtime > suspension+time.Second, qt.IsTrue, qt.Commentf("%s", recorded.downtime))
+			qt.Assert(t, recorded.downtime < suspension+6*time.Second, qt.IsTrue, qt.Commentf("%s", recorded.downtime))
+		}
+		qt.Assert(t, recorded.recoveries, qt.Equals, 2)
+	})
+}
+
 func TestFollowerRereadsTableWhenHistoryIsCompacted(t *testing.T) {
 	runWithFakeClock(t, func(ctx context.Context, t *testing.T) {
 		store := newFakeStore()
