A server that has started again did not finish its former answers

The check of the server after an answer without a length asked its address only, so a server that was back within milliseconds, under its ID, counted as running. A listed start other than the one that answered means that the latter has ended.

The case 'stream of a server that has started again' failed before by reading only; it was written with the change.

--- a/core/completeness/completeness.go
+++ b/core/completeness/completeness.go
@@ -9,8 +9,8 @@
 // Framing is how HTTP marks the end of an answer.
 type Framing string
 
-// The framings of answers. Only FramedByClose, which has neither a length nor chunks, cannot tell an answer
-// that was broken off from a complete one.
+// The framings of answers. FramedByStatus has no body, by its status or the method of its request. FramedByClose has
+// neither a length nor chunks, and so alone does not tell an answer that was broken off from a complete one.
 const (
 	FramedByStatus Framing = "status"
 	FramedByLength Framing = "length"
--- a/io/gateway/answerend.go
+++ b/io/gateway/answerend.go
@@ -70,15 +70,18 @@
 	return j.checkEnd(server, end, len(splitter.Remainder()))
 }
 
-// serverState returns the state of a server whose answer has just ended with its connection. A server that leaves
-// as planned may stop listening before its last answers end.
+// serverState returns the state of the start of a server whose answer has just ended with its connection. A server
+// that leaves as planned may stop listening before its last answers end.
 func (s *Server) serverState(server fleet.Server) completeness.ServerState {
 	entry, isListed := s.source.View().Fleet.Server(server.ID)
-	isLeaving := !isListed || entry.Draining || s.directives.IsDraining(server.StartID())
-	if !isLeaving && s.backends.IsRefused(server.Address) {
+	switch {
+	case !isListed || entry.Draining || s.directives.IsDraining(server.StartID()):
+		return completeness.Running
+	case entry.StartID() != server.StartID() || s.backends.IsRefused(server.Address):
 		return completeness.Down
+	default:
+		return completeness.Running
 	}
-	return completeness.Running
 }
 
 // recordEnd counts the end of an answer, and writes a log line about it if framing alone does not show that it is
--- a/io/gateway/truncation_test.go
+++ b/io/gateway/truncation_test.go
@@ -173,6 +173,25 @@
 		qt.Check(t, answer.err, qt.IsNil)
 		qt.Check(t, answer.body, qt.Equals, numberedEvents(0))
 	})
+	t.Run("stream of a server that has started again", func(t *testing.T) {
+		proceed := make(chan struct{})
+		respond := firstThen(rawAnswer{
+			contentType: eventStreamType,
+			body:        "id: 1\ndata: 1\n\n",
+			proceed:     proceed,
+		}, wholeStream)
+		source := newSource(streamView(true, startRawServer(t, respond), startRawServer(t, respond)))
+		answer := readAnswer(t, startGateway(t, newOptions(source)).Address(), func() {
+			servers := source.view.Fleet.Servers()
+			for i := range servers {
+				servers[i].StartedAtMs++
+			}
+			source.view.Fleet = fleet.View{}.WithSnapshot(2, servers, time.Now())
+			close(proceed)
+		})
+		qt.Check(t, answer.err, qt.IsNil)
+		qt.Check(t, answer.body, qt.Equals, numberedEvents(0))
+	})
 	crashing := rawAnswer{
 		contentType: "text/plain",
 		body:        "level",
