Limits of cold servers are set while the view is edited

If the servers were decoded before the configuration was there, and published after it had been applied, neither set the limits; and a view could be used for a moment before its limits were set.

--- a/entry/coldstarts.go
+++ b/entry/coldstarts.go
@@ -4,6 +4,7 @@
 	"headcourse/core/config"
 	"headcourse/core/fleet"
 	"headcourse/core/ratelimit"
+	"headcourse/io/gateway"
 )
 
 // A cold server accepts a reduced rate of requests from all daemons together. No answer names
@@ -33,11 +34,12 @@
 	}
 }
 
-// applyColdLimits limits all servers whose entries mark them as cold. Entries may be read
-// before the configuration that defines the limit.
-func (d *Daemon) applyColdLimits(current *config.Config) {
-	for _, server := range d.view.Load().Fleet.Servers() {
-		d.applyColdLimit(current, server)
+// applyColdLimits limits all servers of a view whose entries mark them as cold. Entries may be read before the
+// configuration that defines the limit. Both are applied while the view is edited: so neither misses the
+// other, and no request is sent by a view without its limits.
+func (d *Daemon) applyColdLimits(view *gateway.View) {
+	for _, server := range view.Fleet.Servers() {
+		d.applyColdLimit(view.Config, server)
 	}
 }
 
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -65,10 +65,10 @@
 	d.configRow.Store(&row)
 	d.updateView(func(view *gateway.View) {
 		view.Config = next
+		if former == nil {
+			d.applyColdLimits(view)
+		}
 	})
-	if former == nil {
-		d.applyColdLimits(next)
-	}
 	d.log.Info("configuration: taken",
 		zap.Int64("config_version", next.Version),
 		zap.Int64("former_version", configVersion(former)),
@@ -164,15 +164,16 @@
 	// The era is stored before the view, so that a leader of a former era does not act on this
 	// view.
 	d.serversEra.Store(at.Era)
-	current := d.view.Load().Config
 	for _, server := range servers {
 		d.recordRestart(former, server)
-		previous, wasPresent := former.Server(server.ID)
-		if !wasPresent || previous.StartedAtMs != server.StartedAtMs || previous.ColdFor != server.ColdFor {
-			d.applyColdLimit(current, server)
-		}
 	}
 	d.updateView(func(view *gateway.View) {
+		for _, server := range servers {
+			previous, wasPresent := former.Server(server.ID)
+			if !wasPresent || previous.StartedAtMs != server.StartedAtMs || previous.ColdFor != server.ColdFor {
+				d.applyColdLimit(view.Config, server)
+			}
+		}
 		view.Fleet = view.Fleet.WithSnapshot(at.Version, servers, d.storeOutage.Load().GraceUntil(d.removalGrace()), invalidIDs...)
 	})
 	d.serversLoaded.Store(true)
@@ -207,12 +208,13 @@
 		})
 	}
 	former := d.view.Load().Fleet
-	current := d.view.Load().Config
 	for _, change := range changes {
 		d.recordRestart(former, change.Server)
-		d.applyColdLimit(current, change.Server)
 	}
 	d.updateView(func(view *gateway.View) {
+		for _, change := range changes {
+			d.applyColdLimit(view.Config, change.Server)
+		}
 		view.Fleet = view.Fleet.WithChanges(at.Version, changes, d.storeOutage.Load().GraceUntil(d.removalGrace()))
 	})
 	if d.readsStoreDirectly() {
