--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -139,10 +139,11 @@
 	return append(failures, s.platform.Violations()...), nil
 }
 
-// logf writes a line with the seed to the log.
+// logf writes a line with the seed and the time, as in the daemons' log lines, to the log.
 func (s *soak) logf(format string, values ...any) {
 	// The error is ignored: there is no other place to report it.
-	_, _ = fmt.Fprintf(s.options.Out, "soak %d: %s\n", s.options.Seed, fmt.Sprintf(format, values...))
+	now := time.Now().UTC().Format("15:04:05.000")
+	_, _ = fmt.Fprintf(s.options.Out, "soak %d: %s %s\n", s.options.Seed, now, fmt.Sprintf(format, values...))
 }
 
 // setUp starts the stand-in and the proxies, and writes the settings of the daemons.
--- a/lab/soak/unframed.go
+++ b/lab/soak/unframed.go
@@ -55,11 +55,8 @@
 // While a third of the servers break theirs, most requests must be served, since streams resume.
 func (s *soak) checkUnframed() []string {
 	var failures []string
-	for _, service := range []string{standin.ServicePlain, standin.ServiceModel} {
-		for _, server := range s.platform.Servers(service) {
-			server.SetBehaviour(standin.Unframed)
-		}
-	}
+	s.setBehaviour(standin.Unframed)
+	defer s.setBehaviour(standin.Normal)
 	served, sent := s.sendToAllDaemons()
 	s.logf("%d of %d first attempts served by servers that answer without a length", served, sent)
 	if served < sent {
@@ -78,12 +75,16 @@
 			failures = append(failures, fmt.Sprintf("only %d of %d first attempts served beside broken answers of kind %d", served, sent, behaviour))
 		}
 	}
+	return failures
+}
+
+// setBehaviour sets the behaviour of all servers.
+func (s *soak) setBehaviour(behaviour standin.Behaviour) {
 	for _, service := range []string{standin.ServicePlain, standin.ServiceModel} {
 		for _, server := range s.platform.Servers(service) {
-			server.SetBehaviour(standin.Normal)
+			server.SetBehaviour(behaviour)
 		}
 	}
-	return failures
 }
 
 // sendToAllDaemons sends requests of each kind to all daemons and returns how many were served, and how many were
--- a/lab/standin/platform.go
+++ b/lab/standin/platform.go
@@ -355,7 +355,9 @@
 func (p *Platform) recordViolation(violation string) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.violations = append(p.violations, violation)
+	// The time is that of the daemons' log lines.
+	now := time.Now().UTC().Format("15:04:05.000")
+	p.violations = append(p.violations, now+" "+violation)
 }
 
 // Violations returns the recorded violations.
