--- a/lab/standin/answers.go
+++ b/lab/standin/answers.go
@@ -114,6 +114,17 @@
 
 // writeStream writes the events of a stream that follow the last one that the caller received.
 func (s *Server) writeStream(w http.ResponseWriter, r *http.Request, behaviour Behaviour) {
+	events := requestedEvents(r)
+	w.Header().Set("Content-Type", "text/event-stream")
+	if behaviour.isUnframed() {
+		s.writeUnframedStream(w, r, behaviour, events)
+		return
+	}
+	s.writeChunkedStream(w, r, behaviour, events)
+}
+
+// requestedEvents returns the events that a request for a stream asks for.
+func requestedEvents(r *http.Request) []string {
 	_, maxTokens, _ := strings.Cut(r.Header.Get(wire.HeaderTokens), ",")
 	tokens, _ := strconv.Atoi(maxTokens)
 	count := max(1, tokens/tokensPerEvent)
@@ -122,30 +133,31 @@
 	for i := lastReceived + 1; i <= count; i++ {
 		events = append(events, StreamEvent(r.Header.Get(wire.HeaderID), i))
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	if behaviour.isUnframed() {
-		s.writeUnframedStream(w, r, behaviour, events)
-		return
-	}
+	return events
+}
+
+// writeChunkedStream writes events in chunks. Truncating and ChunkedTruncating servers break off inside the middle
+// one.
+func (s *Server) writeChunkedStream(w http.ResponseWriter, r *http.Request, behaviour Behaviour, events []string) {
 	controller := http.NewResponseController(w)
+	truncates := behaviour == Truncating || behaviour == ChunkedTruncating
 	for i, event := range events {
 		time.Sleep(eventInterval)
 		if !s.awaitCompleteGroup(r) || r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
-		isCut := i == len(events)/2
-		if isCut && (behaviour == Truncating || behaviour == ChunkedTruncating) {
-			_, _ = io.WriteString(w, event[:len(event)/2])
-			_ = controller.Flush()
+		isCut := truncates && i == len(events)/2
+		if isCut {
+			event = event[:len(event)/2]
 		}
+		_, _ = io.WriteString(w, event)
+		_ = controller.Flush()
 		if isCut && behaviour == Truncating {
 			panic(http.ErrAbortHandler)
 		}
-		if isCut && behaviour == ChunkedTruncating {
+		if isCut {
 			return
 		}
-		_, _ = io.WriteString(w, event)
-		_ = controller.Flush()
 	}
 }
 
