--- a/entry/evacuations_test.go
+++ b/entry/evacuations_test.go
@@ -79,9 +79,25 @@
 	s.awaitEvacuated(zone, true)
 	time.Sleep(standin.EvacuationDeadline)
 	s.daemons = append(s.daemons, s.startDaemon("front-b"))
+	s.awaitConfiguration(len(s.daemons) - 1)
 	s.assertAllServed(time.Second)
 }
 
+// awaitConfiguration sends requests through a daemon that starts until one succeeds. Those before must be refused for
+// lack of a configuration; the stand-in checks where all of them are sent.
+func (s *site) awaitConfiguration(daemon int) {
+	s.t.Helper()
+	s.await(func() standin.Answer {
+		return get(s.client(daemon, standin.KeyCuenca))
+	}, func(answer standin.Answer) bool {
+		if isSuccess(answer) {
+			return true
+		}
+		qt.Assert(s.t, answer.Reason, qt.Equals, "not_configured")
+		return false
+	})
+}
+
 // Guards against requests to a zone whose evacuation a restored store lacks until the operator
 // writes it again.
 func TestEvacuationSurvivesStoreRestore(t *testing.T) {
