Logs and metrics: how old a configuration was when it decided, and who confirmed it

Cause: from the log it could not be told how old the configuration was by which a request was refused (the age was taken when the line was written), which daemon had confirmed it, and why nothing fresher was read meanwhile. Change: results carry their source; a request's line has the age at the decision and the source, taken before the view is loaded; a histogram of the ages at refusals; a line and a counter for each confirmation later than the bound; the error of a call that is held back names the relays that rest and the time until the store is called. No decision changes.

--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -375,6 +376,7 @@
 		}
 		c.recordRelayResult(relay.Name, err)
 		if err == nil {
+			result.Source = relay.Name
 			return result, nil
 		}
 		if ctx.Err() != nil {
@@ -390,10 +392,11 @@
 		if c.relaysLackCopies() {
 			return Result{}, errWaitForRelays
 		}
-		return Result{}, errors.Wrap(ErrRefused, "no relay has a fresh copy and the store failed recently")
+		return Result{}, errors.Wrap(ErrRefused, "no relay has a fresh copy and the store failed recently: "+c.describeWait(table))
 	}
 	began := time.Now()
 	result, err := call(ctx, c.store)
+	result.Source = StoreSource
 	if !isCutShort(ctx, time.Since(began)) {
 		c.recordStoreResult(err)
 	}
@@ -424,18 +427,37 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	isAdmitted := c.limiter.admit(time.Now(), c.storeCall(table, contenders))
+	if isAdmitted {
+		c.storeCalls++
+	}
+	return isAdmitted
+}
+
+// storeCall describes a call to the store for a table. The mutex must be held.
+func (c *ReaderChain) storeCall(table string, contenders int) storeCall {
 	_, isAgeBounded := c.maxAges[table]
-	isAgeBounded = isAgeBounded || (c.HasPriority != nil && c.HasPriority(table))
-	isAdmitted := c.limiter.admit(time.Now(), storeCall{
-		isAgeBounded: isAgeBounded,
+	return storeCall{
+		isAgeBounded: isAgeBounded || (c.HasPriority != nil && c.HasPriority(table)),
 		relays:       len(c.peers.Relays),
 		standbys:     len(c.peers.Standbys),
 		contenders:   contenders,
-	})
-	if isAdmitted {
-		c.storeCalls++
 	}
-	return isAdmitted
+}
+
+// describeWait names the relays that are backed off, and when the store may be called for a table, for logs.
+func (c *ReaderChain) describeWait(table string) string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	var names []string
+	for _, relay := range c.peers.Relays {
+		if c.backoffs.isBackedOff(relay.Name) {
+			names = append(names, relay.Name+" for "+c.backoffs[relay.Name].until.Sub(now).Round(time.Millisecond).String())
+		}
+	}
+	until := c.limiter.dueIn(now, c.storeCall(table, 1)).Round(time.Millisecond)
+	return "store is not called for " + until.String() + ", relays not called: " + strings.Join(names, ", ")
 }
 
 // relaysLackCopies reports whether a relay answered recently that it has no copy, while the store
--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -57,6 +57,9 @@
 	OnEraChange func(previous, next Revision)
 	// OnRejected, if set, receives each rejected answer and the known revision.
 	OnRejected func(answer Result, known Revision)
+	// OnConfirmed, if set, receives the source of each accepted answer and the local time as of which it is valid,
+	// before the rows are passed on.
+	OnConfirmed func(source string, asOf time.Time)
 	// OnFailure, if set, receives the error of each failed call except ErrCompacted. OnRecovery, if
 	// set, is called at the first success after failures, with the time since the first failed call
 	// was sent.
@@ -112,6 +115,9 @@
 		f.canFollow = false
 		return 0
 	}
+	if f.OnConfirmed != nil {
+		f.OnConfirmed(result.Source, asOf)
+	}
 	if !f.canFollow && f.MergeSnapshot != nil {
 		result = f.MergeSnapshot(result)
 	}
--- a/core/rowstore/freshness.go
+++ b/core/rowstore/freshness.go
@@ -115,6 +115,13 @@
 	}
 }
 
+// ViewAsOf returns the latest time as of which the view is known to be complete; zero if nothing was confirmed yet.
+func (f *Freshness) ViewAsOf() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.viewAsOf
+}
+
 // ViewAge returns the maximum age of the view, and false if nothing was confirmed yet.
 func (f *Freshness) ViewAge() (time.Duration, bool) {
 	f.mutex.Lock()
--- a/core/rowstore/rowstore.go
+++ b/core/rowstore/rowstore.go
@@ -92,11 +92,16 @@
 	// IsRelayed reports that another daemon answered from its copy, so that Now may be earlier than
 	// the call.
 	IsRelayed bool
+	// Source is the name of the daemon that answered, or StoreSource; empty if unknown. It is for logs.
+	Source string
 	// MaxStoreTime is an upper bound of the store's clock at the time a relay answered; 0 if
 	// unknown.
 	MaxStoreTime time.Duration
 }
 
+// StoreSource is the Source of results of the store itself.
+const StoreSource = "store"
+
 // Revision returns the state of the store that the result shows.
 func (r Result) Revision() Revision {
 	return Revision{
--- a/core/rowstore/storelimiter.go
+++ b/core/rowstore/storelimiter.go
@@ -93,6 +93,18 @@
 	return now.Sub(l.failedAt) >= failureWindow || now.Sub(l.lastCallAt) >= call.interval()
 }
 
+// dueIn returns how long the store will not be called if nothing else changes, for logs.
+func (l *storeLimiter) dueIn(now time.Time, call storeCall) time.Duration {
+	if l.relaysLackCopies(now) {
+		return max(0, l.nextTryAt.Sub(now))
+	}
+	next := l.lastCallAt.Add(call.interval())
+	if end := l.failedAt.Add(failureWindow); end.Before(next) {
+		next = end
+	}
+	return max(0, next.Sub(now))
+}
+
 // isDueWithoutCopies reports whether this daemon may call the store while relays have no copy.
 func (l *storeLimiter) isDueWithoutCopies(now time.Time, call storeCall) bool {
 	// All tables share the schedule of those with a maximum age.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -103,6 +103,8 @@
 	// configuration.
 	storeClock      rowstore.Freshness
 	configFreshness rowstore.Freshness
+	// configSource is the daemon that confirmed the configuration last, or the store.
+	configSource atomic.Pointer[string]
 	// tableReader reads tables from other daemons or the store. tableCache is this daemon's
 	// copy of them, which relayServer passes to other daemons.
 	tableReader *rowstore.ReaderChain
@@ -261,6 +263,7 @@
 	d.demandTotals.Zone = nodeSettings.Zone
 	d.demandTotals.Paces = d.paceVotes
 	d.position.Store(&daemonPosition{})
+	d.configSource.Store(new(string))
 	d.view.Store(&gateway.View{})
 	d.storeOutage.Store(&fleet.Outage{})
 	d.initRetryBudgets()
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -41,6 +41,7 @@
 		MergeSnapshot: d.mergeNewestConfig,
 		RetainRows:    d.retainEvacuations,
 		RewriteWait:   d.rewriteWindow,
+		OnConfirmed:   d.recordConfirmation,
 		OnFailure:     d.recordOutageStart(platform.ConfigTable),
 		OnRecovery:    d.recordOutageEnd(platform.ConfigTable),
 		OnEraChange:   d.recordEraChange(platform.ConfigTable),
--- a/entry/view.go
+++ b/entry/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
 	"headcourse/core/revocation"
@@ -14,6 +15,31 @@
 	return *d.view.Load()
 }
 
+// Confirmation returns the evidence for the age of the configuration. The configuration is stored before it is
+// confirmed, so views that are loaded later are at least as recent.
+func (d *Daemon) Confirmation() gateway.Confirmation {
+	return gateway.Confirmation{
+		AsOf:   d.configFreshness.ViewAsOf(),
+		Source: *d.configSource.Load(),
+	}
+}
+
+// recordConfirmation records who confirmed the configuration, and logs it if its age had exceeded the bound within
+// which changes must be in force.
+func (d *Daemon) recordConfirmation(source string, asOf time.Time) {
+	former := *d.configSource.Swap(&source)
+	age, isKnown := d.configFreshness.ViewAge()
+	if !isKnown || age <= d.settings.ApplyBound {
+		return
+	}
+	metrics.GetOrRegisterCounter("configuration_confirmed_late", d.registry).Inc(1)
+	d.log.Warn("configuration: confirmed late",
+		zap.Int64("former_age_ms", age.Milliseconds()),
+		zap.String("former_source", former),
+		zap.Int64("age_ms", d.configFreshness.Since(asOf).Milliseconds()),
+		zap.String("source", source))
+}
+
 // MaxViewAge returns the maximum age of the view of the configuration, or 0 before the
 // configuration is read.
 func (d *Daemon) MaxViewAge() time.Duration {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -64,6 +64,14 @@
 	Evacuated evacuation.Zones
 }
 
+// Confirmation is the evidence for the age of a configuration.
+type Confirmation struct {
+	// AsOf is a time of the gateway's clock as of which the configuration is complete; zero if there is none.
+	AsOf time.Time
+	// Source is the daemon that confirmed it, or "store".
+	Source string
+}
+
 // Source provides the view and receives observations about servers and requests.
 type Source interface {
 	View() View
@@ -73,6 +81,9 @@
 	ViewUnreadable() <-chan struct{}
 	// SinceViewReady is the time since ViewReady was closed; 0 before.
 	SinceViewReady() time.Duration
+	// Confirmation is the evidence for the age of the configuration in the view. Every view that is loaded after it is
+	// at least as recent.
+	Confirmation() Confirmation
 	// MaxViewAge is the maximum age of the configuration and keys in the view. MayAcceptKeys
 	// reports whether the view is recent enough to accept keys. IsViewCurrent reports whether it
 	// is recent enough to reject keys and routes that it does not contain.
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -106,6 +106,13 @@
 	s.sinceViewReady = age
 }
 
+// Confirmation returns the present time.
+func (s *testSource) Confirmation() gateway.Confirmation {
+	return gateway.Confirmation{
+		AsOf: time.Now(),
+	}
+}
+
 // MaxViewAge returns 0.
 func (s *testSource) MaxViewAge() time.Duration { return 0 }
 
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -78,7 +78,13 @@
 // admit determines the route, organisation, service and priority of a request, or returns the
 // status and the reason of its refusal.
 func (j *job) admit() (int, request.Reason) {
-	if status, reason := j.findRoute(j.server.source.View().Config); reason != request.ReasonNone {
+	// The view that is loaded after its confirmation contains at least what was confirmed.
+	j.confirmation = j.server.source.Confirmation()
+	status, reason := j.findRoute(j.server.source.View().Config)
+	if !j.confirmation.AsOf.IsZero() {
+		j.decidedAge = j.server.clock.Since(j.confirmation.AsOf)
+	}
+	if reason != request.ReasonNone {
 		return status, reason
 	}
 	j.service = selectService(j.route)
@@ -130,6 +136,7 @@
 // deny returns the refusal of a request whose route or key is not in the view. If the view is
 // stale, the refusal is 503, since the route or key may have been added since.
 func (j *job) deny(status int, reason request.Reason) (int, request.Reason) {
+	j.server.observe(timeViewAgeAtRefusal, j.server.clock.Since(j.confirmation.AsOf))
 	if !j.server.source.IsViewCurrent() {
 		return fasthttp.StatusServiceUnavailable, request.ReasonConfigurationStale
 	}
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -26,9 +26,13 @@
 
 // job is a client request while it is served.
 type job struct {
-	server       *Server
-	request      *request.Request
-	config       *config.Config
+	server  *Server
+	request *request.Request
+	config  *config.Config
+	// confirmation is the evidence for the age of config, and decidedAge that age when the request was accepted or
+	// refused by it.
+	confirmation Confirmation
+	decidedAge   time.Duration
 	route        *config.Route
 	organisation string
 	service      string
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -28,6 +28,8 @@
 	timeCompleteAnswer  = "whole_answer_ms"
 	timeLongestEventGap = "longest_pause_ms"
 	timeDeferred        = "deferred_ms"
+	// timeViewAgeAtRefusal is the age of the configuration by which a request was refused as unknown.
+	timeViewAgeAtRefusal = "view_age_at_refusal_ms"
 )
 
 // count increments the counter of a prefix and reason.
--- a/io/gateway/requestlog.go
+++ b/io/gateway/requestlog.go
@@ -115,7 +115,10 @@
 	}
 	fields = append(fields, zap.Int64("servers_version", j.server.source.View().Fleet.Version))
 	if j.config != nil {
-		fields = append(fields, zap.Int64("config_version", j.config.Version))
+		fields = append(fields,
+			zap.Int64("config_version", j.config.Version),
+			zap.Int64("decided_view_age_ms", j.decidedAge.Milliseconds()),
+			zap.String("view_source", j.confirmation.Source))
 	}
 	if j.route != nil {
 		fields = append(fields, zap.String("route", j.route.Name), zap.String("organisation", j.organisation))
