Unknown routes and keys are refused only within the bound for changes

What callers saw: 404 and 401 for a route and a key that the store had confirmed more than the bound of 2 s before. Cause: one age answered two questions. Whether a key may be accepted is bound by the time in which keys must be withdrawn (5 s); whether a route or key may be said not to exist, by the time in which changes must be in force (2 s). Refusals were judged by the first. Change: core/confirmation replaces core/revocation and has a bound for each decision; a refusal needs a configuration younger than the bound for changes less the margin of feeds; the age is that of the confirmation which was read before the configuration, so a configuration that is applied in between cannot lend its age to an older one. Readiness keeps its bound. The daemon's Source has the evidence and the policy in place of three answers. Why it works: no view that may lack a change in force is used to say that something does not exist; the answer is 503 then. TestStaleViewAnswersUnavailableForUnknownRoute sets an age of 3 s, which was a flag.

--- a/entry/view.go
+++ b/entry/view.go
@@ -6,7 +6,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
-	"headcourse/core/revocation"
+	"headcourse/core/confirmation"
 	"headcourse/io/gateway"
 )
 
@@ -47,36 +47,36 @@
 	return age
 }
 
-// MayAcceptKeys reports whether keys of the view may be accepted. It is also correct after the
-// daemon was suspended or cut off from the store.
-func (d *Daemon) MayAcceptKeys() bool {
-	age, isKnown := d.configFreshness.ViewAge()
-	return isKnown && d.revocation().MayAccept(age)
+// ConfirmationPolicy determines how old the configuration may be for each decision.
+func (d *Daemon) ConfirmationPolicy() confirmation.Policy {
+	return confirmation.Policy{
+		ApplyBound:         d.settings.ApplyBound,
+		RevocationBound:    d.settings.RevocationBound,
+		IsRevocationStrict: d.settings.IsRevocationStrict,
+	}
 }
 
-// IsViewCurrent reports whether the view contains everything that has been in force for longer
-// than the bound, so that unknown keys and routes may be rejected.
-func (d *Daemon) IsViewCurrent() bool {
+// isWithinRevocationBound reports whether the configuration lacks every key that was withdrawn longer ago than the
+// bound. It is also correct after the daemon was suspended or cut off from the store.
+func (d *Daemon) isWithinRevocationBound() bool {
 	age, isKnown := d.configFreshness.ViewAge()
-	return isKnown && d.revocation().IsCurrent(age)
+	return isKnown && d.ConfirmationPolicy().IsWithinRevocationBound(age)
 }
 
-// revocation returns the policy for the maximum age of the view.
-func (d *Daemon) revocation() revocation.Policy {
-	return revocation.Policy{
-		IsStrict: d.settings.IsRevocationStrict,
-		Bound:    d.settings.RevocationBound,
-	}
+// acceptsKeys reports whether keys of the configuration are accepted.
+func (d *Daemon) acceptsKeys() bool {
+	age, isKnown := d.configFreshness.ViewAge()
+	return isKnown && d.ConfirmationPolicy().MayAcceptKeys(age)
 }
 
 // isReady reports whether the load balancer should send clients here: the configuration, the
-// servers and the reports about them are loaded, and the view is current. A daemon that is cut
+// servers and the reports about them are loaded, and the view is recent enough for withdrawn keys. A daemon that is cut
 // off from the store keeps serving its existing connections while keys may be accepted, but
 // others serve new ones better. If all daemons are cut off, the load balancer uses all of them.
 func (d *Daemon) isReady() bool {
-	isReady := d.hasView() && d.hasReports() && d.IsViewCurrent()
+	isReady := d.hasView() && d.hasReports() && d.isWithinRevocationBound()
 	if d.wasReady.Swap(isReady) != isReady {
-		d.log.Info("daemon: readiness changed", zap.Bool("is_ready", isReady), zap.Int64("config_age_ms", d.MaxViewAge().Milliseconds()), zap.Bool("accepts_keys", d.MayAcceptKeys()))
+		d.log.Info("daemon: readiness changed", zap.Bool("is_ready", isReady), zap.Int64("config_age_ms", d.MaxViewAge().Milliseconds()), zap.Bool("accepts_keys", d.acceptsKeys()))
 	}
 	return isReady
 }
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -211,7 +211,7 @@
 		return reason
 	}
 	// The agreement on a trial waits for the store, so the view may have become too old.
-	if j.config.NeedsKey(j.route) && !j.server.source.MayAcceptKeys() {
+	if j.config.NeedsKey(j.route) && !j.server.source.ConfirmationPolicy().MayAcceptKeys(j.server.source.Confirmation().age(j.server.clock)) {
 		return request.ReasonConfigurationStale
 	}
 	if j.timeLeft() < minTimeLeft {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -16,6 +16,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,7 @@
 	"headcourse/core/balancer"
 	"headcourse/core/boottime"
 	"headcourse/core/config"
+	"headcourse/core/confirmation"
 	"headcourse/core/deferral"
 	"headcourse/core/demand"
 	"headcourse/core/directive"
@@ -72,6 +74,14 @@
 	Source string
 }
 
+// age returns the maximum age of the configuration; the maximum duration without a confirmation.
+func (c Confirmation) age(clock boottime.Clock) time.Duration {
+	if c.AsOf.IsZero() {
+		return math.MaxInt64
+	}
+	return clock.Since(c.AsOf)
+}
+
 // Source provides the view and receives observations about servers and requests.
 type Source interface {
 	View() View
@@ -84,12 +94,8 @@
 	// Confirmation is the evidence for the age of the configuration in the view. Every view that is loaded after it is
 	// at least as recent.
 	Confirmation() Confirmation
-	// MaxViewAge is the maximum age of the configuration and keys in the view. MayAcceptKeys
-	// reports whether the view is recent enough to accept keys. IsViewCurrent reports whether it
-	// is recent enough to reject keys and routes that it does not contain.
-	MaxViewAge() time.Duration
-	MayAcceptKeys() bool
-	IsViewCurrent() bool
+	// ConfirmationPolicy determines how old the configuration may be for each decision.
+	ConfirmationPolicy() confirmation.Policy
 	// DaemonCount is the number of daemons.
 	DaemonCount() int
 	// Preference returns the balancing preference for requests of a kind.
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 
 	"headcourse/core/balancer"
 	"headcourse/core/config"
+	"headcourse/core/confirmation"
 	"headcourse/core/demand"
 	"headcourse/core/fleet"
 	"headcourse/core/pace"
@@ -44,10 +45,8 @@
 	viewReady chan struct{}
 	// unreadable is closed if the view cannot be read; nil means never.
 	unreadable chan struct{}
-	// rejectsKeys and isStale are set if the view is too old to accept keys, or to reject
-	// unknown routes and keys.
-	rejectsKeys bool
-	isStale     bool
+	// viewAge is the age of the view.
+	viewAge time.Duration
 	// overload is the decision about all requests.
 	overload gateway.OverloadState
 	// sinceViewReady is the time since the view was read; 0 stands for a millisecond.
@@ -106,33 +105,36 @@
 	s.sinceViewReady = age
 }
 
-// Confirmation returns the present time.
+// Confirmation returns the evidence for the age that the test set.
 func (s *testSource) Confirmation() gateway.Confirmation {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	return gateway.Confirmation{
-		AsOf: time.Now(),
+		AsOf: time.Now().Add(-s.viewAge),
 	}
 }
 
-// MaxViewAge returns 0.
-func (s *testSource) MaxViewAge() time.Duration { return 0 }
-
-// MayAcceptKeys returns what the test set.
-func (s *testSource) MayAcceptKeys() bool {
+// setViewAge sets the age of the view.
+func (s *testSource) setViewAge(age time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return !s.rejectsKeys
+	s.viewAge = age
+}
+
+// ConfirmationPolicy returns a strict policy.
+func (s *testSource) ConfirmationPolicy() confirmation.Policy {
+	return confirmation.Policy{
+		ApplyBound:         2 * time.Second,
+		RevocationBound:    5 * time.Second,
+		IsRevocationStrict: true,
+	}
 }
 
 // setRejectsKeys makes the view too old to accept keys.
 func (s *testSource) setRejectsKeys() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.rejectsKeys = true
+	s.setViewAge(time.Hour)
 }
 
-// IsViewCurrent returns what the test set.
-func (s *testSource) IsViewCurrent() bool { return !s.isStale }
-
 // DaemonCount returns 1.
 func (s *testSource) DaemonCount() int { return 1 }
 
@@ -376,7 +378,7 @@
 	status, _ := sendRequest(t, address, "r1", time.Hour)
 	qt.Assert(t, status, qt.Equals, http.StatusNotFound)
 
-	source.isStale = true
+	source.setViewAge(3 * time.Second)
 	status, header := sendRequest(t, address, "r2", time.Hour)
 	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
 	qt.Assert(t, header.Get("Retry-After"), qt.Not(qt.Equals), "")
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -80,11 +80,7 @@
 func (j *job) admit() (int, request.Reason) {
 	// The view that is loaded after its confirmation contains at least what was confirmed.
 	j.confirmation = j.server.source.Confirmation()
-	status, reason := j.findRoute(j.server.source.View().Config)
-	if !j.confirmation.AsOf.IsZero() {
-		j.decidedAge = j.server.clock.Since(j.confirmation.AsOf)
-	}
-	if reason != request.ReasonNone {
+	if status, reason := j.findRoute(j.server.source.View().Config); reason != request.ReasonNone {
 		return status, reason
 	}
 	j.service = selectService(j.route)
@@ -119,7 +115,7 @@
 	if !j.config.NeedsKey(j.route) {
 		return 0, request.ReasonNone
 	}
-	if !j.server.source.MayAcceptKeys() {
+	if !j.server.source.ConfirmationPolicy().MayAcceptKeys(j.viewAge()) {
 		return fasthttp.StatusServiceUnavailable, request.ReasonConfigurationStale
 	}
 	organisation := j.config.Organisation(j.request.APIKey)
@@ -133,11 +129,18 @@
 	return 0, request.ReasonNone
 }
 
-// deny returns the refusal of a request whose route or key is not in the view. If the view is
-// stale, the refusal is 503, since the route or key may have been added since.
+// viewAge determines and returns the age of the configuration by which the request is judged.
+func (j *job) viewAge() time.Duration {
+	j.decidedAge = j.confirmation.age(j.server.clock)
+	return j.decidedAge
+}
+
+// deny returns the refusal of a request whose route or key is not in the view. If the view is too old, the refusal is
+// 503, since the route or key may have been added since.
 func (j *job) deny(status int, reason request.Reason) (int, request.Reason) {
-	j.server.observe(timeViewAgeAtRefusal, j.server.clock.Since(j.confirmation.AsOf))
-	if !j.server.source.IsViewCurrent() {
+	age := j.viewAge()
+	j.server.observe(timeViewAgeAtRefusal, age)
+	if !j.server.source.ConfirmationPolicy().MayRefuse(age) {
 		return fasthttp.StatusServiceUnavailable, request.ReasonConfigurationStale
 	}
 	return status, reason
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -29,8 +29,8 @@
 	server  *Server
 	request *request.Request
 	config  *config.Config
-	// confirmation is the evidence for the age of config, and decidedAge that age when the request was accepted or
-	// refused by it.
+	// confirmation is the evidence for the age of config, and decidedAge that age when the request's key was accepted, or
+	// its key or route refused; 0 if neither was judged.
 	confirmation Confirmation
 	decidedAge   time.Duration
 	route        *config.Route
--- a/io/gateway/requestlog.go
+++ b/io/gateway/requestlog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -102,6 +103,14 @@
 	}
 }
 
+// loggedAge returns an age in milliseconds, or -1 if it is unknown.
+func loggedAge(age time.Duration) int64 {
+	if age == math.MaxInt64 {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 // writeLogLine writes the request's log line.
 func (j *job) writeLogLine(status int, reason request.Reason, took time.Duration, suppressed int) {
 	fields := []zap.Field{
@@ -111,13 +120,13 @@
 		zap.Int64("took_ms", took.Milliseconds()),
 		zap.String("sent_to", strings.Join(j.trail.entries, " ")),
 		zap.Int("runs", j.history.Runs()),
-		zap.Int64("view_age_ms", j.server.source.MaxViewAge().Milliseconds()),
+		zap.Int64("view_age_ms", loggedAge(j.server.source.Confirmation().age(j.server.clock))),
 	}
 	fields = append(fields, zap.Int64("servers_version", j.server.source.View().Fleet.Version))
 	if j.config != nil {
 		fields = append(fields,
 			zap.Int64("config_version", j.config.Version),
-			zap.Int64("decided_view_age_ms", j.decidedAge.Milliseconds()),
+			zap.Int64("decided_view_age_ms", loggedAge(j.decidedAge)),
 			zap.String("view_source", j.confirmation.Source))
 	}
 	if j.route != nil {
