The configuration is refreshed out of turn before it is older than the bound

What callers saw: a route that the store had confirmed was not served, by daemons which the store, or another daemon with a fresh copy, would have answered. Cause: sources are asked one after the other, and each that did not answer costs its timeout and rests for seconds, however old the view gets: two relays that stand still use up a feed; the next call to the store waits up to 2.4 s after a failed call for any table. After a silence of everything all relays and the store count as failed. Change: Refresher asks several sources at the same time (Race: relays, then standbys and fallbacks, then the store) as soon as the view is 0.8 of the bound old, or a regular call has failed. Back-offs don't count there; the calls to the store are limited for each daemon and for all. Follower accepts answers beside its own call and drops what it knows. A call that is not needed any more does not close the relay's connection. An answer of a fallback marks the copies as its own, as for regular calls, else two daemons follow each other. Why it works: whatever a daemon believes of its sources, the first that answers confirms the view.

--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -70,6 +70,8 @@
 	isFromFallback bool
 	// limiter decides when the store itself may be called.
 	limiter storeLimiter
+	// racedAt is when a race last called the store.
+	racedAt time.Time
 	// storeCalls counts the calls to the store, relayAnswers the answers that came from relays.
 	storeCalls   int64
 	relayAnswers int64
@@ -299,6 +301,13 @@
 	})
 }
 
+// readSnapshot answers a feed with the whole table.
+func readSnapshot(ctx context.Context, from Reader, table string) (Result, error) {
+	result, err := from.Read(ctx, table)
+	result.IsSnapshot = true
+	return result, err
+}
+
 // remainingWait returns how long a feed at the store may wait for changes. Relays may have
 // used up a part of the call's time, and a late answer would count as a failure of the store.
 func remainingWait(ctx context.Context, wait time.Duration) time.Duration {
@@ -395,8 +404,10 @@
 		return Result{}, errors.Wrap(ErrRefused, "no relay has a fresh copy and the store failed recently: "+c.describeWait(table))
 	}
 	began := time.Now()
+	sent := c.clock.Now()
 	result, err := call(ctx, c.store)
 	result.Source = StoreSource
+	result.sent = sent
 	if !isCutShort(ctx, time.Since(began)) {
 		c.recordStoreResult(err)
 	}
--- a/core/rowstore/fake_test.go
+++ b/core/rowstore/fake_test.go
@@ -126,30 +126,33 @@
 	}
 	deadline := time.After(wait)
 	for {
-		f.mutex.Lock()
-		if since.Era != f.era || since.Version < f.historyStart {
-			f.mutex.Unlock()
-			return rowstore.Result{}, rowstore.ErrCompacted
-		}
-		var changes []rowstore.Row
-		for _, row := range f.history {
-			if row.Version > since.Version {
-				changes = append(changes, row)
-			}
-		}
-		result, changed := f.result(changes), f.changed
-		f.mutex.Unlock()
-		if len(changes) > 0 {
-			return result, nil
+		result, changed, err := f.changesSince(since)
+		if err != nil || len(result.Rows) > 0 {
+			return result, err
 		}
 		select {
 		case <-changed:
 		case <-deadline:
-			f.mutex.Lock()
-			defer f.mutex.Unlock()
-			return f.result(nil), nil
+			result, _, err = f.changesSince(since)
+			return result, err
 		case <-ctx.Done():
 			return rowstore.Result{}, rowstore.ErrOutcomeUnknown
 		}
 	}
 }
+
+// changesSince returns the changes since a revision, and a channel that is closed at the next change.
+func (f *fakeStore) changesSince(since rowstore.Revision) (rowstore.Result, <-chan struct{}, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if since.Era != f.era || since.Version < f.historyStart {
+		return rowstore.Result{}, nil, rowstore.ErrCompacted
+	}
+	var changes []rowstore.Row
+	for _, row := range f.history {
+		if row.Version > since.Version {
+			changes = append(changes, row)
+		}
+	}
+	return f.result(changes), f.changed, nil
+}
--- a/core/rowstore/fleet_test.go
+++ b/core/rowstore/fleet_test.go
@@ -73,6 +73,8 @@
 	lastValue  string
 	// isSilent is set while calls to the daemon go unanswered.
 	isSilent atomic.Bool
+	// view is what the daemon knows of the age of its view.
+	view rowstore.Freshness
 }
 
 // Read reads a table from the daemon's copy.
@@ -176,10 +178,11 @@
 	chain.ContenderCount = func() int {
 		return f.list.ContenderCount(daemon.Name)
 	}
-	recordValue := func(rows []rowstore.Row, _ rowstore.Revision, _ time.Time) {
+	recordValue := func(rows []rowstore.Row, _ rowstore.Revision, asOf time.Time) {
 		for _, row := range rows {
 			started.lastValue = string(row.Value)
 		}
+		started.view.ConfirmView(asOf)
 	}
 	for table, wait := range map[string]time.Duration{
 		"t": f.applyBound / 4,
@@ -197,6 +200,11 @@
 		if table == "t" {
 			tableFollower.OnSnapshot = recordValue
 			tableFollower.OnChanges = recordValue
+			refresher := rowstore.NewRefresher(tableFollower, chain.Race(f.applyBound/3), &started.view)
+			refresher.MaxAge = 4 * f.applyBound / 5
+			refresher.TargetAge = f.applyBound / 3
+			tableFollower.OnFailure = func(error) { refresher.Request() }
+			go refresher.Run(ctx)
 		}
 		go tableFollower.Run(ctx)
 	}
--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -67,6 +69,8 @@
 	OnRecovery func(downtime time.Duration)
 	Clock      *Freshness
 
+	// mutex guards the state, which Run and Refresh change. The functions above are called while it is held.
+	mutex    sync.Mutex
 	revision Revision
 	// canFollow is set while feeds can continue from revision, hasRead once the table was read.
 	canFollow bool
@@ -75,7 +79,7 @@
 	// due.
 	rereadAt     time.Time
 	failingSince time.Time
-	// readTimeouts counts consecutive reads that timed out.
+	// readTimeouts counts consecutive reads of Run that timed out.
 	readTimeouts int
 }
 
@@ -90,27 +94,95 @@
 	}
 }
 
+// followerCall is what one call to a reader asks for.
+type followerCall struct {
+	// sent is when the call is sent, by the follower's clock.
+	sent time.Time
+	// since is the revision that the follower had. isFeed is set if the call asks for the changes since then.
+	since  Revision
+	isFeed bool
+	wait   time.Duration
+}
+
 // step makes one call and returns the pause after it.
 func (f *Follower) step(ctx context.Context) time.Duration {
-	sent := f.Clock.Now()
-	result, err := f.readOrFeed(ctx)
+	call := f.nextCall()
+	var result Result
+	var err error
+	if call.isFeed {
+		result, err = f.feed(ctx, call)
+	} else {
+		result, err = f.read(ctx)
+	}
+	return f.accept(call, result, err)
+}
+
+// confirmer answers with the changes since a revision, or with the whole table, without waiting for changes. If
+// mustRead is set, the store itself is asked for the whole table.
+type confirmer interface {
+	Confirm(ctx context.Context, table string, since Revision, mustRead bool) (Result, error)
+}
+
+// Refresh confirms a table that was read before, beside the call of Run. It returns the errors of from, and ErrNoCopy
+// before the first read.
+func (f *Follower) Refresh(ctx context.Context, from confirmer) error {
+	call, hasRead := f.refreshCall()
+	if !hasRead {
+		return ErrNoCopy
+	}
+	result, err := from.Confirm(ctx, f.Table, call.since, !call.isFeed)
+	if err != nil {
+		return err
+	}
+	f.accept(call, result, nil)
+	return nil
+}
+
+// refreshCall returns the call of a refresh, and whether the table was read before.
+func (f *Follower) refreshCall() (call followerCall, hasRead bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return followerCall{
+		sent:   f.Clock.Now(),
+		since:  f.revision,
+		isFeed: f.canFollow,
+	}, f.hasRead
+}
+
+// accept applies the result of a call, or records its error, and returns the pause until the next one.
+func (f *Follower) accept(call followerCall, result Result, err error) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	call.isFeed = call.isFeed && !result.IsSnapshot
+	// Another call may have been accepted since this one was sent.
+	isOvertaken := call.since != f.revision || (call.isFeed && !f.canFollow)
 	if errors.Is(err, ErrCompacted) {
-		f.canFollow = false
+		f.canFollow = f.canFollow && isOvertaken
 		return 0
 	}
 	if err != nil {
-		f.recordFailure(err, sent)
+		f.recordFailure(err, call.sent)
 		return retryPause
 	}
 	f.recordSuccess()
-	asOf := f.asOf(sent, result)
+	if result.sent.After(call.sent) {
+		// Other sources were called first.
+		call.sent = result.sent
+	}
+	asOf := f.asOf(call.sent, result)
 	if result.Revision().Compare(f.revision) < 0 || result.Era < f.Clock.Era() {
+		if isOvertaken {
+			return 0
+		}
 		if f.OnRejected != nil {
 			f.OnRejected(result, f.revision)
 		}
 		return retryPause
 	}
-	if f.canFollow && result.Era != f.revision.Era {
+	if call.isFeed && !f.canFollow {
+		return 0
+	}
+	if call.isFeed && result.Era != f.revision.Era {
 		// Changes of another era do not include the rows that were lost by the restore.
 		f.canFollow = false
 		return 0
@@ -118,20 +190,23 @@
 	if f.OnConfirmed != nil {
 		f.OnConfirmed(result.Source, asOf)
 	}
-	if !f.canFollow && f.MergeSnapshot != nil {
-		result = f.MergeSnapshot(result)
+	if call.isFeed {
+		return f.applyChanges(result, asOf)
 	}
-	previous := f.revision
+	f.applySnapshot(result, asOf)
+	return 0
+}
+
+// applyChanges passes on the result of a feed, and returns the pause after it. The mutex must be held.
+func (f *Follower) applyChanges(result Result, asOf time.Time) time.Duration {
+	// Rows of a call that was overtaken may be known.
+	known := f.revision.Version
+	result.Rows = slices.DeleteFunc(slices.Clone(result.Rows), func(row Row) bool {
+		return row.Version <= known
+	})
 	f.revision = result.Revision()
 	if f.TableCache != nil {
-		f.TableCache.Apply(f.Table, result, !f.canFollow, asOf)
-	}
-	if !f.canFollow {
-		if f.RetainRows != nil {
-			result = f.RetainRows(result)
-		}
-		f.applySnapshot(result.Rows, previous, asOf)
-		return 0
+		f.TableCache.Apply(f.Table, result, false, asOf)
 	}
 	f.OnChanges(result.Rows, f.revision, asOf)
 	if len(result.Rows) > 0 && f.PauseAfterChanges != nil {
@@ -140,8 +215,24 @@
 	return 0
 }
 
-// applySnapshot passes on all rows after a read.
-func (f *Follower) applySnapshot(rows []Row, previous Revision, asOf time.Time) {
+// applySnapshot passes on the result of a read. The mutex must be held.
+func (f *Follower) applySnapshot(result Result, asOf time.Time) {
+	if f.MergeSnapshot != nil {
+		result = f.MergeSnapshot(result)
+	}
+	previous := f.revision
+	f.revision = result.Revision()
+	if f.TableCache != nil {
+		f.TableCache.Apply(f.Table, result, true, asOf)
+	}
+	if f.RetainRows != nil {
+		result = f.RetainRows(result)
+	}
+	f.passSnapshot(result.Rows, previous, asOf)
+}
+
+// passSnapshot passes on all rows after a read. The mutex must be held.
+func (f *Follower) passSnapshot(rows []Row, previous Revision, asOf time.Time) {
 	isNewEra := f.hasRead && f.revision.Era != previous.Era
 	f.canFollow = true
 	f.hasRead = true
@@ -167,8 +258,10 @@
 	return f.Clock.ObserveClock(result.Era, sent, result.Now)
 }
 
-// readOrFeed reads the table, or waits for its changes.
-func (f *Follower) readOrFeed(ctx context.Context) (Result, error) {
+// nextCall returns the next call of Run.
+func (f *Follower) nextCall() followerCall {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
 	wait := f.FeedWait
 	if !f.rereadAt.IsZero() {
 		wait = max(0, min(wait, time.Until(f.rereadAt)))
@@ -177,21 +270,23 @@
 		f.rereadAt = time.Time{}
 		f.canFollow = false
 	}
-	if !f.canFollow {
-		return f.read(ctx)
-	}
 	if !f.failingSince.IsZero() {
 		// The store may not be answering: a call without a wait detects its recovery sooner.
 		wait = 0
 	}
-	return f.feed(ctx, wait)
+	return followerCall{
+		sent:   f.Clock.Now(),
+		since:  f.revision,
+		isFeed: f.canFollow,
+		wait:   wait,
+	}
 }
 
 // feed waits for changes, and stops waiting when another table shows that the store was restored.
-func (f *Follower) feed(ctx context.Context, wait time.Duration) (Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+feedTimeoutMargin)
+func (f *Follower) feed(ctx context.Context, call followerCall) (Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.wait+feedTimeoutMargin)
 	defer cancel()
-	eraEnded := f.Clock.EraEnded(f.revision.Era)
+	eraEnded := f.Clock.EraEnded(call.since.Era)
 	go func() {
 		select {
 		case <-eraEnded:
@@ -199,7 +294,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	result, err := f.Reader.Feed(ctx, f.Table, f.revision, wait)
+	result, err := f.Reader.Feed(ctx, f.Table, call.since, call.wait)
 	select {
 	case <-eraEnded:
 		return Result{}, ErrCompacted
--- a/core/rowstore/freshness.go
+++ b/core/rowstore/freshness.go
@@ -28,6 +28,8 @@
 	eraEnded chan struct{}
 	hasProof bool
 	viewAsOf time.Time
+	// confirmed is closed at the next confirmation of the view; nil if nothing waits for it.
+	confirmed chan struct{}
 }
 
 // Now returns the present time of Clock, by which all times of this type are measured.
@@ -110,9 +112,24 @@
 func (f *Freshness) ConfirmView(asOf time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if asOf.After(f.viewAsOf) {
-		f.viewAsOf = asOf
+	if !asOf.After(f.viewAsOf) {
+		return
 	}
+	f.viewAsOf = asOf
+	if f.confirmed != nil {
+		close(f.confirmed)
+		f.confirmed = nil
+	}
+}
+
+// Confirmed returns a channel that is closed when the view is next confirmed as of a later time.
+func (f *Freshness) Confirmed() <-chan struct{} {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.confirmed == nil {
+		f.confirmed = make(chan struct{})
+	}
+	return f.confirmed
 }
 
 // ViewAsOf returns the latest time as of which the view is known to be complete; zero if nothing was confirmed yet.
--- a/core/rowstore/table_cache.go
+++ b/core/rowstore/table_cache.go
@@ -60,9 +60,12 @@
 	for _, row := range result.Rows {
 		cached.apply(row)
 	}
+	if isSnapshot || result.Now > cached.storeTime {
+		// A call that was overtaken confirms an earlier time.
+		cached.storeTime = result.Now
+	}
 	cached.era = result.Era
 	cached.version = result.Version
-	cached.storeTime = result.Now
 	if asOf.After(t.lastContact) {
 		t.lastContact = asOf
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -105,6 +105,9 @@
 	configFreshness rowstore.Freshness
 	// configSource is the daemon that confirmed the configuration last, or the store.
 	configSource atomic.Pointer[string]
+	// refresher confirms the configuration out of turn, beside runConfigFollower.
+	refresher         *rowstore.Refresher
+	runConfigFollower func(ctx context.Context)
 	// tableReader reads tables from other daemons or the store. tableCache is this daemon's
 	// copy of them, which relayServer passes to other daemons.
 	tableReader *rowstore.ReaderChain
@@ -266,6 +269,7 @@
 	d.configSource.Store(new(string))
 	d.view.Store(&gateway.View{})
 	d.storeOutage.Store(&fleet.Outage{})
+	d.initRefresher()
 	d.initRetryBudgets()
 	return d
 }
@@ -322,7 +326,8 @@
 	for _, task := range []func(context.Context){
 		d.withFirstStartJitter(d.listFollower().Run),
 		d.afterListLoaded(d.maintainRegistration),
-		d.afterListLoaded(d.configFollower().Run),
+		d.afterListLoaded(d.runConfigFollower),
+		d.afterListLoaded(d.refresher.Run),
 		d.afterListLoaded(d.serverFollower().Run),
 		d.afterListLoaded(d.reportFollower().Run),
 		d.afterListLoaded(d.leaseFollower(elector).Run),
--- a/entry/followers.go
+++ b/entry/followers.go
@@ -14,6 +14,40 @@
 	"headcourse/platform"
 )
 
+const (
+	// refreshAgeFraction is the age of the configuration from which on it is refreshed out of turn, as a fraction of the
+	// time within which configurations must apply. In normal operation no copy gets as old.
+	refreshAgeFraction = 0.8
+	// refreshedAgeFraction is the age up to which a refreshed configuration counts as fresh, as a fraction of the age up
+	// to which unknown routes and keys may be refused by it.
+	refreshedAgeFraction = 0.8
+)
+
+// initRefresher creates the refresher of the configuration.
+func (d *Daemon) initRefresher() {
+	target := fraction(max(0, d.ConfirmationPolicy().MaxRefusalAge()), refreshedAgeFraction)
+	follower := d.configFollower()
+	d.refresher = rowstore.NewRefresher(follower, d.tableReader.Race(target), &d.configFreshness)
+	d.refresher.MaxAge = fraction(d.settings.ApplyBound, refreshAgeFraction)
+	d.refresher.TargetAge = target
+	d.refresher.MaxPause = d.maxRefreshPause
+	recordFailure := follower.OnFailure
+	follower.OnFailure = func(err error) {
+		recordFailure(err)
+		d.refresher.Request()
+	}
+	d.runConfigFollower = follower.Run
+}
+
+// refreshPausePerDaemon keeps the calls of all daemons to the relays few while none has a copy.
+const refreshPausePerDaemon = 10 * time.Millisecond
+
+// maxRefreshPause returns the longest pause between two attempts to refresh the configuration.
+func (d *Daemon) maxRefreshPause() time.Duration {
+	const longest = 1600 * time.Millisecond
+	return min(longest, max(rowstore.DefaultRefreshPause, time.Duration(d.DaemonCount())*refreshPausePerDaemon))
+}
+
 // configFollower watches the operator's configuration.
 func (d *Daemon) configFollower() *rowstore.Follower {
 	apply := func(isSnapshot bool) func([]rowstore.Row, rowstore.Revision, time.Time) {
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -200,7 +200,10 @@
 		}
 		return rowstore.Result{}, errors.Wrapf(rowstore.ErrRefused, "daemon %s: %s", c.address, rpcErr.Message)
 	}
-	c.discard(conn)
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		// A caller that needs no answer any more shows nothing about the connection, which others use.
+		c.discard(conn)
+	}
 	return rowstore.Result{}, errors.Wrapf(rowstore.ErrOutcomeUnknown, "call %s of daemon %s: %s", method, c.address, err)
 }
 
