A feed after a pause does not confirm the configuration: the table is read

What callers saw: by the paused clock, refusals by a view that lacks a change in force, although the view counts as a few milliseconds old. Cause: a store that is about to drop its history reports no changes to feeds for up to a second. A feed that is sent in that time after a pause (an outage, a daemon that stood still, a relay that was left) reports none of the changes made before either, and dates the view by its own time. The margin of 1.2 s covers only what is made in that second. Change: for tables with a maximum age the chain records until when answers cover all changes, and reads the table from the store if that is more than 0.2 s before the call. The time of a call is that at which the store itself was called, not the relays before it. Why it works: a read needs no history; a feed that goes on without a pause receives what is made until the store stops reporting.

--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -70,6 +70,8 @@
 	isFromFallback bool
 	// limiter decides when the store itself may be called.
 	limiter storeLimiter
+	// coveredUntil is the local time until which answers cover all changes, by table.
+	coveredUntil map[string]time.Time
 	// racedAt is when a race last called the store.
 	racedAt time.Time
 	// storeCalls counts the calls to the store, relayAnswers the answers that came from relays.
@@ -101,6 +103,8 @@
 		clock:    clock,
 		maxAges:  maxAges,
 		backoffs: relayBackoffs{},
+
+		coveredUntil: map[string]time.Time{},
 	}
 }
 
@@ -294,6 +298,9 @@
 		sources.standbys = noRelays
 	}
 	return c.callInOrder(ctx, table, sources, func(ctx context.Context, from Reader) (Result, error) {
+		if from == c.store && c.hasGap(table) {
+			return readSnapshot(ctx, from, table)
+		}
 		if from == c.store {
 			return from.Feed(ctx, table, since, remainingWait(ctx, wait))
 		}
@@ -301,6 +308,29 @@
 	})
 }
 
+// maxFeedGap is the longest time without a feed after which a feed of the store is relied upon for a table with a
+// maximum age. A store that is about to drop its history reports no changes to a new feed, also none that was
+// made before.
+const maxFeedGap = 200 * time.Millisecond
+
+// hasGap reports whether too much time has passed since answers covered all changes of a table.
+func (c *ReaderChain) hasGap(table string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	_, isAgeBounded := c.maxAges[table]
+	return isAgeBounded && c.clock.Since(c.coveredUntil[table]) > maxFeedGap
+}
+
+// recordCovered records that answers cover all changes of a table until a local time: that at which the store
+// answered, or as of which a copy was valid.
+func (c *ReaderChain) recordCovered(table string, until time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if until.After(c.coveredUntil[table]) {
+		c.coveredUntil[table] = until
+	}
+}
+
 // readSnapshot answers a feed with the whole table.
 func readSnapshot(ctx context.Context, from Reader, table string) (Result, error) {
 	result, err := from.Read(ctx, table)
@@ -386,6 +416,7 @@
 		c.recordRelayResult(relay.Name, err)
 		if err == nil {
 			result.Source = relay.Name
+			c.recordCovered(table, c.clock.LocalTime(result.Era, result.Now))
 			return result, nil
 		}
 		if ctx.Err() != nil {
@@ -411,6 +442,9 @@
 	if !isCutShort(ctx, time.Since(began)) {
 		c.recordStoreResult(err)
 	}
+	if err == nil {
+		c.recordCovered(table, c.clock.Now())
+	}
 	return result, err
 }
 
--- a/core/rowstore/fake_test.go
+++ b/core/rowstore/fake_test.go
@@ -20,7 +20,9 @@
 	historyStart int64
 	isDown       bool
 	// isCut makes calls end at once without an answer, like closed connections.
-	isCut      bool
+	isCut bool
+	// isBlind makes feeds report no changes, as before a drop of the history.
+	isBlind    bool
 	delay      time.Duration
 	versionLag int64
 	calls      int
@@ -60,6 +62,26 @@
 	f.changed = make(chan struct{})
 }
 
+// setBlind makes feeds report no changes until dropHistory, and returns whether they reported them before.
+func (f *fakeStore) setBlind(isBlind bool) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	wasBlind := f.isBlind
+	f.isBlind = isBlind
+	return !wasBlind
+}
+
+// dropHistory ends a time in which feeds report no changes, and drops the history. Feeds that wait are ended.
+func (f *fakeStore) dropHistory() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.isBlind = false
+	f.history = nil
+	f.historyStart = f.version
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // callCount returns the number of calls so far.
 func (f *fakeStore) callCount() int {
 	f.mutex.Lock()
@@ -148,6 +170,11 @@
 	if since.Era != f.era || since.Version < f.historyStart {
 		return rowstore.Result{}, nil, rowstore.ErrCompacted
 	}
+	if f.isBlind {
+		result := f.result(nil)
+		result.Version = since.Version
+		return result, f.changed, nil
+	}
 	var changes []rowstore.Row
 	for _, row := range f.history {
 		if row.Version > since.Version {
--- a/core/rowstore/race.go
+++ b/core/rowstore/race.go
@@ -49,7 +49,7 @@
 // asked for the whole table.
 func (r Race) Confirm(ctx context.Context, table string, since Revision, mustRead bool) (Result, error) {
 	answer := r.run(ctx, table, func(ctx context.Context, to Reader) (Result, error) {
-		if to == r.chain.store && mustRead {
+		if to == r.chain.store && (mustRead || r.chain.hasGap(table)) {
 			return readSnapshot(ctx, to, table)
 		}
 		changes, err := to.Feed(ctx, table, since, 0)
@@ -199,6 +199,9 @@
 	if !isCutShort(limited, time.Since(began)) {
 		c.recordStoreResult(err)
 	}
+	if err == nil {
+		c.recordCovered(table, c.clock.Now())
+	}
 	return raceAnswer{
 		result:  result,
 		err:     err,
--- a/core/rowstore/viewage_test.go
+++ b/core/rowstore/viewage_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"headcourse/core/confirmation"
 	"headcourse/core/neighbours"
 )
 
@@ -112,3 +114,152 @@
 		}
 	}
 }
+
+// faultSeries plays random faults against a fleet, and checks after each step what its daemons may conclude from the
+// age of their views.
+type faultSeries struct {
+	t      *testing.T
+	fleet  *fleet
+	random *rand.Rand
+	policy confirmation.Policy
+	// putAt is when each value was written; value i is its index.
+	putAt []time.Time
+	// openSince is since when the store answers a daemon, and the daemon itself calls it.
+	openSince map[string]time.Time
+	// storeEnds are the ends of faults.
+	ends []func()
+	// blindUntil is the end of a time in which feeds report no changes.
+	blindUntil time.Time
+}
+
+// put writes the next value.
+func (s *faultSeries) put() {
+	s.fleet.store.put("a", strconv.Itoa(len(s.putAt)))
+	s.putAt = append(s.putAt, time.Now())
+}
+
+// beginFault begins a fault at random: some or all daemons are not answered by the store, or stand still, or the store's
+// feeds miss changes and its history is dropped after that.
+func (s *faultSeries) beginFault() {
+	const kinds = 3
+	share := []float64{0.2, 0.5, 1}[s.random.IntN(3)]
+	chosen := map[string]bool{}
+	for name := range s.fleet.byName {
+		chosen[name] = s.random.Float64() < share
+	}
+	kind := s.random.IntN(kinds)
+	if kind == 2 && s.fleet.store.setBlind(true) {
+		s.blindUntil = time.Now().Add(time.Second)
+		return
+	}
+	for name, daemon := range s.fleet.byName {
+		if !chosen[name] {
+			continue
+		}
+		daemon.access.isBlocked.Store(true)
+		if kind == 1 {
+			daemon.isSilent.Store(true)
+		}
+	}
+	end := time.Now().Add(time.Duration(200+s.random.IntN(3800)) * time.Millisecond)
+	s.ends = append(s.ends, func() {
+		if time.Now().Before(end) {
+			return
+		}
+		for name := range chosen {
+			if chosen[name] {
+				s.fleet.byName[name].access.isBlocked.Store(false)
+				s.fleet.byName[name].isSilent.Store(false)
+			}
+		}
+		end = end.Add(time.Hour)
+	})
+}
+
+// advance lets time pass and ends faults that are over.
+func (s *faultSeries) advance(step time.Duration) {
+	advance(step)
+	now := time.Now()
+	for _, end := range s.ends {
+		end()
+	}
+	if !s.blindUntil.IsZero() && !now.Before(s.blindUntil) {
+		s.blindUntil = time.Time{}
+		s.fleet.store.dropHistory()
+	}
+	for name, daemon := range s.fleet.byName {
+		if daemon.access.isBlocked.Load() || daemon.isSilent.Load() || !s.blindUntil.IsZero() {
+			s.openSince[name] = now
+		}
+	}
+}
+
+// check fails the test if a daemon lacks a value that must be in force, and would refuse by its view, or has been able to
+// read the store since then.
+func (s *faultSeries) check() {
+	now := time.Now()
+	for name, daemon := range s.fleet.byName {
+		value, _ := strconv.Atoi(daemon.lastValue)
+		if value+1 >= len(s.putAt) || now.Sub(s.putAt[value+1]) <= applyBound {
+			continue
+		}
+		age, _ := daemon.view.ViewAge()
+		lateFor := now.Sub(s.putAt[value+1]) - applyBound
+		if s.policy.MayRefuse(age) {
+			s.t.Errorf("%s refuses by a view of %s, a change is late by %s", name, age, lateFor)
+		}
+		if now.Sub(s.openSince[name]) > applyBound {
+			s.t.Errorf("%s: a change is late by %s, the store has answered for %s, view of %s", name, lateFor, now.Sub(s.openSince[name]), age)
+		}
+	}
+}
+
+// Guards against refusals by a view that lacks a change in force, changes that are late at daemons which the store answers,
+// a slow recovery, and many calls to the store, in any series of silences, refusals and drops of the history.
+func TestViewsStayFreshInAnySeriesOfFaults(t *testing.T) {
+	const (
+		seeds = 12
+		step  = 20 * time.Millisecond
+		steps = 700
+	)
+	for _, daemons := range []int{1, 2, 3, 8, 24, 40} {
+		for _, failureMode := range []string{refused, cut, unanswered} {
+			for seed := range uint64(seeds) {
+				t.Run(fmt.Sprintf("%d %s %d", daemons, failureMode, seed), func(t *testing.T) {
+					runWithFakeClock(t, func(ctx context.Context, t *testing.T) {
+						s := &faultSeries{
+							t:      t,
+							fleet:  newFleetWithBound(ctx, daemons, failureMode, applyBound),
+							random: rand.New(rand.NewPCG(seed, uint64(daemons))),
+							policy: confirmation.Policy{
+								ApplyBound: applyBound,
+							},
+							openSince: map[string]time.Time{},
+						}
+						s.put()
+						advance(2 * time.Second)
+						for range steps {
+							if s.random.IntN(25) == 0 {
+								s.put()
+							}
+							if s.random.IntN(60) == 0 {
+								s.beginFault()
+							}
+							s.advance(step)
+							s.check()
+						}
+						for range 300 {
+							s.advance(step)
+						}
+						calls := s.fleet.calls.Load()
+						s.put()
+						advance(time.Second)
+						qt.Check(t, s.fleet.countWithout(strconv.Itoa(len(s.putAt)-1)), qt.Equals, 0)
+						maxCalls := int64(daemons)*150 + 300
+						qt.Check(t, calls < maxCalls, qt.IsTrue, qt.Commentf("%d calls", calls))
+					})
+				})
+			}
+		}
+	}
+}
