Requests wait shortly for a confirmation of a view that is too old for their refusal

What callers saw: a daemon that had stood still, or whose relays had, refused a route in force with 503, or served a moved route by its former service, although its view could be confirmed within milliseconds. Cause: the first requests after a silence were judged by the view from before it. All that wait share one attempt. While attempts fail nobody waits: unknown routes and keys get 503 at once, known routes are served by the last view. Why it works: the second judgement uses a view that is complete as of the wait.

--- a/core/rowstore/refresher.go
+++ b/core/rowstore/refresher.go
@@ -126,6 +126,32 @@
 	return r.failures > 0 && r.failedAsOf.Equal(r.view.ViewAsOf())
 }
 
+// Await asks for an attempt and waits until the view is fresh, for at most limit. It returns whether the view is
+// fresh. While attempts fail it asks for another one and returns at once.
+func (r *Refresher) Await(limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	r.mutex.Lock()
+	isFailing := r.isFailing()
+	ended := r.ended
+	r.mutex.Unlock()
+	for !r.isFresh() {
+		confirmed := r.view.Confirmed()
+		r.Request()
+		if isFailing {
+			return false
+		}
+		select {
+		case <-confirmed:
+		case <-ended:
+			return r.isFresh()
+		case <-timer.C:
+			return r.isFresh()
+		}
+	}
+	return r.isFresh()
+}
+
 // isFresh reports whether the view is younger than TargetAge.
 func (r *Refresher) isFresh() bool {
 	age, isKnown := r.view.ViewAge()
--- a/core/rowstore/viewage_test.go
+++ b/core/rowstore/viewage_test.go
@@ -12,6 +12,7 @@
 
 	"headcourse/core/confirmation"
 	"headcourse/core/neighbours"
+	"headcourse/core/rowstore"
 )
 
 // These tests measure how old the view of a daemon gets while other daemons or the store stand still.
@@ -263,3 +264,50 @@
 		}
 	}
 }
+
+// Guards against callers that wait for the whole limit, or for a store that does not answer, when the view is confirmed
+// meanwhile or attempts fail.
+func TestAwaitEndsWithConfirmationOrFailure(t *testing.T) {
+	runWithFakeClock(t, func(ctx context.Context, t *testing.T) {
+		const limit = 250 * time.Millisecond
+		store := newFakeStore()
+		store.put("a", "1")
+		var clock, view rowstore.Freshness
+		chain := rowstore.NewReaderChain(store, &clock, map[string]time.Duration{
+			"t": time.Second,
+		})
+		confirm := func(_ []rowstore.Row, _ rowstore.Revision, asOf time.Time) { view.ConfirmView(asOf) }
+		// The feed does not end in this test.
+		follower := &rowstore.Follower{
+			Reader:     chain,
+			Table:      "t",
+			FeedWait:   time.Hour,
+			OnSnapshot: confirm,
+			OnChanges:  confirm,
+			Clock:      &clock,
+		}
+		refresher := rowstore.NewRefresher(follower, chain.Race(100*time.Millisecond), &view)
+		refresher.MaxAge = time.Hour
+		refresher.TargetAge = 100 * time.Millisecond
+		go follower.Run(ctx)
+		go refresher.Run(ctx)
+		advance(time.Second)
+
+		began := time.Now()
+		qt.Assert(t, refresher.Await(limit), qt.IsTrue)
+		qt.Assert(t, time.Since(began) < 10*time.Millisecond, qt.IsTrue)
+
+		advance(time.Second)
+		store.update(func(f *fakeStore) { f.isDown = true })
+		qt.Assert(t, refresher.Await(limit), qt.IsFalse)
+		began = time.Now()
+		qt.Assert(t, refresher.Await(limit), qt.IsFalse)
+		qt.Assert(t, time.Since(began), qt.Equals, time.Duration(0))
+
+		store.update(func(f *fakeStore) { f.isDown = false })
+		advance(time.Second)
+		qt.Assert(t, refresher.Await(limit), qt.IsFalse)
+		advance(10 * time.Millisecond)
+		qt.Assert(t, refresher.Await(limit), qt.IsTrue)
+	})
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -47,6 +47,12 @@
 	return age
 }
 
+// AwaitConfirmation asks for a confirmation of the configuration and waits until unknown routes and keys may be refused by
+// it, for at most limit. It returns whether they may, and at once while nothing confirms the configuration.
+func (d *Daemon) AwaitConfirmation(limit time.Duration) bool {
+	return d.refresher.Await(limit)
+}
+
 // ConfirmationPolicy determines how old the configuration may be for each decision.
 func (d *Daemon) ConfirmationPolicy() confirmation.Policy {
 	return confirmation.Policy{
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -94,6 +94,9 @@
 	// Confirmation is the evidence for the age of the configuration in the view. Every view that is loaded after it is
 	// at least as recent.
 	Confirmation() Confirmation
+	// AwaitConfirmation asks for a confirmation of the configuration and waits until it is recent enough to refuse
+	// requests, for at most limit. It returns whether it is, and at once while nothing confirms it.
+	AwaitConfirmation(limit time.Duration) bool
 	// ConfirmationPolicy determines how old the configuration may be for each decision.
 	ConfirmationPolicy() confirmation.Policy
 	// DaemonCount is the number of daemons.
--- a/io/gateway/gateway_test.go
+++ b/io/gateway/gateway_test.go
@@ -45,8 +45,11 @@
 	viewReady chan struct{}
 	// unreadable is closed if the view cannot be read; nil means never.
 	unreadable chan struct{}
-	// viewAge is the age of the view.
+	// viewAge is the age of the view. confirm, if set, confirms it and returns whether that succeeded.
 	viewAge time.Duration
+	confirm func() bool
+	// onView, if set, is called when a view has been loaded.
+	onView func()
 	// overload is the decision about all requests.
 	overload gateway.OverloadState
 	// sinceViewReady is the time since the view was read; 0 stands for a millisecond.
@@ -67,8 +70,12 @@
 // View returns the test's view.
 func (s *testSource) View() gateway.View {
 	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.view
+	view := s.view
+	s.mutex.Unlock()
+	if s.onView != nil {
+		s.onView()
+	}
+	return view
 }
 
 // setConfig changes the configuration in the view.
@@ -121,6 +128,11 @@
 	s.viewAge = age
 }
 
+// AwaitConfirmation calls what the test set.
+func (s *testSource) AwaitConfirmation(time.Duration) bool {
+	return s.confirm != nil && s.confirm()
+}
+
 // ConfirmationPolicy returns a strict policy.
 func (s *testSource) ConfirmationPolicy() confirmation.Policy {
 	return confirmation.Policy{
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -78,9 +78,11 @@
 // admit determines the route, organisation, service and priority of a request, or returns the
 // status and the reason of its refusal.
 func (j *job) admit() (int, request.Reason) {
-	// The view that is loaded after its confirmation contains at least what was confirmed.
-	j.confirmation = j.server.source.Confirmation()
-	if status, reason := j.findRoute(j.server.source.View().Config); reason != request.ReasonNone {
+	status, reason := j.judge()
+	if j.needsConfirmation(reason) && j.awaitConfirmation() {
+		status, reason = j.judge()
+	}
+	if reason != request.ReasonNone {
 		return status, reason
 	}
 	j.service = selectService(j.route)
@@ -90,6 +92,14 @@
 	return 0, request.ReasonNone
 }
 
+// judge determines the route, organisation and priority of a request by the current view, or returns the status and
+// the reason of its refusal.
+func (j *job) judge() (int, request.Reason) {
+	// The view that is loaded after its confirmation contains at least what was confirmed.
+	j.confirmation = j.server.source.Confirmation()
+	return j.findRoute(j.server.source.View().Config)
+}
+
 // findRoute determines the route, organisation and priority of a request by a configuration, or returns the
 // status and the reason of its refusal.
 func (j *job) findRoute(current *config.Config) (int, request.Reason) {
@@ -139,10 +149,10 @@
 // 503, since the route or key may have been added since.
 func (j *job) deny(status int, reason request.Reason) (int, request.Reason) {
 	age := j.viewAge()
-	j.server.observe(timeViewAgeAtRefusal, age)
 	if !j.server.source.ConfirmationPolicy().MayRefuse(age) {
 		return fasthttp.StatusServiceUnavailable, request.ReasonConfigurationStale
 	}
+	j.server.observe(timeViewAgeAtRefusal, age)
 	return status, reason
 }
 
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -16,7 +16,9 @@
 	countFailed    = "requests_failed."
 	countResumed   = "streams_resumed."
 	countSucceeded = "requests_done."
-	countYielding  = "requests_yielding."
+	// countAwaitedViews is completed by whether the view was confirmed.
+	countAwaitedViews = "views_awaited."
+	countYielding     = "requests_yielding."
 	// countEnds is completed by the framing of the answer, countTruncated by the verdict on its end.
 	countEnds      = "answers_ended."
 	countTruncated = "answers_truncated."
