Interim answers and trailers without end are cut off

What callers saw: a request is held until its timeout while a server sends interim answers or trailers without end; the daemon reads 3.0 GB and 4.7 GB of them in 30 s. Cause: both were skipped in a loop that only the deadline of the request ends. All other bytes that are no answer have a bound: heads by the buffer, bodies by 32 MB, events by 1 MB.

--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -170,19 +170,12 @@
 		call.sent = result.sent
 	}
 	asOf := f.asOf(call.sent, result)
-	if result.Revision().Compare(f.revision) < 0 || result.Era < f.Clock.Era() {
-		if isOvertaken {
-			return 0
-		}
-		if f.OnRejected != nil {
-			f.OnRejected(result, f.revision)
-		}
-		return retryPause
-	}
-	if call.isFeed && !f.canFollow {
+	switch {
+	case result.Revision().Compare(f.revision) < 0 || result.Era < f.Clock.Era():
+		return f.reject(result, isOvertaken)
+	case call.isFeed && !f.canFollow:
 		return 0
-	}
-	if call.isFeed && result.Era != f.revision.Era {
+	case call.isFeed && result.Era != f.revision.Era:
 		// Changes of another era do not include the rows that were lost by the restore.
 		f.canFollow = false
 		return 0
@@ -197,6 +190,17 @@
 	return 0
 }
 
+// reject drops a result that is older than what is known, and returns the pause after it. The mutex must be held.
+func (f *Follower) reject(result Result, isOvertaken bool) time.Duration {
+	if isOvertaken {
+		return 0
+	}
+	if f.OnRejected != nil {
+		f.OnRejected(result, f.revision)
+	}
+	return retryPause
+}
+
 // applyChanges passes on the result of a feed, and returns the pause after it. The mutex must be held.
 func (f *Follower) applyChanges(result Result, asOf time.Time) time.Duration {
 	// Rows of a call that was overtaken may be known.
--- a/core/rowstore/viewage_test.go
+++ b/core/rowstore/viewage_test.go
@@ -82,7 +82,7 @@
 // each other and the store for failed.
 func TestChangeIsInForceSoonAfterEverythingStoodStill(t *testing.T) {
 	for _, daemons := range []int{2, 3, 8, 24, 40} {
-		for _, silence := range []time.Duration{400, 800, 1200, 1600, 2000, 2500, 3000, 4000} {
+		for _, silence := range []int{400, 800, 1200, 1600, 2000, 2500, 3000, 4000} {
 			t.Run(fmt.Sprintf("%d daemons %d ms", daemons, silence), func(t *testing.T) {
 				runWithFakeClock(t, func(ctx context.Context, t *testing.T) {
 					var longest time.Duration
@@ -99,7 +99,7 @@
 							return true
 						})
 						f.store.put("a", "2")
-						advance(silence * time.Millisecond)
+						advance(time.Duration(silence) * time.Millisecond)
 						f.setSilent(nil)
 						f.setBlocked(func(int, neighbours.Daemon) bool {
 							return false
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -20,6 +20,13 @@
 // the answer: a server may answer before it has read a long body.
 const asyncBodySize = 8 << 10
 
+const (
+	// maxInterimAnswers is the maximum number of interim (1xx) answers before an answer.
+	maxInterimAnswers = 16
+	// maxTrailerBytes is the maximum size of the trailers of an answer.
+	maxTrailerBytes = 16 << 10
+)
+
 // writeTimeout bounds writing a request without a long body, which never waits for the server to read.
 const writeTimeout = 3 * time.Second
 
@@ -107,13 +114,16 @@
 
 // ReadHead reads the head of the next answer on the connection and skips interim (1xx) answers.
 func (e *Exchange) ReadHead(head *fasthttp.ResponseHeader) error {
-	for {
+	for interimAnswers := 0; ; interimAnswers++ {
 		if err := head.Read(e.conn.reader); err != nil {
 			return errors.Wrap(err, "read head of answer")
 		}
 		if status := head.StatusCode(); status < 100 || status >= 200 {
 			break
 		}
+		if interimAnswers == maxInterimAnswers {
+			return errors.Errorf("read head of answer: more than %d interim answers", maxInterimAnswers)
+		}
 	}
 	e.isComplete = false
 	e.framing = http1.FramingOf(head, e.isHead)
@@ -279,11 +289,14 @@
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	for {
+	for trailerBytes := 0; ; {
 		line, readErr := c.exchange.conn.reader.ReadSlice('\n')
 		if readErr != nil {
 			return n, errors.Wrap(io.ErrUnexpectedEOF, "read trailer")
 		}
+		if trailerBytes += len(line); trailerBytes > maxTrailerBytes {
+			return n, errors.Errorf("read trailer: more than %d bytes", maxTrailerBytes)
+		}
 		if len(line) <= len("\r\n") {
 			break
 		}
