--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -212,6 +212,14 @@
 		name:  "processes that run the sockets of servers stopped by a signal",
 		begin: stopServerProcesses,
 	},
+	{
+		name:  staleViewRow,
+		begin: silenceStoreAfterChange,
+	},
+	{
+		name:  "all daemons but one paused beside a change of the configuration",
+		begin: pauseDaemonsBesideChange,
+	},
 }
 
 // Range of the times between faults and of their durations.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -144,6 +144,7 @@
 	failures = append(failures, s.checkCrashingParts()...)
 	failures = append(failures, s.checkOverload()...)
 	failures = append(failures, s.checkSilences()...)
+	failures = append(failures, s.checkStaleViews()...)
 	close(stopSnapshots)
 	snapshotTaker.Wait()
 	stop()
