--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -70,8 +69,8 @@
 	isFromFallback bool
 	// limiter decides when the store itself may be called.
 	limiter storeLimiter
-	// coveredUntil is the local time until which answers cover all changes, by table.
-	coveredUntil map[string]time.Time
+	// covered is the local time until which answers cover all changes, by table.
+	covered map[string]time.Time
 	// racedAt is when a race last called the store.
 	racedAt time.Time
 	// storeCalls counts the calls to the store, relayAnswers the answers that came from relays.
@@ -79,22 +78,6 @@
 	relayAnswers int64
 }
 
-// Relay is another daemon that answers from its copy.
-type Relay struct {
-	Name   string
-	Reader Reader
-}
-
-// Peers are the daemons that one daemon calls, each group in call order.
-type Peers struct {
-	// Relays are called before the store. The first relay has none.
-	Relays []Relay
-	// Standbys are called if relays answer that they have no copy.
-	Standbys []Relay
-	// Fallbacks are called if the store fails for this daemon. They may call this daemon themselves.
-	Fallbacks []Relay
-}
-
 // NewReaderChain returns a chain without relays. Calls to the store itself must update clock.
 // maxAges holds the maximum age of a copy by table.
 func NewReaderChain(store Reader, clock *Freshness, maxAges map[string]time.Duration) *ReaderChain {
@@ -103,8 +86,7 @@
 		clock:    clock,
 		maxAges:  maxAges,
 		backoffs: relayBackoffs{},
-
-		coveredUntil: map[string]time.Time{},
+		covered:  map[string]time.Time{},
 	}
 }
 
@@ -308,36 +290,6 @@
 	})
 }
 
-// maxFeedGap is the longest time without a feed after which a feed of the store is relied upon for a table with a
-// maximum age. A store that is about to drop its history reports no changes to a new feed, also none that was
-// made before.
-const maxFeedGap = 200 * time.Millisecond
-
-// hasGap reports whether too much time has passed since answers covered all changes of a table.
-func (c *ReaderChain) hasGap(table string) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	_, isAgeBounded := c.maxAges[table]
-	return isAgeBounded && c.clock.Since(c.coveredUntil[table]) > maxFeedGap
-}
-
-// recordCovered records that answers cover all changes of a table until a local time: that at which the store
-// answered, or as of which a copy was valid.
-func (c *ReaderChain) recordCovered(table string, until time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if until.After(c.coveredUntil[table]) {
-		c.coveredUntil[table] = until
-	}
-}
-
-// readSnapshot answers a feed with the whole table.
-func readSnapshot(ctx context.Context, from Reader, table string) (Result, error) {
-	result, err := from.Read(ctx, table)
-	result.IsSnapshot = true
-	return result, err
-}
-
 // remainingWait returns how long a feed at the store may wait for changes. Relays may have
 // used up a part of the call's time, and a late answer would count as a failure of the store.
 func remainingWait(ctx context.Context, wait time.Duration) time.Duration {
@@ -490,21 +442,6 @@
 	}
 }
 
-// describeWait names the relays that are backed off, and when the store may be called for a table, for logs.
-func (c *ReaderChain) describeWait(table string) string {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	now := time.Now()
-	var names []string
-	for _, relay := range c.peers.Relays {
-		if c.backoffs.isBackedOff(relay.Name) {
-			names = append(names, relay.Name+" for "+c.backoffs[relay.Name].until.Sub(now).Round(time.Millisecond).String())
-		}
-	}
-	until := c.limiter.dueIn(now, c.storeCall(table, 1)).Round(time.Millisecond)
-	return "store is not called for " + until.String() + ", relays not called: " + strings.Join(names, ", ")
-}
-
 // relaysLackCopies reports whether a relay answered recently that it has no copy, while the store
 // has not failed.
 func (c *ReaderChain) relaysLackCopies() bool {
--- a/core/rowstore/storelimiter.go
+++ b/core/rowstore/storelimiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strings"
 	"time"
 )
 
@@ -160,3 +161,18 @@
 func (l *storeLimiter) failedRecently(now time.Time) bool {
 	return now.Sub(l.failedAt) < failureWindow
 }
+
+// describeWait names the relays that are backed off, and when the store may be called for a table, for logs.
+func (c *ReaderChain) describeWait(table string) string {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := time.Now()
+	var names []string
+	for _, relay := range c.peers.Relays {
+		if c.backoffs.isBackedOff(relay.Name) {
+			names = append(names, relay.Name+" for "+c.backoffs[relay.Name].until.Sub(now).Round(time.Millisecond).String())
+		}
+	}
+	until := c.limiter.dueIn(now, c.storeCall(table, 1)).Round(time.Millisecond)
+	return "store is not called for " + until.String() + ", relays not called: " + strings.Join(names, ", ")
+}
