A client that closes its sending side is not told that its running request has not run

What callers saw: 503, which says that a request has not run and never will, for an unsafe request that a server runs, if the client has closed its sending side only. Cause: the end of the client's bytes counts as its leave, and the answer to a client that has left was always 503, whatever had run. Change: 502 if a server may have run the request. Evidence: TestHalfClosedClientIsNotToldThatItsRequestHasNotRun got 503 before. Result: it passes.

--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -171,7 +171,7 @@
 	switch {
 	case j.isClientGone.Load():
 		ctx.SetConnectionClose()
-		j.answerWithStatus(ctx, fasthttp.StatusServiceUnavailable, request.ReasonClientGone)
+		j.answerWithStatus(ctx, j.statusForGoneClient(), request.ReasonClientGone)
 	case result.answer.Status >= fasthttp.StatusInternalServerError && result.reason == request.ReasonServerError:
 		j.deliver(ctx, result)
 	case j.history.Runs() == 0:
@@ -185,6 +185,15 @@
 	}
 }
 
+// statusForGoneClient returns the status for a client that has closed its sending side and may still read. 503 says that
+// the request has not run.
+func (j *job) statusForGoneClient() int {
+	if j.history.Runs() == 0 {
+		return fasthttp.StatusServiceUnavailable
+	}
+	return fasthttp.StatusBadGateway
+}
+
 // limits returns how many servers may run the request.
 func (j *job) limits() attempts.Limits {
 	return attempts.Limits{
