--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -144,6 +144,11 @@
 	return client
 }
 
+// CloseIdle closes the unused connections to a peer, so that the next requests open new ones.
+func (c *Client) CloseIdle(address string) {
+	c.hostClient(address, false).CloseIdleConnections()
+}
+
 // newHostClient returns a client of one peer that never retries a request.
 func (c *Client) newHostClient(address string) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
