A refresh with changes does not replace the whole table

What callers would see: routes or evacuations of a daemon vanish for a moment, and for the daemons that read through it, after the store has dropped its history beside silent sources. Cause: while a table is to be read again, the answer of a refresh counted as the whole table, but other daemons answered it with the changes. Change: the answer itself says what it is; while the table is to be read again all sources of a race are asked for the whole of it. Evidence: TestRefreshWithChangesKeepsOtherRows fails without it. Result: it passes, and so do the tests of fleets.

--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -118,7 +118,7 @@
 }
 
 // confirmer answers with the changes since a revision, or with the whole table, without waiting for changes. If
-// mustRead is set, the store itself is asked for the whole table.
+// mustRead is set, it answers with the whole table.
 type confirmer interface {
 	Confirm(ctx context.Context, table string, since Revision, mustRead bool) (Result, error)
 }
@@ -134,6 +134,7 @@
 	if err != nil {
 		return err
 	}
+	call.isFeed = !result.IsSnapshot
 	f.accept(call, result, nil)
 	return nil
 }
--- a/core/rowstore/race.go
+++ b/core/rowstore/race.go
@@ -45,11 +45,10 @@
 	}
 }
 
-// Confirm returns the changes of a table since a revision, or the whole table. If mustRead is set, the store itself is
-// asked for the whole table.
+// Confirm returns the changes of a table since a revision, or the whole table, as it does if mustRead is set.
 func (r Race) Confirm(ctx context.Context, table string, since Revision, mustRead bool) (Result, error) {
 	answer := r.run(ctx, table, func(ctx context.Context, to Reader) (Result, error) {
-		if to == r.chain.store && (mustRead || r.chain.hasGap(table)) {
+		if mustRead || (to == r.chain.store && r.chain.hasGap(table)) {
 			return readSnapshot(ctx, to, table)
 		}
 		changes, err := to.Feed(ctx, table, since, 0)
--- a/core/rowstore/viewage_test.go
+++ b/core/rowstore/viewage_test.go
@@ -311,3 +311,42 @@
 		qt.Assert(t, refresher.Await(limit), qt.IsTrue)
 	})
 }
+
+// changesOnly is a source of refreshes that answers with one changed row.
+type changesOnly struct {
+	store *fakeStore
+}
+
+// Confirm returns the row "b" as a change.
+func (c changesOnly) Confirm(context.Context, string, rowstore.Revision, bool) (rowstore.Result, error) {
+	c.store.mutex.Lock()
+	defer c.store.mutex.Unlock()
+	return c.store.result([]rowstore.Row{
+		c.store.rows["b"],
+	}), nil
+}
+
+// Guards against a refresh that replaces the whole table by some changes, while the table is read again after a drop of
+// the history.
+func TestRefreshWithChangesKeepsOtherRows(t *testing.T) {
+	runWithFakeClock(t, func(ctx context.Context, t *testing.T) {
+		store := newFakeStore()
+		store.put("a", "1")
+		store.put("b", "1")
+		recorded := startFollower(ctx, store, &rowstore.Freshness{})
+		advance(100 * time.Millisecond)
+		store.put("b", "2")
+		store.dropHistory()
+		store.update(func(f *fakeStore) { f.delay = time.Second })
+		advance(100 * time.Millisecond)
+		qt.Assert(t, recorded.follower.Refresh(ctx, changesOnly{
+			store: store,
+		}), qt.IsNil)
+		qt.Assert(t, recorded.rows["a"], qt.Equals, "1")
+		advance(2 * time.Second)
+		qt.Assert(t, recorded.rows, qt.DeepEquals, map[string]string{
+			"a": "1",
+			"b": "2",
+		})
+	})
+}
