A request that waited is judged by the newest view, confirmed or not

What callers would see: a request that waited for a confirmation is served by the former service, although its wait made the view newer, if the view did not become recent enough for refusals. Cause: the second judgement depended on that. Change: a request is always judged again after its wait. The test of the order of the two reads makes the view old again before the second judgement, which it did not need to do before. Evidence: TestRequestIsServedByNewerViewThatIsNotConfirmed fails without it. Result: it passes, with the other tests of views.

--- a/io/gateway/confirmation_test.go
+++ b/io/gateway/confirmation_test.go
@@ -105,6 +105,21 @@
 	qt.Assert(t, header.Get(wire.HeaderSeal), qt.Equals, nextService)
 }
 
+// Guards against a request that is served by the view from before its wait, if the view became newer without becoming recent
+// enough for refusals.
+func TestRequestIsServedByNewerViewThatIsNotConfirmed(t *testing.T) {
+	source := newSupersededSource(t, routedTo(formerService))
+	source.confirm = func() bool {
+		source.setConfig(routedTo(nextService))
+		source.setViewAge(time.Second)
+		return false
+	}
+	_, address := startWithViewWait(t, source, time.Minute)
+	status, header := sendRequest(t, address, "r1", time.Hour)
+	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, header.Get(wire.HeaderSeal), qt.Equals, nextService)
+}
+
 // Guards against an outage of the store that stops what the last known configuration allows.
 func TestKnownRouteIsServedWhileNothingConfirmsView(t *testing.T) {
 	source := newSupersededSource(t, routedTo(formerService))
@@ -120,6 +135,10 @@
 	source.onView = func() {
 		source.setViewAge(0)
 	}
+	source.confirm = func() bool {
+		source.setViewAge(supersededAge)
+		return false
+	}
 	_, address := startWithViewWait(t, source, time.Minute)
 	status, _ := sendRequest(t, address, "r1", time.Hour)
 	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -79,7 +79,8 @@
 // status and the reason of its refusal.
 func (j *job) admit() (int, request.Reason) {
 	status, reason := j.judge()
-	if j.needsConfirmation(reason) && j.awaitConfirmation() {
+	if j.needsConfirmation(reason) {
+		j.awaitConfirmation()
 		status, reason = j.judge()
 	}
 	if reason != request.ReasonNone {
--- a/io/gateway/viewwait.go
+++ b/io/gateway/viewwait.go
@@ -29,17 +29,16 @@
 	}
 }
 
-// awaitConfirmation waits until the view is confirmed, and reports whether it is. A daemon that stood still, or whose
-// sources did, then serves the request by the present configuration; during an outage of the store the wait ends at
-// once, and the request is served by the last known one.
-func (j *job) awaitConfirmation() bool {
+// awaitConfirmation waits until the view is confirmed. A daemon that stood still, or whose sources did, then serves the
+// request by the present configuration; during an outage of the store the wait ends at once, and the request is served
+// by the last known one.
+func (j *job) awaitConfirmation() {
 	isConfirmed := j.server.source.AwaitConfirmation(min(maxConfirmationWait, j.request.ClientTimeout/viewWaitDivisor))
 	outcome := request.Reason("confirmed")
 	if !isConfirmed {
 		outcome = "unconfirmed"
 	}
 	j.server.count(countAwaitedViews, outcome)
-	return isConfirmed
 }
 
 // waitForView delays a request that arrives before the daemon has read its first view. After a
