--- a/entry/staleview_test.go
+++ b/entry/staleview_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// applyBound is the time within which a change must be in force: ConfigApplyMs of the stand-in's settings.
+	// applyBound is the time within which a change must be in force, as the stand-in's settings have it.
 	applyBound = 2 * time.Second
 	// silenceAfterChange is how long the store does not answer daemons after a change.
 	silenceAfterChange = 5 * time.Second
