--- a/core/rowstore/chain.go
+++ b/core/rowstore/chain.go
@@ -390,7 +390,7 @@
 	sent := c.clock.Now()
 	result, err := call(ctx, c.store)
 	result.Source = StoreSource
-	result.sent = sent
+	result.SentAt = sent
 	if !isCutShort(ctx, time.Since(began)) {
 		c.recordStoreResult(err)
 	}
--- a/core/rowstore/follow.go
+++ b/core/rowstore/follow.go
@@ -166,9 +166,9 @@
 		return retryPause
 	}
 	f.recordSuccess()
-	if result.sent.After(call.sent) {
+	if result.SentAt.After(call.sent) {
 		// Other sources were called first.
-		call.sent = result.sent
+		call.sent = result.SentAt
 	}
 	asOf := f.asOf(call.sent, result)
 	switch {
--- a/core/rowstore/race.go
+++ b/core/rowstore/race.go
@@ -194,7 +194,7 @@
 	sent := c.clock.Now()
 	result, err := call(limited, c.store)
 	result.Source = StoreSource
-	result.sent = sent
+	result.SentAt = sent
 	if !isCutShort(limited, time.Since(began)) {
 		c.recordStoreResult(err)
 	}
--- a/core/rowstore/rowstore.go
+++ b/core/rowstore/rowstore.go
@@ -94,8 +94,8 @@
 	// IsRelayed reports that another daemon answered from its copy, so that Now may be earlier than
 	// the call.
 	IsRelayed bool
-	// sent is when the call was sent to the store, by the clock of the calling chain; zero if a chain did not send it.
-	sent time.Time
+	// SentAt is when the call was sent to the store, by the clock of the calling chain; zero if a chain did not send it.
+	SentAt time.Time
 	// Source is the name of the daemon that answered, or StoreSource; empty if unknown. It is for logs.
 	Source string
 	// MaxStoreTime is an upper bound of the store's clock at the time a relay answered; 0 if
