Logs and metrics: what a stopping daemon takes, and what it cuts off

Cause: a cut request left no line; a stop that ran into its deadline said only how many were in flight, not whether they had come before SIGTERM or after it, at which server they were, or which connections the HTTP library waited for. Requests in flight are a set instead of a number.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -190,8 +190,10 @@
 	clientWatcher tcp.CloseWatcher
 	stop          context.CancelFunc
 	isDraining    atomic.Bool
-	// inFlight counts requests in flight; hadRequests is set by the first request.
-	inFlight    atomic.Int64
+	// drainStartedAt is when the server began to drain; nil: it has not.
+	drainStartedAt atomic.Pointer[time.Time]
+	// inFlight holds the requests in flight; hadRequests is set by the first request.
+	inFlight    jobSet
 	hadRequests atomic.Bool
 	// successThrottle limits the log lines of successful requests.
 	successThrottle successThrottle
@@ -326,7 +328,7 @@
 
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int64 {
-	return s.inFlight.Load()
+	return int64(s.inFlight.len())
 }
 
 // ConnectionCounts returns how many connections to backend servers were opened, and how often
@@ -342,21 +344,6 @@
 	s.directives.CarryPause(former.StartID(), next.StartID())
 }
 
-// DisableKeepAlive adds "Connection: close" to every further answer, so that clients move to
-// other connections. Deferred requests are sent at once, and no more are held.
-func (s *Server) DisableKeepAlive() {
-	s.isDraining.Store(true)
-	s.deferred.Retain(nil)
-}
-
-// Close stops accepting requests and waits until those in flight have finished, or ctx ends.
-func (s *Server) Close(ctx context.Context) error {
-	s.DisableKeepAlive()
-	err := s.http.ShutdownWithContext(ctx)
-	s.stop()
-	return errors.Wrapf(err, "stop HTTP server for clients with %d requests in flight", s.inFlight.Load())
-}
-
 // Kill closes the listener and all connections at once, as a crash would.
 func (s *Server) Kill() {
 	s.isDraining.Store(true)
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
 
 	"headcourse/core/config"
@@ -29,7 +30,6 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	acceptedAt := s.clock.Now()
 	parsed, err := s.codec.ReadRequest(ctx)
-	s.inFlight.Add(1)
 	s.hadRequests.Store(true)
 	j := &job{
 		server:      s,
@@ -39,7 +39,11 @@
 		lastEventID: parsed.LastEventID,
 	}
 	j.ctx, j.cancel = context.WithCancel(context.Background())
+	s.inFlight.add(j)
 	setWriteDeadline(ctx, parsed.ClientTimeout)
+	if s.isDraining.Load() {
+		metrics.GetOrRegisterCounter(countDuringStop, s.registry).Inc(1)
+	}
 	if s.isDraining.Load() || s.hasManyClients() {
 		ctx.SetConnectionClose()
 	}
--- a/io/gateway/requestlog.go
+++ b/io/gateway/requestlog.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// String returns the attempts so far, in their order.
+func (t *attemptTrail) String() string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return strings.Join(t.entries, " ")
+}
+
 // milliseconds returns durations in whole milliseconds.
 func milliseconds(times []time.Duration) []int64 {
 	var rounded []int64
@@ -63,7 +70,7 @@
 	if j.history.Begun() > 0 && j.eventCount == 0 && !j.isInTime(time.Now()) {
 		j.recordTimeliness()
 	}
-	j.server.inFlight.Add(-1)
+	j.server.inFlight.remove(j)
 	took := time.Since(j.request.ReceivedAt)
 	j.afterHedges(func() { j.recordEnding(status, reason, took) })
 }
@@ -118,7 +125,7 @@
 		zap.Int("status", status),
 		zap.String("reason", string(reason)),
 		zap.Int64("took_ms", took.Milliseconds()),
-		zap.String("sent_to", strings.Join(j.trail.entries, " ")),
+		zap.String("sent_to", j.trail.String()),
 		zap.Int("runs", j.history.Runs()),
 		zap.Int64("view_age_ms", loggedAge(j.server.source.Confirmation().age(j.server.clock))),
 	}
@@ -132,6 +139,9 @@
 	if j.route != nil {
 		fields = append(fields, zap.String("route", j.route.Name), zap.String("organisation", j.organisation))
 	}
+	if since, isDuringStop := j.sinceStop(); isDuringStop {
+		fields = append(fields, zap.Int64("taken_after_stop_ms", since.Milliseconds()))
+	}
 	if j.isRetryBudgetSpent {
 		fields = append(fields, zap.Bool("retry_budget_spent", true))
 	}
--- a/io/tcp/conns.go
+++ b/io/tcp/conns.go
@@ -37,6 +37,32 @@
 	return len(c.open)
 }
 
+// Counts are numbers of open connections by state: that have sent no request yet, whose request is being read or
+// served, and that wait for another request.
+type Counts struct {
+	New    int
+	Active int
+	Idle   int
+}
+
+// Count returns the numbers of open connections.
+func (c *Conns) Count() Counts {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var counts Counts
+	for _, conn := range c.open {
+		switch conn.state {
+		case fasthttp.StateNew:
+			counts.New++
+		case fasthttp.StateActive:
+			counts.Active++
+		case fasthttp.StateIdle:
+			counts.Idle++
+		}
+	}
+	return counts
+}
+
 // SetState records a state change of a connection, as reported by the HTTP library.
 func (c *Conns) SetState(conn net.Conn, state fasthttp.ConnState) {
 	c.mutex.Lock()
