Test of a planned stop: requests that are taken late are cut off

Cause: nothing tested what a stopping daemon does with requests whose bodies are complete long after SIGTERM; the stand-in's clients sent each body at once.

--- /dev/null
+++ b/entry/stop_test.go
@@ -0,0 +1,105 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"headcourse/core/settings"
+	"headcourse/entry"
+	"headcourse/lab/standin"
+)
+
+// stopTimeout is the time to stop of daemons of these tests.
+const stopTimeout = 4 * time.Second
+
+// withStopTimeout sets the time to stop.
+func withStopTimeout(nodeSettings *settings.Settings) {
+	nodeSettings.StopTimeout = stopTimeout
+}
+
+// upload is a request whose body is complete some time after its head.
+type upload struct {
+	takes  time.Duration
+	answer standin.Answer
+}
+
+// sendUploads sends requests at the same time. The bodies are complete one after the other, interval apart. It returns a
+// function that waits for all answers.
+func (s *site) sendUploads(daemon, count int, interval time.Duration, send func(client *standin.Client) standin.Answer) (wait func() []upload) {
+	uploads := make([]upload, count)
+	var clients sync.WaitGroup
+	for i := range uploads {
+		uploads[i].takes = time.Duration(i) * interval
+		client := s.client(daemon, standin.KeyCuenca)
+		client.UploadTime = uploads[i].takes
+		clients.Go(func() { uploads[i].answer = send(client) })
+	}
+	return func() []upload {
+		clients.Wait()
+		return uploads
+	}
+}
+
+// Guards against requests that a stopping daemon takes without the time to finish them: it cut them off at its end, without
+// an answer, while servers ran them.
+func TestStoppingDaemonAnswersAllThatItTakes(t *testing.T) {
+	const (
+		// count and interval make the last body complete right before the end.
+		count, interval = 76, 50 * time.Millisecond
+		// servedBefore is when an answer that takes about 1 s can still be whole within the time to stop.
+		servedBefore = 1500 * time.Millisecond
+		headStart    = 100 * time.Millisecond
+	)
+	for name, send := range map[string]func(client *standin.Client) standin.Answer{
+		"streams": func(client *standin.Client) standin.Answer {
+			return client.Stream(context.Background(), standin.ModelSmall, 50)
+		},
+		"requests that may not be repeated": post,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSiteWith(t, 1, withStopTimeout)
+			s.slowPlainServers()
+			for range 10 {
+				qt.Assert(t, isSuccess(send(s.client(0, standin.KeyCuenca))), qt.IsTrue)
+			}
+			wait := s.sendUploads(0, count, interval, send)
+			time.Sleep(headStart)
+			stopped := make(chan error, 1)
+			go func() { stopped <- stopAndExit(s.daemons[0]) }()
+			for _, one := range wait() {
+				comment := qt.Commentf("body complete after %v: %+v, runs: %d", one.takes, one.answer, s.standin.Runs(one.answer.ID))
+				switch {
+				case one.takes < servedBefore:
+					qt.Check(t, isSuccess(one.answer), qt.IsTrue, comment)
+				case one.answer.Status == http.StatusServiceUnavailable:
+					qt.Check(t, s.standin.Runs(one.answer.ID), qt.Equals, 0, comment)
+				default:
+					qt.Check(t, isSuccess(one.answer), qt.IsTrue, comment)
+				}
+			}
+			qt.Check(t, <-stopped, qt.IsNil)
+			s.daemons = nil
+		})
+	}
+}
+
+// stopAndExit stops a daemon and closes what is still open, as the end of its process does.
+func stopAndExit(daemon *entry.Daemon) error {
+	err := daemon.Stop()
+	daemon.Kill()
+	return err
+}
+
+// slowPlainServers makes the servers of the plain service take about half a second for each request.
+func (s *site) slowPlainServers() {
+	const factor = 100
+	for _, server := range s.standin.Servers(standin.ServicePlain) {
+		server.SetSlowdown(factor)
+	}
+}
--- a/lab/standin/client.go
+++ b/lab/standin/client.go
@@ -26,7 +26,9 @@
 	// PromptParts names the parts of the prompts of streams, as the header has them; empty if they
 	// have none.
 	PromptParts string
-	http        http.Client
+	// UploadTime is how long the client pauses in the middle of each body.
+	UploadTime time.Duration
+	http       http.Client
 }
 
 // Answer is the daemon's answer to one request.
@@ -64,6 +66,10 @@
 		answer.Err = errors.Wrap(err, "make request")
 		return answer
 	}
+	if c.UploadTime > 0 && len(body) > 0 {
+		request.Body = io.NopCloser(newSlowBody(body, c.UploadTime))
+		request.GetBody = nil
+	}
 	request.Host = Host
 	request.Header.Set(wire.HeaderID, id)
 	request.Header.Set(wire.HeaderDeadline, strconv.FormatInt(clientTime.Milliseconds(), 10))
--- /dev/null
+++ b/lab/standin/slowbody.go
@@ -0,0 +1,37 @@
+package standin
+
+import (
+	"io"
+	"strings"
+	"time"
+)
+
+// slowBody is the body of a request that pauses before its second half.
+type slowBody struct {
+	first, second io.Reader
+	pause         time.Duration
+	hasPaused     bool
+}
+
+// newSlowBody returns a body that pauses once.
+func newSlowBody(body string, pause time.Duration) *slowBody {
+	middle := len(body) / 2
+	return &slowBody{
+		first:  strings.NewReader(body[:middle]),
+		second: strings.NewReader(body[middle:]),
+		pause:  pause,
+	}
+}
+
+// Read reads the next bytes.
+func (b *slowBody) Read(target []byte) (int, error) {
+	if !b.hasPaused {
+		n, err := b.first.Read(target)
+		if n > 0 || err == nil {
+			return n, nil
+		}
+		b.hasPaused = true
+		time.Sleep(b.pause)
+	}
+	return b.second.Read(target)
+}
