A stopping daemon takes only what it can finish, and ends the rest with a status

Callers saw: requests that a daemon had taken and passed on ended without an answer around its planned stop, among them some that may not be repeated. Cause: nothing between SIGTERM and the end of the process asked whether a request can be finished. The HTTP library waits for bodies without limit and keeps unused new connections for 5 s, so requests were complete at any time up to the end, were passed on, and were cut when the process exited. Change: core/shutdown has the schedule of a stop and learns how long requests of each route take. A request is judged when its head is read, when its body is complete and before each attempt while nothing has run it; it is refused with 503 and Retry-After 0 if it is not expected to end. Bodies have until then. At the end, what is in flight gets a 502 or a visible break instead of a reset. Connections whose request was not read linger, so that the refusal is not lost in a reset. Why it works: a request that is taken is expected to end before the process, by what requests of its route took; one that is not ended all the same is told so.

--- a/core/request/request.go
+++ b/core/request/request.go
@@ -139,4 +139,5 @@
 	ReasonServersLimited     Reason = "servers_limited"
 	ReasonZoneEvacuated      Reason = "zone_evacuated"
 	ReasonSuperseded         Reason = "superseded"
+	ReasonDaemonStopping     Reason = "daemon_stopping"
 )
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -9,25 +9,16 @@
 	"headcourse/io/logline"
 )
 
-const (
-	// drainNoticeTime is how long a stopping daemon still accepts requests, unless half of the
-	// time to stop is shorter. The load balancer probes once a second and stops sending requests
-	// after the second failed probe.
-	drainNoticeTime = 2600 * time.Millisecond
-	// stopMargin is reserved at the end of the time to stop.
-	stopMargin = 700 * time.Millisecond
-)
-
-// Stop stops the daemon gracefully: it reports itself as not ready, accepts requests until the
-// load balancer has noticed, and waits for requests in flight.
+// Stop stops the daemon gracefully: it reports itself as not ready, accepts requests that it can finish until the
+// load balancer has noticed, waits for those in flight, and ends what is left before the process is killed.
 func (d *Daemon) Stop() error {
 	startedAt := time.Now()
 	d.log.Info("daemon: stopping", zap.Int64("requests_open", d.gateway.InFlight()))
 	d.readiness.startDraining()
-	d.gateway.DisableKeepAlive()
+	schedule := d.gateway.Drain(d.settings.StopTimeout)
 	d.tunnels.Drain()
-	time.Sleep(min(drainNoticeTime, d.settings.StopTimeout/2))
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(d.settings.StopTimeout-stopMargin))
+	time.Sleep(d.bootClock.Until(schedule.NoticeEnd()))
+	ctx, cancel := context.WithTimeout(context.Background(), d.bootClock.Until(schedule.End()))
 	defer cancel()
 	err := d.gateway.Close(ctx)
 	d.awaitTunnels(ctx)
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -217,6 +217,10 @@
 	if j.timeLeft() < minTimeLeft {
 		return request.ReasonDeadline
 	}
+	// A request that has not run is given back, so that another daemon can serve it.
+	if j.history.Runs() == 0 && !j.mayFinish() {
+		return request.ReasonDaemonStopping
+	}
 	return request.ReasonNone
 }
 
@@ -423,6 +427,8 @@
 		reason = request.ReasonClientGone
 	case j.isQuarantined.Load():
 		reason = request.ReasonCrashesServers
+	case j.isCutOff.Load():
+		reason = request.ReasonDaemonStopping
 	case a.watchdog != nil && a.watchdog.hasMoved():
 		reason = request.ReasonStalled
 	case a.ctx.Err() != nil:
--- a/io/gateway/clientconns.go
+++ b/io/gateway/clientconns.go
@@ -40,8 +40,11 @@
 func (l *clientListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil || l.server.makeRoom() {
-			return conn, err
+		if err != nil {
+			return nil, err
+		}
+		if l.server.makeRoom() {
+			return newClientConn(conn), nil
 		}
 		metrics.GetOrRegisterCounter(countConnsRefused, l.server.registry).Inc(1)
 		reset(conn)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"headcourse/core/ratelimit"
 	"headcourse/core/request"
 	"headcourse/core/retry"
+	"headcourse/core/shutdown"
 	"headcourse/core/urgency"
 	"headcourse/core/usage"
 	"headcourse/io/backend"
@@ -190,8 +191,11 @@
 	clientWatcher tcp.CloseWatcher
 	stop          context.CancelFunc
 	isDraining    atomic.Bool
-	// drainStartedAt is when the server began to drain; nil: it has not.
-	drainStartedAt atomic.Pointer[time.Time]
+	// schedule is that of a planned stop; nil: none has begun. isCutOff is set once the requests in flight are ended.
+	// durations are those of the requests of each route.
+	schedule  atomic.Pointer[shutdown.Schedule]
+	isCutOff  atomic.Bool
+	durations shutdown.Durations
 	// inFlight holds the requests in flight; hadRequests is set by the first request.
 	inFlight    jobSet
 	hadRequests atomic.Bool
@@ -290,6 +294,8 @@
 	server.http = &fasthttp.Server{
 		Handler:                      server.handle,
 		ErrorHandler:                 server.handleBadRequest,
+		HeaderReceived:               server.limitBody,
+		ExpectHandler:                server.expectBody,
 		MaxRequestBodySize:           maxRequestBodyBytes,
 		ReadBufferSize:               maxRequestHeaderBytes,
 		ReadTimeout:                  requestReadTimeout,
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -57,6 +57,10 @@
 		j.refuse(ctx, status, reason)
 		return
 	}
+	if !j.mayFinish() {
+		j.refuse(ctx, fasthttp.StatusServiceUnavailable, request.ReasonDaemonStopping)
+		return
+	}
 	j.stopClientWatch = s.clientWatcher.Watch(ctx.Conn(), j.abortForClient)
 	s.budgets.ForName(j.service).RecordRequest()
 	release := j.waitForLateSlot()
@@ -66,6 +70,11 @@
 
 // handleBadRequest answers input that cannot be parsed as a request.
 func (s *Server) handleBadRequest(ctx *fasthttp.RequestCtx, err error) {
+	lingerOnClose(ctx.Conn())
+	if s.isBodyLate(err) {
+		s.refuseForStop(ctx)
+		return
+	}
 	status := fasthttp.StatusBadRequest
 	var tooSmall *fasthttp.ErrSmallBuffer
 	if errors.As(err, &tooSmall) {
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -82,6 +82,8 @@
 	lastEventID int64
 
 	isClientGone atomic.Bool
+	// isCutOff is set if the daemon has ended before the request.
+	isCutOff atomic.Bool
 	// isQuarantined is set if a server crashed under the trial of a request with the same
 	// content or part of its prompt: this request is aborted and not retried. trials are the trials
 	// that the next attempt belongs to unless it is a hedge, and refusedClaims counts the trials that other daemons
@@ -205,11 +207,12 @@
 // mayRetry reports whether a failed request may be tried at another server, and counts the
 // retry if so.
 func (j *job) mayRetry(result attemptResult) bool {
-	if j.isClientGone.Load() || j.isQuarantined.Load() || j.timeLeft() < minTimeLeft {
+	if j.isClientGone.Load() || j.isQuarantined.Load() || j.isCutOff.Load() || j.timeLeft() < minTimeLeft {
 		return false
 	}
 	switch result.reason {
-	case request.ReasonNoServer, request.ReasonConfigurationStale, request.ReasonDeadline, request.ReasonClientGone, request.ReasonCrashesServers:
+	case request.ReasonNoServer, request.ReasonConfigurationStale, request.ReasonDeadline, request.ReasonClientGone,
+		request.ReasonCrashesServers, request.ReasonDaemonStopping:
 		return false
 	}
 	if !j.history.MayRetry(j.limits()) || len(j.untriedServers()) == 0 {
--- a/io/gateway/overload_test.go
+++ b/io/gateway/overload_test.go
@@ -155,7 +155,7 @@
 	source := newSource(singleServerView(backend, config.Stream))
 	source.overload = overloadedKind(time.Millisecond)
 	server, address := startWithViewWait(t, source, time.Minute)
-	server.DisableKeepAlive()
+	server.Drain(time.Minute)
 	server.SetDeferredRate(demandKind(), 0)
 	status, _ := sendRequest(t, address, "r1", time.Minute)
 	qt.Assert(t, status, qt.Equals, http.StatusOK)
@@ -176,7 +176,7 @@
 	}()
 	time.Sleep(100 * time.Millisecond)
 	qt.Assert(t, server.HeldRequestsOf(demandKind()), qt.Equals, 1)
-	server.DisableKeepAlive()
+	server.Drain(time.Minute)
 	// None is held from then on, although the next token is due later.
 	qt.Check(t, server.HeldRequests(), qt.Equals, 0)
 	qt.Assert(t, <-status, qt.Equals, http.StatusOK)
--- a/io/gateway/retryafter.go
+++ b/io/gateway/retryafter.go
@@ -43,6 +43,9 @@
 func (j *job) retryAfter(reason request.Reason) time.Duration {
 	delay := slotRetryDelay
 	switch reason {
+	case request.ReasonDaemonStopping:
+		// Other daemons serve the request at once.
+		return 0
 	case request.ReasonCrashesServers:
 		if j.quarantineLeft > trialRetryDelay {
 			// No earlier retry can succeed, so the client gets the whole remaining time.
--- a/io/tcp/conns.go
+++ b/io/tcp/conns.go
@@ -110,6 +110,16 @@
 	return true
 }
 
+// SetReadDeadline sets the read deadline of all open connections.
+func (c *Conns) SetReadDeadline(deadline time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for conn := range c.open {
+		// A connection that was closed in the meantime needs no deadline.
+		_ = conn.SetReadDeadline(deadline)
+	}
+}
+
 // CloseAll closes all open connections.
 func (c *Conns) CloseAll() {
 	c.mutex.Lock()
