A stopping leader hands over at once, and a stopping daemon does not take the lease

Callers saw nothing; found by looking for the cause of the cut requests elsewhere: work that a process takes on and may not be there to finish. Cause: a leader led until the end of its stop, so it began to form and repair groups up to 7 s after SIGTERM and left them half done; a daemon that was stopping could take the lease of another that was stopped or lost, and gave it up again seconds later. Change: Stop ends the election of the daemon first, if another daemon is listed. Alone, it leads to the end. Why it works: a leader's work is taken up from the records in the store by the next one, which is there to finish it.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -187,7 +187,9 @@
 	isLeader atomic.Bool
 
 	cancel context.CancelFunc
-	tasks  conc.WaitGroup
+	// stopElection ends this daemon's part in the election, and its lease.
+	stopElection context.CancelFunc
+	tasks        conc.WaitGroup
 }
 
 // fraction returns a duration scaled by a factor.
@@ -322,6 +324,8 @@
 func (d *Daemon) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
+	electionCtx, stopElection := context.WithCancel(ctx)
+	d.stopElection = stopElection
 	elector := d.newElector()
 	for _, task := range []func(context.Context){
 		d.withFirstStartJitter(d.listFollower().Run),
@@ -334,7 +338,7 @@
 		d.afterListLoaded(d.runLoadReports),
 		d.runStallChecks,
 		d.runReportWriter,
-		func(ctx context.Context) { elector.Run(ctx, d.lead) },
+		func(context.Context) { elector.Run(electionCtx, d.lead) },
 		d.logCounters,
 	} {
 		d.tasks.Go(func() { task(ctx) })
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -17,6 +17,9 @@
 	d.readiness.startDraining()
 	schedule := d.gateway.Drain(d.settings.StopTimeout)
 	d.tunnels.Drain()
+	if d.hasSuccessor() {
+		d.stopElection()
+	}
 	time.Sleep(d.bootClock.Until(schedule.NoticeEnd()))
 	ctx, cancel := context.WithTimeout(context.Background(), d.bootClock.Until(schedule.End()))
 	defer cancel()
@@ -32,6 +35,13 @@
 	return err
 }
 
+// hasSuccessor reports whether another daemon may lead. Without one, groups would not be repaired during the stop.
+func (d *Daemon) hasSuccessor() bool {
+	d.directory.mutex.Lock()
+	defer d.directory.mutex.Unlock()
+	return len(d.directory.list.Others(d.settings.Name)) > 0
+}
+
 // closeMetrics stops the metrics server, if any.
 func (d *Daemon) closeMetrics() {
 	if d.metricsServer != nil {
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -103,3 +105,54 @@
 		server.SetSlowdown(factor)
 	}
 }
+
+// leaseTaken is the part of a log line that says that a daemon has taken the lease.
+const leaseTaken = `"reason":"taken"`
+
+// countLeases returns how often a daemon has taken the lease.
+func (s *site) countLeases(name string) int {
+	count := 0
+	for _, line := range s.lines(leaseTaken) {
+		if strings.Contains(line, strconv.Quote(name)) {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against groups that a leader begins to form or repair and leaves behind, since it leads until the end of its stop.
+func TestStoppingLeaderHandsOverAtOnce(t *testing.T) {
+	s := newSiteWith(t, 2, withStopTimeout)
+	leads := 0
+	if s.countLeases(siteNames[1]) > 0 {
+		leads = 1
+	}
+	other := siteNames[1-leads]
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.daemons[leads].Stop() }()
+	for begin := time.Now(); s.countLeases(other) == 0 && time.Since(begin) < stopTimeout/2; {
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Check(t, s.countLeases(other), qt.Equals, 1)
+	qt.Check(t, s.countLeases(siteNames[leads]), qt.Equals, 1)
+	qt.Check(t, <-stopped, qt.IsNil)
+	s.daemons = []*entry.Daemon{s.daemons[1-leads]}
+	s.awaitGroups()
+}
+
+// Guards against a daemon that takes the lease while it stops, so that it changes hands again soon.
+func TestStoppingDaemonDoesNotTakeLease(t *testing.T) {
+	s := newSiteWith(t, 2, withStopTimeout)
+	leads := 0
+	if s.countLeases(siteNames[1]) > 0 {
+		leads = 1
+	}
+	follower := siteNames[1-leads]
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.daemons[1-leads].Stop() }()
+	s.awaitTrue(func() bool { return len(s.lines("daemon: stopping")) > 0 })
+	s.daemons[leads].Kill()
+	qt.Check(t, <-stopped, qt.IsNil)
+	qt.Check(t, s.countLeases(follower), qt.Equals, 0)
+	s.daemons = nil
+}
