SIGTERM behind SIGHUPs is not dropped

Callers would see: all requests in flight cut by the kill at the end of the time to stop, since the daemon never began its stop. Cause: one channel with room for one signal took SIGTERM, SIGINT and SIGHUP; while the settings were read after one SIGHUP, a second one filled it, and the runtime drops a signal for which there is no room. Change: signals to stop have a channel of their own. Why it works: one pending stop is enough, and nothing else fills its channel.

--- a/command/entry.go
+++ b/command/entry.go
@@ -36,8 +36,12 @@
 // Run starts the daemon, passes changed settings to it until a signal ends the
 // command, and stops it.
 func (e *EntryCommand) Run(streams *Streams) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// A signal that finds its channel full is dropped, so those to stop have one of their own.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(stops)
+	defer signal.Stop(reloads)
 	path := e.Settings
 	if path == "" {
 		path = platform.SettingsPath()
@@ -64,23 +68,22 @@
 	if err != nil {
 		return err
 	}
-	e.waitForStop(signals, path, initial, daemon, log)
+	e.waitForStop(stops, reloads, path, initial, daemon, log)
 	return daemon.Stop()
 }
 
 // waitForStop returns on SIGTERM or SIGINT. Until then it reads the settings file
 // on SIGHUP and after each change of the file, and passes settings that differ
 // from the last ones to the daemon.
-func (e *EntryCommand) waitForStop(signals <-chan os.Signal, path string, current settings.Settings, daemon *entry.Daemon, log *zap.Logger) {
+func (e *EntryCommand) waitForStop(stops, reloads <-chan os.Signal, path string, current settings.Settings, daemon *entry.Daemon, log *zap.Logger) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	modifiedAt := modificationTime(path)
 	for {
 		select {
-		case received := <-signals:
-			if received != syscall.SIGHUP {
-				return
-			}
+		case <-stops:
+			return
+		case <-reloads:
 		case <-ticker.C:
 			latestModifiedAt := modificationTime(path)
 			if latestModifiedAt.Equal(modifiedAt) {
