--- a/io/gateway/drain.go
+++ b/io/gateway/drain.go
@@ -12,6 +12,7 @@
 
 	"headcourse/core/request"
 	"headcourse/core/shutdown"
+	"headcourse/io/tcp"
 )
 
 // Counters of requests that were complete after the daemon had begun to stop, and of those that were in flight when it
@@ -65,11 +66,13 @@
 	s.isCutOff.Store(true)
 	cutOff := s.inFlight.all()
 	conns := s.conns.Count()
-	s.log.Warn("clients: connections left at the end of the stop",
-		zap.Int("requests", len(cutOff)),
-		zap.Int("without_request", conns.New),
-		zap.Int("in_use", conns.Active),
-		zap.Int("idle", conns.Idle))
+	if conns != (tcp.Counts{}) {
+		s.log.Warn("clients: connections left at the end of the stop",
+			zap.Int("requests", len(cutOff)),
+			zap.Int("without_request", conns.New),
+			zap.Int("in_use", conns.Active),
+			zap.Int("idle", conns.Idle))
+	}
 	if len(cutOff) == 0 {
 		return nil
 	}
--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -124,6 +124,7 @@
 		const revokedKeyEvery = 7
 		client.Key = s.keys.pick(turn%revokedKeyEvery == 0)
 		client.PromptParts = soundParts(turn)
+		client.UploadTime = s.uploadTime(turn)
 		mustReject := s.keys.mustReject(client.Key)
 		answer := s.sendRequest(ctx, client, turn)
 		if mustReject && s.platform.Runs(answer.ID) > 0 {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -220,6 +220,10 @@
 		name:  "all daemons but one paused beside a change of the configuration",
 		begin: pauseDaemonsBesideChange,
 	},
+	{
+		name:  plannedStopRow,
+		begin: stopDaemonsInSeries,
+	},
 }
 
 // Range of the times between faults and of their durations.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -145,6 +145,7 @@
 	failures = append(failures, s.checkOverload()...)
 	failures = append(failures, s.checkSilences()...)
 	failures = append(failures, s.checkStaleViews()...)
+	failures = append(failures, s.checkPlannedStops()...)
 	close(stopSnapshots)
 	snapshotTaker.Wait()
 	stop()
--- a/lab/standin/client.go
+++ b/lab/standin/client.go
@@ -67,7 +67,7 @@
 		return answer
 	}
 	if c.UploadTime > 0 && len(body) > 0 {
-		request.Body = io.NopCloser(newSlowBody(body, c.UploadTime))
+		request.Body = io.NopCloser(newSlowBody(body, c.UploadTime, func() { c.Platform.recordSent(id) }))
 		request.GetBody = nil
 	}
 	request.Host = Host
--- a/lab/standin/overload.go
+++ b/lab/standin/overload.go
@@ -57,7 +57,7 @@
 	p.overload.sent = map[string]time.Time{}
 }
 
-// recordSent records that a client sends a request now.
+// recordSent records that a client sends a request, or the rest of its body, now: a daemon can serve it from then on.
 func (p *Platform) recordSent(id string) {
 	p.overload.mutex.Lock()
 	defer p.overload.mutex.Unlock()
--- a/lab/standin/slowbody.go
+++ b/lab/standin/slowbody.go
@@ -11,15 +11,19 @@
 	first, second io.Reader
 	pause         time.Duration
 	hasPaused     bool
+	// onResume is called after the pause.
+	onResume func()
 }
 
-// newSlowBody returns a body that pauses once.
-func newSlowBody(body string, pause time.Duration) *slowBody {
+// newSlowBody returns a body that pauses once, and then calls onResume.
+func newSlowBody(body string, pause time.Duration, onResume func()) *slowBody {
 	middle := len(body) / 2
 	return &slowBody{
 		first:  strings.NewReader(body[:middle]),
 		second: strings.NewReader(body[middle:]),
 		pause:  pause,
+
+		onResume: onResume,
 	}
 }
 
@@ -32,6 +36,7 @@
 		}
 		b.hasPaused = true
 		time.Sleep(b.pause)
+		b.onResume()
 	}
 	return b.second.Read(target)
 }
