Answers to probes and orders are bounded: a faulty server could end the leader

Callers would see: their requests end with the process. A server that answers a probe or an order with bytes without end, or with a huge length, made the daemon keep them all. Cause: the client for calls to servers, the store and other daemons had no limit for a body; the HTTP library reserves a stated length at once. Evidence: TestEndlessAnswerToProbeOrOrderIsCutOff before: the test process ended with 'runtime: out of memory' on a stated length of 900 GB, 1 of 1 runs. Result: the test and those of platform, io/http1 and io/engine pass.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -39,6 +39,8 @@
 	// bufferedTimeout limits the wait for an answer that is not streamed. It is longer
 	// than the default deadline of callers; a declared deadline may exceed it.
 	bufferedTimeout = 15 * time.Minute
+	// maxAnswerBytes bounds the body of an answer that is not streamed.
+	maxAnswerBytes = 32 << 20
 )
 
 // New returns a client. A streamed answer fails if the backend server sends nothing
@@ -178,7 +180,10 @@
 		reply.Stream = stream
 		return reply, nil
 	}
-	body, err := io.ReadAll(response.BodyStream())
+	body, err := io.ReadAll(io.LimitReader(response.BodyStream(), maxAnswerBytes+1))
+	if len(body) > maxAnswerBytes {
+		err = fasthttp.ErrBodyTooLarge
+	}
 	if err == nil {
 		err = c.checkEnd(call, &response.Header)
 	}
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -9,6 +9,7 @@
 package http1
 
 import (
+	"cmp"
 	"net"
 	"os"
 	"sync"
@@ -56,6 +57,8 @@
 	ConnectTimeout time.Duration
 	IOTimeout      time.Duration
 	MaxIdleTime    time.Duration
+	// MaxAnswerBytes bounds the body of an answer that is not streamed; 0 means the default.
+	MaxAnswerBytes int
 	// Dialer opens connections; nil means directly. Set it before use.
 	Dialer tcp.Dialer
 
@@ -70,7 +73,8 @@
 	defaultIOTimeout      = 30 * time.Second
 	// defaultMaxIdleTime is short, so that a peer seldom closes a connection at the moment when
 	// it is reused.
-	defaultMaxIdleTime = 5 * time.Second
+	defaultMaxIdleTime    = 5 * time.Second
+	defaultMaxAnswerBytes = 32 << 20
 	// maxConnsPerPeer bounds the connections to one peer.
 	maxConnsPerPeer = 4096
 )
@@ -154,6 +158,7 @@
 	return &fasthttp.HostClient{
 		Addr:                          address,
 		MaxConns:                      maxConnsPerPeer,
+		MaxResponseBodySize:           cmp.Or(c.MaxAnswerBytes, defaultMaxAnswerBytes),
 		MaxIdleConnDuration:           orDefault(c.MaxIdleTime, defaultMaxIdleTime),
 		MaxIdemponentCallAttempts:     1,
 		DisableHeaderNamesNormalizing: false,
