Comments without end in a hedge are cut off

Callers would see: the daemon out of memory, and all requests of its clients ended, because of one faulty server. Cause: a hedge keeps what its server sends until the first event; comments are no event, and were kept without limit until the client's timeout. Change: a stream whose comments before its first event exceed the limit of one event is broken off, as for an event that is too long.

--- a/io/gateway/endless_test.go
+++ b/io/gateway/endless_test.go
@@ -190,3 +190,42 @@
 		})
 	}
 }
+
+// Guards against a hedge whose server sends comments without end, which were all kept until the client's timeout.
+func TestCommentsWithoutEndInHedgeAreCutOff(t *testing.T) {
+	t.Parallel()
+	const maxTaken = 24 << 20
+	var taken atomic.Int64
+	aborted := make(chan struct{}, 16)
+	server, _ := startRoles(t, viewOf(config.Stream), func(w http.ResponseWriter, r *http.Request) {
+		beginEvents(w, r)
+		writeEvents(w, 1, 1)
+		<-r.Context().Done()
+	}, func(w http.ResponseWriter, r *http.Request) {
+		beginEvents(w, r)
+		comments := strings.Repeat(": more\n\n", 1<<10)
+		for {
+			n, err := io.WriteString(w, comments)
+			taken.Add(int64(n))
+			if err != nil {
+				aborted <- struct{}{}
+				return
+			}
+		}
+	})
+	go func() {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+server.Address()+path, nil)
+		if err != nil {
+			return
+		}
+		request.Host = host
+		request.Header.Set(wire.HeaderID, "r1")
+		answer, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_, _ = io.Copy(io.Discard, answer.Body)
+			_ = answer.Body.Close()
+		}
+	}()
+	awaitAbort(t, aborted)
+	qt.Assert(t, taken.Load() < maxTaken, qt.IsTrue, qt.Commentf("%d bytes", taken.Load()))
+}
--- a/io/gateway/serverstream.go
+++ b/io/gateway/serverstream.go
@@ -68,7 +68,9 @@
 		lastEventID: a.lastEventID,
 		sentAt:      a.watchdog.startedAt,
 	}
+	leadBytes := 0
 	keep := func(event eventstream.Event) {
+		leadBytes += len(event.Raw)
 		event.Raw = bytes.Clone(event.Raw)
 		started.first = append(started.first, event)
 	}
@@ -76,6 +78,9 @@
 		if err := started.read(keep); err != nil && !errors.Is(err, io.EOF) {
 			return a.brokenResult(err)
 		}
+		if leadBytes > eventstream.MaxEventBytes {
+			return a.brokenResult(errEventTooLong)
+		}
 	}
 	return attemptResult{
 		answer: answer,
