Buffered answers share one budget of memory

Callers would see: requests that end with the process of their daemon, because one faulty server answers many requests with bodies without end. Cause: each answer could hold up to 32 MB, in buffers that grow by a quarter, and nothing counted them together. Change: core/memory, a fifth of the VM's memory for all buffered answers. A body is reserved for as it grows, from 64 KB on, so that small answers never wait for large ones; a stated length reserves nothing by itself. What is reserved is returned when the client has the answer. Answers that are not used are discarded as they are read. Tests of io/backend read through ReadBody instead of ReadAll, with the same checks; the error of a body that is too long is compared by identity instead of its text. Why it works: what faulty servers make the daemon hold no longer grows with the number of requests.

--- a/core/request/request.go
+++ b/core/request/request.go
@@ -140,4 +140,5 @@
 	ReasonZoneEvacuated      Reason = "zone_evacuated"
 	ReasonSuperseded         Reason = "superseded"
 	ReasonDaemonStopping     Reason = "daemon_stopping"
+	ReasonNoMemory           Reason = "no_memory"
 )
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -295,6 +295,7 @@
 		Links:    d.dialer,
 
 		MaxClientConns: d.settings.MaxClientConnections(),
+		MemoryBytes:    d.settings.MemoryBytes,
 		MaxDeferred:    deferral.LimitsForMemory(int(d.settings.MemoryBytes)),
 	})
 	if err != nil {
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -127,7 +127,7 @@
 func (s *server) roundTrip(client *backend.Client) string {
 	s.t.Helper()
 	exchange := s.send(client)
-	body, err := exchange.ReadAll(maxBody)
+	body, err := readAll(exchange, maxBody)
 	qt.Assert(s.t, err, qt.IsNil)
 	exchange.Finish(true, keepAlive)
 	return string(body)
@@ -247,7 +247,7 @@
 			s := startServer(t, respondAndClose(c.answer), respond(completeAnswer))
 			client := &backend.Client{}
 			exchange := s.send(client)
-			_, err := exchange.ReadAll(maxBody)
+			_, err := readAll(exchange, maxBody)
 			qt.Assert(t, err, qt.ErrorIs, io.ErrUnexpectedEOF)
 			exchange.Finish(true, keepAlive)
 			qt.Assert(t, s.roundTrip(client), qt.Equals, "whole")
@@ -271,15 +271,15 @@
 	s := startServer(t, respond(closeDelimitedAnswer))
 	exchange := s.send(&backend.Client{})
 	exchange.Abort()
-	_, err := exchange.ReadAll(maxBody)
+	_, err := readAll(exchange, maxBody)
 	qt.Assert(t, err, qt.IsNotNil)
 }
 
 func TestAnswerOverSizeLimitIsAnError(t *testing.T) {
 	s := startServer(t, respond(completeAnswer))
 	exchange := s.send(&backend.Client{})
-	_, err := exchange.ReadAll(len("whole") - 1)
-	qt.Assert(t, err, qt.ErrorMatches, "read body of answer: more than 4 bytes")
+	_, err := readAll(exchange, len("whole")-1)
+	qt.Assert(t, err, qt.ErrorIs, backend.ErrBodyTooLong)
 }
 
 func TestRefusedConnectionReportsNothingSent(t *testing.T) {
@@ -525,7 +525,7 @@
 		var head fasthttp.ResponseHeader
 		if exchange.ReadHead(&head) == nil {
 			ends++
-			_, err = exchange.ReadAll(maxBody)
+			_, err = readAll(exchange, maxBody)
 			qt.Check(t, err, qt.IsNotNil)
 		}
 		exchange.Abort()
--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -170,16 +170,13 @@
 	return e.isBodyWritten() || e.conn.peer != "" || tcp.HasFinished(e.conn.Conn)
 }
 
-// ReadAll reads the whole body, which may have up to limit bytes.
-func (e *Exchange) ReadAll(limit int) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(e, int64(limit)+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read body of answer")
+// Discard reads the whole body, which may have up to limit bytes, and keeps nothing.
+func (e *Exchange) Discard(limit int) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(e, int64(limit)+1))
+	if err == nil && n > int64(limit) {
+		err = ErrBodyTooLong
 	}
-	if len(content) > limit {
-		return nil, errors.Errorf("read body of answer: more than %d bytes", limit)
-	}
-	return content, nil
+	return errors.Wrap(err, "read body of answer")
 }
 
 // Framing returns how the end of the answer is marked. It is valid after ReadHead.
--- a/io/backend/keepalive_test.go
+++ b/io/backend/keepalive_test.go
@@ -81,7 +81,7 @@
 	if err = exchange.ReadHead(&head); err != nil {
 		return err
 	}
-	if _, err = exchange.ReadAll(maxBody); err != nil {
+	if _, err = readAll(exchange, maxBody); err != nil {
 		return err
 	}
 	exchange.Finish(true, s.keepAlive)
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -341,7 +341,8 @@
 
 // readBody reads the body of an answer that is not a stream.
 func (a *attempt) readBody(answer request.Answer, isReusable bool) attemptResult {
-	body, err := a.exchange.ReadAll(maxAnswerBytes)
+	body, reserved, err := a.exchange.ReadBody(maxAnswerBytes, &a.job.server.answerMemory)
+	a.job.reservedBytes.Add(reserved)
 	if err != nil {
 		return a.brokenResult(err)
 	}
@@ -378,7 +379,7 @@
 			return answer, hadStaleAnswer, nil
 		}
 		hadStaleAnswer = true
-		if _, err = a.exchange.ReadAll(maxAnswerBytes); err != nil {
+		if err = a.exchange.Discard(maxAnswerBytes); err != nil {
 			return answer, hadStaleAnswer, err
 		}
 	}
@@ -387,7 +388,7 @@
 
 // handleRefusal returns the result of an attempt that the server reports as not run.
 func (a *attempt) handleRefusal(answer request.Answer, isReusable bool) attemptResult {
-	if _, err := a.exchange.ReadAll(maxAnswerBytes); err != nil {
+	if err := a.exchange.Discard(maxAnswerBytes); err != nil {
 		a.exchange.Abort()
 	} else {
 		a.exchange.Finish(isReusable, answer.KeepAlive)
@@ -437,8 +438,10 @@
 		reason = request.ReasonDeadline
 	case errors.As(err, new(*truncationError)):
 		reason = request.ReasonAnswerTruncated
-	case errors.Is(err, errEventTooLong):
+	case errors.Is(err, errEventTooLong), errors.Is(err, backend.ErrBodyTooLong):
 		reason = request.ReasonBadAnswer
+	case errors.Is(err, backend.ErrNoMemory):
+		reason = request.ReasonNoMemory
 	}
 	isBroken := reason == request.ReasonConnectionBroken || reason == request.ReasonAnswerTruncated
 	return attemptResult{
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -35,6 +35,7 @@
 	"headcourse/core/directive"
 	"headcourse/core/evacuation"
 	"headcourse/core/fleet"
+	"headcourse/core/memory"
 	"headcourse/core/pace"
 	"headcourse/core/quarantine"
 	"headcourse/core/ratelimit"
@@ -187,6 +188,8 @@
 	crashChecks      crashChecks
 	http             *fasthttp.Server
 	listener         net.Listener
+	// answerMemory is what buffered answers may hold.
+	answerMemory memory.Budget
 	// clientWatcher detects clients that close their connection.
 	clientWatcher tcp.CloseWatcher
 	stop          context.CancelFunc
@@ -247,6 +250,8 @@
 	Clock boottime.Clock
 	// MaxClientConns is the limit of open connections of clients; 0 means none.
 	MaxClientConns int
+	// MemoryBytes is the memory of the VM; 0: unknown.
+	MemoryBytes int64
 	// MaxDeferred bounds the requests that are held during an overload.
 	MaxDeferred deferral.Limits
 	// MaxViewWait is the maximum time that a request waits for the first view; 0 means the
@@ -283,6 +288,7 @@
 		maxClientConns: options.MaxClientConns,
 	}
 	server.deferred.SetCapacity(options.MaxDeferred)
+	server.answerMemory.SetLimit(memory.AnswerLimit(options.MemoryBytes))
 	server.directives.Clock = options.Clock
 	server.directiveThrottle.Interval = throttledLogInterval
 	server.limitThrottle.Interval = throttledLogInterval
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -97,6 +97,9 @@
 	heldBy          quarantine.Digest
 	quarantineLeft  time.Duration
 	isFinished      atomic.Bool
+	// reservedBytes are taken from the memory for answers. isBodyHeld is set if the client still gets a body that holds some.
+	reservedBytes atomic.Int64
+	isBodyHeld    bool
 
 	// The other fields measure a stream's events as the client receives them.
 	lastEventAt      time.Time
@@ -149,7 +152,12 @@
 		ctx.Response.SetBodyStream(newStream(j, result.stream), -1)
 		return
 	}
-	ctx.Response.SetBodyRaw(result.body)
+	if j.reservedBytes.Load() == 0 {
+		ctx.Response.SetBodyRaw(result.body)
+	} else {
+		j.isBodyHeld = true
+		ctx.Response.SetBodyStream(newHeldBody(j, result.body), len(result.body))
+	}
 	j.finish(result.answer.Status, request.ReasonNone)
 }
 
--- a/io/gateway/requestlog.go
+++ b/io/gateway/requestlog.go
@@ -95,6 +95,9 @@
 func (j *job) recordEnding(status int, reason request.Reason, took time.Duration) {
 	j.server.inFlightByDigest.remove(j)
 	j.releaseTrials()
+	if !j.isBodyHeld {
+		j.releaseMemory()
+	}
 	isSuccess := reason == request.ReasonNone && status < fasthttp.StatusInternalServerError
 	if isSuccess {
 		j.server.count(countSucceeded, "whole")
