Tests of odd entries among those of the servers: deeply nested, numbers too large, ports out of range

Cause: a report of another operator: one such entry ended the processes that read the list, or they stopped following it. Change: eight more values in TestInvalidRowsOfOtherWritersAreIgnored, in all tables that daemons read, and a test of entries whose values are valid but at the ends of their ranges, for running daemons and one that starts.

--- a/entry/invalidrows_test.go
+++ b/entry/invalidrows_test.go
@@ -1,7 +1,9 @@
 package entry_test
 
 import (
+	"context"
 	"fmt"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -25,6 +27,58 @@
 	`{"Service":"board","State":"ready"}`,
 	`{"Service":"board","Address":"nowhere","State":"ready","Capacity":6}`,
 	`{"Name":"","Members":null,"name":7,"members":[[]],"holder":[],"epoch":"x","models":[],"address":9}`,
+	strings.Repeat("[", nestingDepth) + strings.Repeat("]", nestingDepth),
+	strings.Repeat(`{"a":`, nestingDepth) + "1" + strings.Repeat("}", nestingDepth),
+	`{"Service":"board","Address":"127.0.0.1:9","State":"ready","Capacity":6,"Domain":` + strings.Repeat("[", nestingDepth),
+	`{"Service":"board","Address":"127.0.0.1:9","State":"ready","Capacity":9223372036854775808}`,
+	`{"Service":"board","Address":"127.0.0.1:9","State":"ready","Capacity":1e400}`,
+	`{"Service":"board","Address":"127.0.0.1:70000","State":"ready","Capacity":6}`,
+	`{"Service":"board","Address":"127.0.0.1:-1","State":"ready","Capacity":6}`,
+	`{"Service":"board","Address":"127.0.0.1:0","State":"ready","Capacity":6}`,
+}
+
+// nestingDepth is deeper than any decoder follows.
+const nestingDepth = 11_000
+
+// extremeEntries are entries of servers whose values are at the ends of their ranges. Nothing listens at their addresses.
+var extremeEntries = []string{
+	`{"Service":"board","Address":"127.0.0.1:9","State":"ready","Capacity":9223372036854775807,"born":9223372036854775807}`,
+	`{"Service":"board","Address":"127.0.0.1:9","State":"ready","Capacity":9223372036854775807,"ColdLeftMs":1e308}`,
+	`{"Service":"board","Address":"[::ffff:127.0.0.1]:65535","State":"ready","Capacity":4611686018427387904,"Zone":"` + strings.Repeat("z", 100_000) + `"}`,
+	`{"Service":"engines","Address":"127.0.0.1:9","State":"ready","Capacity":9223372036854775807,"Phase":"both","Domain":"r","Models":[{"Name":"large"}],` +
+		`"group":{"Name":"g","Epoch":9223372036854775807,"Rank":9223372036854775807,"State":"open","Model":"large"}}`,
+	`{"Service":"engines","Address":"127.0.0.1:9","State":"ready","Capacity":1,"Phase":"both","Domain":"rack-0","Staged":["large"],` +
+		`"group":{"Name":"large-0","Epoch":9223372036854775807,"Rank":0,"State":"open","Model":"large"}}`,
+}
+
+// Guards against entries with extreme values that end every daemon which reads the list, or the work of the leader.
+func TestExtremeEntriesOfServersDoNotStopDaemons(t *testing.T) {
+	s := newSite(t, 2)
+	const rowsPerEntry = 4
+	for i := range rowsPerEntry {
+		for n, entry := range extremeEntries {
+			s.standin.Store.Write(wire.TableServers, fmt.Sprintf("i-extreme-%d-%d", n, i), []byte(entry))
+		}
+	}
+	s.daemons = append(s.daemons, s.startDaemon("front-c"))
+	for i := range s.daemons {
+		client := s.client(i, standin.KeyCuenca)
+		s.await(func() standin.Answer { return get(client) }, isSuccess)
+		s.await(func() standin.Answer {
+			return client.Stream(context.Background(), standin.ModelLarge, 3)
+		}, isSuccess)
+	}
+	s.standin.ChangeConfig(func(config *wire.Config) {
+		config.Tenants[1].APIKeys = []string{"new-key"}
+	})
+	for i := range s.daemons {
+		s.await(func() standin.Answer { return get(s.client(i, "new-key")) }, isSuccess)
+	}
+	heads := s.standin.Heads(standin.ModelSmall)
+	s.standin.Members(heads[0])[1].Kill()
+	s.awaitTrue(func() bool {
+		return len(s.standin.Heads(standin.ModelSmall)) == len(heads)
+	})
 }
 
 // Guards against invalid rows that other writers leave in the daemons' tables. Such rows hid the
