A reloaded time to stop is in force, and other changes are named as waiting

Callers would see: requests cut by the kill, if the operator had shortened the time to stop while the daemon ran. Cause: Reload only logged, and warned of two addresses. Change: Reload applies the time to stop, and logs which changed settings are in force and which wait for a restart. Result: TestReloadedTimeToStopIsInForce and the other tests of stops pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -187,6 +188,8 @@
 	isLeader atomic.Bool
 
 	cancel context.CancelFunc
+	// stopTimeout is the time to stop, in nanoseconds.
+	stopTimeout atomic.Int64
 	// stopElection ends this daemon's part in the election, and its lease.
 	stopElection context.CancelFunc
 	tasks        conc.WaitGroup
@@ -232,6 +235,7 @@
 		initialised:    newOnceEvent(),
 		readFailed:     newOnceEvent(),
 	}
+	d.stopTimeout.Store(int64(nodeSettings.StopTimeout))
 	d.initPaths()
 	d.engines = platform.NewEngineClient(d.dialer)
 	d.bootClock.Suspended = d.suspension.Suspended
@@ -362,11 +366,24 @@
 	return d.tableReader.CallCounts()
 }
 
-// Reload logs that the settings were read again. Settings do not change while the daemon runs,
-// so it warns of a changed address of the clients' listener or of the store.
+// appliedSettings are the settings whose changes take effect at once.
+var appliedSettings = []string{"stop_timeout"}
+
+// Reload applies the settings that may change while the daemon runs, and logs those that take effect after a restart.
 func (d *Daemon) Reload(nodeSettings settings.Settings) {
-	d.log.Info("daemon: settings reloaded", zap.String("name", nodeSettings.Name))
-	if nodeSettings.ClientAddress != d.settings.ClientAddress || nodeSettings.StoreAddress != d.settings.StoreAddress {
-		d.log.Warn("daemon: changed addresses take effect after a restart")
+	// The port of metrics is an argument of the command and is not in the file.
+	nodeSettings.MetricsAddress = d.settings.MetricsAddress
+	d.stopTimeout.Store(int64(nodeSettings.StopTimeout))
+	var applied, pending []string
+	for _, name := range d.settings.Changes(nodeSettings) {
+		if slices.Contains(appliedSettings, name) {
+			applied = append(applied, name)
+		} else {
+			pending = append(pending, name)
+		}
 	}
+	d.log.Info("daemon: settings reloaded",
+		zap.String("name", nodeSettings.Name),
+		zap.Strings("applied", applied),
+		zap.Strings("after_restart", pending))
 }
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -15,7 +15,7 @@
 	startedAt := time.Now()
 	d.log.Info("daemon: stopping", zap.Int64("requests_open", d.gateway.InFlight()))
 	d.readiness.startDraining()
-	schedule := d.gateway.Drain(d.settings.StopTimeout)
+	schedule := d.gateway.Drain(time.Duration(d.stopTimeout.Load()))
 	d.tunnels.Drain()
 	if d.hasSuccessor() {
 		d.stopElection()
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -14,6 +14,7 @@
 	"headcourse/core/settings"
 	"headcourse/entry"
 	"headcourse/lab/standin"
+	"headcourse/platform"
 )
 
 // stopTimeout is the time to stop of daemons of these tests.
@@ -156,3 +157,24 @@
 	qt.Check(t, s.countLeases(follower), qt.Equals, 0)
 	s.daemons = nil
 }
+
+// Guards against a daemon that is killed with its requests since it stops by a time that the operator has shortened, and
+// against settings that are logged as reloaded and not in force.
+func TestReloadedTimeToStopIsInForce(t *testing.T) {
+	const shortTimeout = time.Second
+	s := newSite(t, 1)
+	path, err := s.standin.WriteSettings(siteNames[0], 0, 0, 0)
+	qt.Assert(t, err, qt.IsNil)
+	next, err := platform.ReadSettings(path)
+	qt.Assert(t, err, qt.IsNil)
+	next.StopTimeout = shortTimeout
+	next.RetryBurst++
+	s.daemons[0].Reload(next)
+	lines := s.lines("settings reloaded")
+	qt.Assert(t, lines, qt.HasLen, 1)
+	qt.Check(t, lines[0], qt.Contains, `"applied":["stop_timeout"],"after_restart":["retry_burst"]`)
+	begin := time.Now()
+	qt.Check(t, stopAndExit(s.daemons[0]), qt.IsNil)
+	qt.Check(t, time.Since(begin) < shortTimeout, qt.IsTrue)
+	s.daemons = nil
+}
