The callers' interface ends what is left at the end of a stop with an unknown outcome

Callers would see: a closed connection without an answer, if a request takes longer than the time to drain (2 min), so that they cannot tell whether it ran. Cause: Close gave up waiting and the process ended, while the requests went on. Change: all requests depend on one context that Close ends; their work is cancelled at the engines, and callers have up to a second to get an error with the outcome unknown and the reason daemon_leaving, or an error event.

--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -383,6 +384,40 @@
 	qt.Assert(t, string(stream.body), qt.Contains, "[DONE]")
 }
 
+// Guards against a caller that cannot tell whether its request ran, since the daemon ends without an answer to it when
+// its time to drain is over.
+func TestCloseEndsLeftRequestsWithUnknownOutcome(t *testing.T) {
+	for _, isStream := range []bool{false, true} {
+		running := startEngine(t, 20*time.Millisecond)
+		daemon := startTestServer(t, []string{running.Address()}, nil, nil)
+		body, _ := chatBody("x", 1000, isStream)
+		request, err := http.NewRequest(http.MethodPost, "http://"+daemon.server.Address()+"/v1/chat/completions", strings.NewReader(body))
+		qt.Assert(t, err, qt.IsNil)
+		request.Header.Set("Authorization", "Bearer "+key)
+		var content []byte
+		var callers sync.WaitGroup
+		callers.Go(func() {
+			answer, sendErr := http.DefaultClient.Do(request)
+			if !qt.Check(t, sendErr, qt.IsNil) {
+				return
+			}
+			defer func() { _ = answer.Body.Close() }()
+			// A stream that is broken off ends with an error.
+			content, _ = io.ReadAll(answer.Body)
+		})
+		waitUntil(func() bool {
+			return running.State().InFlight == 1
+		})
+		time.Sleep(200 * time.Millisecond)
+		qt.Check(t, daemon.close(100*time.Millisecond), qt.IsNotNil)
+		daemon.server.Kill()
+		callers.Wait()
+		qt.Check(t, string(content), qt.Contains, "daemon_leaving")
+		qt.Check(t, string(content), qt.Contains, "unknown")
+		qt.Check(t, string(content), qt.Not(qt.Contains), "[DONE]")
+	}
+}
+
 // TestGroupWithoutFreshEvidenceGetsNoRequest checks that the request is refused at once as
 // not run, with a Retry-After header.
 func TestGroupWithoutFreshEvidenceGetsNoRequest(t *testing.T) {
--- a/io/caller/job.go
+++ b/io/caller/job.go
@@ -141,7 +141,7 @@
 		}
 		deadline = min(deadline, time.Duration(ms)*time.Millisecond)
 	}
-	j.ctx, j.cancel = context.WithTimeout(context.Background(), deadline)
+	j.ctx, j.cancel = context.WithTimeout(s.jobsCtx, deadline)
 	return nil
 }
 
--- a/io/caller/serve.go
+++ b/io/caller/serve.go
@@ -228,21 +228,26 @@
 
 // endedBeforeSend returns the failure of a job that ended before it was sent.
 func (s *Server) endedBeforeSend(j *job) *outcome.Failure {
-	if j.isCallerDisconnected.Load() {
-		return outcome.NotRunFailure(outcome.ReasonCallerGone, "send request")
+	return outcome.NotRunFailure(s.endReason(j, outcome.ReasonQueueDeadline), "send request")
+}
+
+// endReason returns why a job has ended early: the caller has disconnected, the daemon ends, or else a deadline.
+func (s *Server) endReason(j *job, deadline outcome.Reason) outcome.Reason {
+	switch {
+	case j.isCallerDisconnected.Load():
+		return outcome.ReasonCallerGone
+	case s.jobsCtx.Err() != nil:
+		return outcome.ReasonDaemonLeaving
+	default:
+		return deadline
 	}
-	return outcome.NotRunFailure(outcome.ReasonQueueDeadline, "send request")
 }
 
 // endedAfterSend returns the failure of a job that ended after it was sent.
 func (s *Server) endedAfterSend(j *job) *outcome.Failure {
-	reason := outcome.ReasonDeadline
-	if j.isCallerDisconnected.Load() {
-		reason = outcome.ReasonCallerGone
-	}
 	return &outcome.Failure{
 		Outcome: outcome.Unknown,
-		Reason:  reason,
+		Reason:  s.endReason(j, outcome.ReasonDeadline),
 		Step:    "wait for answer",
 		Peer:    j.request.Address,
 	}
@@ -278,9 +283,7 @@
 		},
 	})
 	if refusal != nil {
-		if j.isCallerDisconnected.Load() {
-			refusal.Reason = outcome.ReasonCallerGone
-		}
+		refusal.Reason = s.endReason(j, refusal.Reason)
 		return refusal
 	}
 	j.releaseQueuePlace = release
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -59,6 +59,9 @@
 	refusedEvidence sync.Map
 
 	stop context.CancelFunc
+	// jobsCtx is that of all requests; endJobs ends them.
+	jobsCtx context.Context
+	endJobs context.CancelFunc
 	// isUnready fails the readiness check; isLeaving refuses new requests.
 	isUnready atomic.Bool
 	isLeaving atomic.Bool
@@ -82,6 +85,7 @@
 		return nil, errors.Wrapf(err, "listen for callers on %s", address)
 	}
 	ctx, stop := context.WithCancel(context.Background())
+	jobsCtx, endJobs := context.WithCancel(context.Background())
 	batcher := idempotency.NewBatcher(source.Store())
 	server := &Server{
 		source:   source,
@@ -94,7 +98,9 @@
 			Commit:  batcher.Commit,
 			IsAlive: source.IsMember,
 		},
-		stop: stop,
+		stop:    stop,
+		jobsCtx: jobsCtx,
+		endJobs: endJobs,
 	}
 	go batcher.Run(ctx)
 	go server.disconnects.Run(ctx)
@@ -148,12 +154,22 @@
 	s.isUnready.Store(true)
 }
 
-// Close refuses new requests, waits for those in flight until ctx ends, and closes
-// the server. It returns an error if some requests were still in flight.
+// maxEndTime is how long the callers of requests that Close ends may take to get the end.
+const maxEndTime = time.Second
+
+// Close refuses new requests, waits for those in flight until ctx ends, ends the others with an unknown outcome, and
+// closes the server. It returns an error if some requests were still in flight.
 func (s *Server) Close(ctx context.Context) error {
 	s.isLeaving.Store(true)
 	s.isClosed.Store(true)
 	err := s.waitUntilIdle(ctx)
+	s.endJobs()
+	if err != nil {
+		endCtx, cancel := context.WithTimeout(context.Background(), maxEndTime)
+		defer cancel()
+		// The requests that are left were counted by the first wait.
+		_ = s.waitUntilIdle(endCtx)
+	}
 	s.stop()
 	shutdownErr := s.app.ShutdownWithTimeout(time.Second)
 	if err == nil && shutdownErr != nil && !errors.Is(shutdownErr, context.DeadlineExceeded) {
@@ -181,6 +197,7 @@
 // Kill closes the server and its connections at once, as a crash would.
 func (s *Server) Kill() {
 	s.isClosed.Store(true)
+	s.endJobs()
 	s.stop()
 	_ = s.listener.Close()
 	s.conns.CloseAll()
