At the end of a stop, what is still being written to clients gets its time too

Cause: a request leaves the set of those in flight before its answer is written, so the process could exit in between.

--- a/io/gateway/drain.go
+++ b/io/gateway/drain.go
@@ -60,33 +60,38 @@
 	return errors.Wrap(err, "stop HTTP server for clients")
 }
 
-// cutOffRequests ends all requests in flight, waits shortly until their clients have the end, and returns an error if there
-// were any.
+// cutOffRequests ends all requests in flight and returns an error if there were any. It waits shortly until the clients have
+// what was still being written to them.
 func (s *Server) cutOffRequests() error {
 	s.isCutOff.Store(true)
 	cutOff := s.inFlight.all()
-	conns := s.conns.Count()
-	if conns != (tcp.Counts{}) {
-		s.log.Warn("clients: connections left at the end of the stop",
-			zap.Int("requests", len(cutOff)),
-			zap.Int("without_request", conns.New),
-			zap.Int("in_use", conns.Active),
-			zap.Int("idle", conns.Idle))
+	s.logCutOffs(cutOff)
+	for _, j := range cutOff {
+		j.abortForStop()
+	}
+	// A request that has ended is no longer in flight, but its answer may still have to be written.
+	for deadline := time.Now().Add(maxEndTime); s.conns.Count().Active > 0 && time.Now().Before(deadline); {
+		time.Sleep(endPollInterval)
 	}
 	if len(cutOff) == 0 {
 		return nil
 	}
+	return errors.Errorf("%d requests were in flight", len(cutOff))
+}
+
+// logCutOffs counts and logs the connections and requests that are left at the end of the stop.
+func (s *Server) logCutOffs(cutOff []*job) {
 	metrics.GetOrRegisterCounter(countCutOff, s.registry).Inc(int64(len(cutOff)))
-	for i, j := range cutOff {
-		if i < maxCutOffLines {
-			j.logCutOff()
-		}
-		j.abortForStop()
+	if conns := s.conns.Count(); conns != (tcp.Counts{}) {
+		s.log.Warn("clients: connections left at the end of the stop",
+			zap.Int("requests", len(cutOff)),
+			zap.Int("without_request", conns.New),
+			zap.Int("in_use", conns.Active),
+			zap.Int("idle", conns.Idle))
 	}
-	for deadline := time.Now().Add(maxEndTime); s.inFlight.len() > 0 && time.Now().Before(deadline); {
-		time.Sleep(endPollInterval)
+	for _, j := range cutOff[:min(len(cutOff), maxCutOffLines)] {
+		j.logCutOff()
 	}
-	return errors.Errorf("%d requests were in flight", len(cutOff))
 }
 
 // abortForStop ends a request at the end of the stop.
