Unframed answers of servers that nothing shows to run are not complete

Cause: an answer that ends with its connection was broken only if a refused connect was confirmed by another server or daemon; when all crash none confirms it, and doubt about the daemon's own links was decided as complete. Found on the way: a process that dies may close an answer's connection some milliseconds before its listener, so that the connect still succeeds. Evidence: TestUnframedStreamIsNotCompleteIfNoServerConnects failed before in both forms. Change: a connect that is refused or not tried, whoever's fault that is, means that nothing shows that the server runs; a new connection is watched for 5 ms for a reset. The test that asked for a confirmed refusal asks for a refusal now: it stated the fault. That a server which rejects surplus connections in order counts as running is tested as before. Whole answers of servers that are truly gone, or of a daemon that has lost its links to all servers and peers, now break off visibly.

--- a/core/completeness/completeness.go
+++ b/core/completeness/completeness.go
@@ -21,8 +21,8 @@
 // ServerState is what is known of a server after its answer ended.
 type ServerState int
 
-// Unknown means that the server was not checked yet; Running that it accepts connections, leaves as planned or cannot
-// be reached; Down that it ended unexpectedly.
+// Unknown means that the server was not checked yet; Running that it accepts connections, leaves as planned or does not
+// answer a connect; Down that it ended unexpectedly, or that nothing shows that it runs.
 const (
 	Unknown ServerState = iota
 	Running
--- a/io/backend/backend.go
+++ b/io/backend/backend.go
@@ -238,15 +238,21 @@
 	return tcp.Probe(netConn) == tcp.Closed
 }
 
-// IsRefused reports whether connects to an address are refused, and not for the daemon's own links: nothing
-// listens there. Unlike IsDown it does not wait, and a server that rejects surplus connections is not refused.
-func (c *Client) IsRefused(address string) bool {
+// endProbeTime is how long IsUnreached watches a new connection. A process that crashes closes its connections one after the
+// other, those of its answers perhaps before the one that it listens on.
+const endProbeTime = 5 * time.Millisecond
+
+// IsUnreached reports whether a connect to an address is refused or not tried, which nobody has to confirm, or is reset at
+// once: nothing then shows that the server runs. One that rejects surplus connections closes them in order. The call takes the
+// time to connect and, if that succeeds, endProbeTime.
+func (c *Client) IsUnreached(address string) bool {
 	netConn, err := c.dial(address)
-	if err == nil {
-		_ = netConn.Close()
-		return false
+	if err != nil {
+		return tcp.IsServerUnreached(err)
 	}
-	return tcp.IsServerRefusing(err)
+	defer func() { _ = netConn.Close() }()
+	time.Sleep(endProbeTime)
+	return tcp.Probe(netConn) == tcp.Closed && !tcp.HasFinished(netConn)
 }
 
 // connectError wraps the error of a failed connect.
--- a/io/backend/backend_test.go
+++ b/io/backend/backend_test.go
@@ -399,6 +399,18 @@
 	return listener.Addr().String()
 }
 
+// closingDialer connects, and closes the server's listener then.
+type closingDialer struct {
+	listener net.Listener
+}
+
+// Dial connects to an address.
+func (d closingDialer) Dial(address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := tcp.DirectDialer{}.Dial(address, timeout)
+	_ = d.listener.Close()
+	return conn, err
+}
+
 // failedConnects are all ways in which a connect fails.
 var failedConnects = []failingDialer{
 	{},
@@ -414,9 +426,10 @@
 	},
 }
 
-// Guards against a running server whose answers are taken for broken: it may reject surplus connections, be slow
-// to accept them, or be reachable for other daemons only.
-func TestServerIsRefusedOnlyIfNothingListens(t *testing.T) {
+// Guards against a running server whose answers are taken for broken, since it rejects surplus connections or is slow to
+// accept them, and against answers of a crashed server that are taken for whole, since nothing confirms that the refusal is the
+// server's fault, or since its listener has not been closed yet.
+func TestServerIsUnreachedOnlyIfNothingShowsThatItRuns(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	go func() {
@@ -429,16 +442,26 @@
 		}
 	}()
 	client := &backend.Client{}
-	qt.Check(t, client.IsRefused(listener.Addr().String()), qt.IsFalse)
+	qt.Check(t, client.IsUnreached(listener.Addr().String()), qt.IsFalse)
 	qt.Assert(t, listener.Close(), qt.IsNil)
-	qt.Check(t, client.IsRefused(listener.Addr().String()), qt.IsTrue)
+	qt.Check(t, client.IsUnreached(listener.Addr().String()), qt.IsTrue)
 
 	for _, failing := range failedConnects {
 		client = &backend.Client{
 			Dialer: failing,
 		}
-		qt.Check(t, client.IsRefused("127.0.0.1:1"), qt.Equals, failing.isRefused && failing.isConfirmed)
+		qt.Check(t, client.IsUnreached("127.0.0.1:1"), qt.Equals, failing.isRefused)
+	}
+
+	// A listener that is closed resets the connections that it has not accepted.
+	dying, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	client = &backend.Client{
+		Dialer: closingDialer{
+			listener: dying,
+		},
 	}
+	qt.Check(t, client.IsUnreached(dying.Addr().String()), qt.IsTrue)
 }
 
 // lostLinks are links of which some are lost.
--- a/io/gateway/answerend.go
+++ b/io/gateway/answerend.go
@@ -84,13 +84,14 @@
 }
 
 // serverState returns the state of the start of a server whose answer has just ended with its connection. A server
-// that leaves as planned may stop listening before its last answers end.
+// that leaves as planned may stop listening before its last answers end. A server that is not reached, be it for this
+// daemon's own links, counts as down: a client must not take an answer for complete that may have been broken off.
 func (s *Server) serverState(server fleet.Server) completeness.ServerState {
 	entry, isListed := s.source.View().Fleet.Server(server.ID)
 	switch {
 	case !isListed || entry.Draining || s.directives.IsDraining(server.StartID()):
 		return completeness.Running
-	case entry.StartID() != server.StartID() || s.backends.IsRefused(server.Address):
+	case entry.StartID() != server.StartID() || s.backends.IsUnreached(server.Address):
 		return completeness.Down
 	default:
 		return completeness.Running
--- a/io/gateway/silence_test.go
+++ b/io/gateway/silence_test.go
@@ -194,6 +194,8 @@
 // at once.
 type refusingDialer struct {
 	refuses atomic.Bool
+	// failure is the error of a refused connect; nil means that an observer has confirmed the refusal.
+	failure *tcp.DialError
 }
 
 // Dial connects to an address.
@@ -201,6 +203,9 @@
 	if !d.refuses.Load() {
 		return tcp.DirectDialer{}.Dial(address, timeout)
 	}
+	if d.failure != nil {
+		return nil, d.failure
+	}
 	return nil, &tcp.DialError{
 		Refused:   true,
 		Confirmed: true,
--- a/io/gateway/truncation_test.go
+++ b/io/gateway/truncation_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"headcourse/core/quarantine"
 	"headcourse/core/request"
 	"headcourse/io/gateway"
+	"headcourse/io/tcp"
 	"headcourse/platform/wire"
 )
 
@@ -216,6 +218,38 @@
 	})
 }
 
+// Guards against streams that end as complete although their server crashed, since no other server of the service accepts
+// connects either, as after the loss of a whole domain: nothing then confirms that it is the server's fault.
+func TestUnframedStreamIsNotCompleteIfNoServerConnects(t *testing.T) {
+	for name, failure := range map[string]*tcp.DialError{
+		"refusal that nothing confirms": {
+			Refused: true,
+			Cause:   syscall.ECONNREFUSED,
+		},
+		"connect that is not tried": {
+			Cause: tcp.ErrNoPath,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dialer := &refusingDialer{
+				failure: failure,
+			}
+			server := startRawServer(t, func(int) rawAnswer {
+				dialer.refuses.Store(true)
+				return rawAnswer{
+					contentType: eventStreamType,
+					body:        "id: 1\ndata: 1\n\n",
+				}
+			})
+			options := newOptions(newSource(streamView(true, server)))
+			options.Dialer = dialer
+			answer := readAnswer(t, startGateway(t, options).Address(), func() {})
+			qt.Check(t, answer.err, qt.IsNotNil)
+			qt.Check(t, answer.body, qt.Equals, "id: 1\ndata: 1\n\n")
+		})
+	}
+}
+
 // Guards against complete answers that are taken for broken ones: the close of the connection is a proper end
 // of an answer, and a stream may use any line end of the format and end with comments or blank lines.
 func TestUnframedAnswerOfRunningServerIsComplete(t *testing.T) {
--- a/io/tcp/dialerror.go
+++ b/io/tcp/dialerror.go
@@ -6,6 +6,9 @@
 	"github.com/pkg/errors"
 )
 
+// ErrNoPath is the error of a connect that is not tried, since recent ones to other servers failed on all ways.
+var ErrNoPath = errors.New("no path to the servers of this service")
+
 // DialError is the error of a connect that failed on all ways to the address.
 type DialError struct {
 	// Refused is set if the connect failed other than by a timeout. If Confirmed is set too, that is what the observer
@@ -47,3 +50,9 @@
 	}
 	return IsRefused(err)
 }
+
+// IsServerUnreached reports whether a connect was refused or not tried, whoever's fault that is: nothing shows that the
+// server runs. A connect that timed out shows nothing either, but the server may stand still.
+func IsServerUnreached(err error) bool {
+	return IsRefused(err) || errors.Is(err, ErrNoPath)
+}
--- a/io/tunnel/dialer.go
+++ b/io/tunnel/dialer.go
@@ -4,7 +4,6 @@
 	"net"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"headcourse/core/reach"
@@ -28,10 +27,6 @@
 	countHopeless = "tunnels_used.no_path"
 )
 
-// errNoPath is the error of a connect that is not tried, since recent ones to other servers failed on
-// all ways.
-var errNoPath = errors.New("no path to the servers of this service")
-
 // Dialer connects to backend servers, directly or through a peer. It implements tcp.Dialer. Errors
 // are of type *tcp.DialError.
 type Dialer struct {
@@ -52,7 +47,7 @@
 	if plan.IsHopeless {
 		d.count(countHopeless)
 		return nil, &tcp.DialError{
-			Cause: errNoPath,
+			Cause: tcp.ErrNoPath,
 		}
 	}
 	if !plan.UsesDirect {
