--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -124,10 +124,7 @@
 // Guards against groups that a leader begins to form or repair and leaves behind, since it leads until the end of its stop.
 func TestStoppingLeaderHandsOverAtOnce(t *testing.T) {
 	s := newSiteWith(t, 2, withStopTimeout)
-	leads := 0
-	if s.countLeases(siteNames[1]) > 0 {
-		leads = 1
-	}
+	leads := s.leader()
 	other := siteNames[1-leads]
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.daemons[leads].Stop() }()
@@ -144,10 +141,7 @@
 // Guards against a daemon that takes the lease while it stops, so that it changes hands again soon.
 func TestStoppingDaemonDoesNotTakeLease(t *testing.T) {
 	s := newSiteWith(t, 2, withStopTimeout)
-	leads := 0
-	if s.countLeases(siteNames[1]) > 0 {
-		leads = 1
-	}
+	leads := s.leader()
 	follower := siteNames[1-leads]
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.daemons[1-leads].Stop() }()
