Review: case 4 with groups of two servers

Cause: groups of one server are no models of the site, and one server of three is a larger share than the site's entries have.

Change: eight servers in two domains, groups of two.

--- a/review/standin-2/case4.go
+++ b/review/standin-2/case4.go
@@ -63,13 +63,13 @@
 
 // playTruncatedStreams plays case 4.
 func playTruncatedStreams(s *stage) (bool, error) {
-	const groupSize, runners = 1, 3
+	const groupSize, runners = 2, 8
 	s.writeConfig(groupSize)
 	for i := range runners {
 		if _, err := s.startRunner(runnerOptions{
 			id:      fmt.Sprintf("i-%d", i),
 			service: engineName,
-			options: []string{"--domain", fmt.Sprintf("rack-%d", i), "--unframed"},
+			options: []string{"--domain", fmt.Sprintf("rack-%d", i%2), "--unframed"},
 		}); err != nil {
 			return false, err
 		}
@@ -78,9 +78,9 @@
 	if err != nil {
 		return false, err
 	}
-	// One server stays a spare.
-	const formLimit = 20 * time.Second
-	if !await(formLimit, func() bool { return len(s.openHeads(runners)) >= runners-1 }) {
+	// More groups follow; two suffice for a stream to go on elsewhere.
+	const formLimit, groups = 20 * time.Second, 2
+	if !await(formLimit, func() bool { return len(s.openHeads(runners)) >= groups }) {
 		return false, fmt.Errorf("the groups are not open")
 	}
 	time.Sleep(time.Second)
