--- a/review/standin-2/case4.go
+++ b/review/standin-2/case4.go
@@ -1,23 +1,18 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
-	"strings"
 	"sync"
 	"time"
 )
 
-// Case 4: model servers answer without a length, as a server's answer may. One of them says that it is
-// draining and is gone 2 s after the notice, with answers in progress. These must not appear complete.
+// Case 4: model servers answer without a length, as a server's answer may. One of them is cut off from the store, so that
+// its entry lapses, and crashes behind the cut with answers in progress. These must not appear complete.
 const (
 	streamEvents  = 75
 	streamClients = 8
-	noticeTime    = 2 * time.Second
 	cutTime       = 5 * time.Second
 	streamTimeout = 8 * time.Second
 )
@@ -42,81 +37,30 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(streamTimeout + time.Second))
-	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nX-Api-Key: %s\r\nModel: %s\r\nToken-Counts: 100,%d\r\nPrompt-Prefix: %x:100\r\nDeadline-Ms: %d\r\nContent-Length: 2\r\n\r\n{}",
-		path, hostName, id, apiKey, modelName, events*tokensAnEvent, id, streamTimeout.Milliseconds())
-	reply, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err != nil {
-		return streamAnswer{
-			err: err,
-		}
-	}
-	body, err := io.ReadAll(reply.Body)
-	_ = reply.Body.Close()
-	return streamAnswer{
-		status:  reply.StatusCode,
-		seal:    reply.Header.Get("Server-Seal"),
-		events:  strings.Count(string(body), "\n\n"),
-		isWhole: err == nil,
-		err:     err,
-	}
+	return exchangeStream(conn, path, id, events)
 }
 
 // playTruncatedStreams plays case 4.
 func playTruncatedStreams(s *stage) (bool, error) {
-	const groupSize, runners = 2, 8
-	s.writeConfig(groupSize)
-	for i := range runners {
-		if _, err := s.startRunner(runnerOptions{
-			id:      fmt.Sprintf("i-%d", i),
-			service: engineName,
-			options: []string{"--domain", fmt.Sprintf("rack-%d", i%2), "--unframed"},
-		}); err != nil {
-			return false, err
-		}
+	if err := s.startEngines("--unframed"); err != nil {
+		return false, err
 	}
 	daemons, err := s.startDaemons(2)
 	if err != nil {
 		return false, err
 	}
-	// More groups follow; two suffice for a stream to go on elsewhere.
-	const formLimit, groups = 20 * time.Second, 2
-	if !await(formLimit, func() bool { return len(s.openHeads(runners)) >= groups }) {
-		return false, fmt.Errorf("the groups are not open")
-	}
-	time.Sleep(time.Second)
-	return s.playStreams(daemons, s.openHeads(runners)[0])
-}
-
-// openHeads returns the model servers whose groups are open.
-func (s *stage) openHeads(runners int) []string {
-	var open []string
-	for i := range runners {
-		id := fmt.Sprintf("i-%d", i)
-		if strings.Contains(s.store.entryOf(id), `"State":"open"`) {
-			open = append(open, id)
-		}
+	if err = s.awaitGroups(); err != nil {
+		return false, err
 	}
-	return open
+	return s.playStreams(daemons, s.openHeads()[0])
 }
 
-// takeAway makes a server leave on short notice, or with VARIANT=cut crash while it is cut off from the store.
-func (s *stage) takeAway(victim string) error {
-	if os.Getenv("VARIANT") == "cut" {
-		s.store.setCutOff(victim, true)
-		s.note("%s is cut off from the store", victim)
-		time.Sleep(cutTime)
-		s.killRunner(victim)
-		return nil
-	}
-	s.mutex.Lock()
-	p := s.runners[victim]
-	s.mutex.Unlock()
-	if _, err := p.stdin.Write([]byte("drain\n")); err != nil {
-		return err
-	}
-	time.Sleep(noticeTime)
+// takeAway cuts a server off from the store and kills it behind the cut.
+func (s *stage) takeAway(victim string) {
+	s.store.setCutOff(victim, true)
+	s.note("%s is cut off from the store", victim)
+	time.Sleep(cutTime)
 	s.killRunner(victim)
-	return nil
 }
 
 // playStreams sends streams, takes a server away meanwhile, and judges the answers.
@@ -134,9 +78,7 @@
 	}
 	time.Sleep(time.Second)
 	if s.hasTrouble {
-		if err := s.takeAway(victim); err != nil {
-			return false, err
-		}
+		s.takeAway(victim)
 	}
 	clients.Wait()
 	served, truncated := 0, 0
--- a/review/standin-2/case5.go
+++ b/review/standin-2/case5.go
@@ -2,234 +2,169 @@
 
 import (
 	"bufio"
-	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
-	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// Case 5: clients send large bodies, within MaxBodyBytes, over kept channels to two daemons. One daemon is killed and
-// starts again, so that its clients go to the other one, which must bear them.
+// Case 5: a daemon is stopped. Clients whose channels were opened while the balancer still passed some to it send long
+// streams more than 3 s after SIGTERM. A daemon that takes them must answer them whole.
 const (
-	bodyBytes     = 4_000_000
-	uploadPieces  = 50
-	uploadClients = 26
-	workTime      = time.Second
-	uploadTime    = time.Second
-	pauseTime     = 100 * time.Millisecond
-	quietSeconds  = 6
-	downTime      = 3500 * time.Millisecond
-	playTime      = 20 * time.Second
-	deadlineTime  = 8 * time.Second
-	// maxLost is how many requests the rule allows.
-	maxLost = 3
+	shortEvents   = 5
+	longEvents    = 55
+	shortStreams  = 20
+	longStreams   = 6
+	openedAfter   = 800 * time.Millisecond
+	sentAfter     = 3200 * time.Millisecond
+	excusedBefore = 3 * time.Second
 )
 
-// uploader is a client that sends one large body after the other.
-type uploader struct {
-	stage   *stage
-	number  int
-	home    int
-	daemons []*daemon
-	balance *balancer
-	tally   *uploadTally
+// lateStream is a stream on a channel that was opened some time before.
+type lateStream struct {
+	id     string
+	target *daemon
+	conn   net.Conn
+	sentAt time.Time
+	endAt  time.Time
+	got    streamAnswer
 }
 
-// uploadTally counts how the requests ended.
-type uploadTally struct {
-	mutex    sync.Mutex
-	answered map[int]int
-	// lost are requests on kept channels that reached a server and whose channel was closed without an answer.
-	lost   map[*daemon]int
-	others int
+// run sends the stream and reads its answer.
+func (l *lateStream) run() {
+	defer func() { _ = l.conn.Close() }()
+	_ = l.conn.SetDeadline(time.Now().Add(streamTimeout + time.Second))
+	l.sentAt = time.Now()
+	l.got = exchangeStream(l.conn, enginePath+l.id, l.id, longEvents)
+	l.endAt = time.Now()
 }
 
-// balancer asks the daemons whether they are ready, once a second, as the platform does.
-type balancer struct {
-	mutex sync.Mutex
-	out   map[*daemon]bool
-}
-
-// run asks until stop is closed.
-func (b *balancer) run(daemons []*daemon, stop <-chan struct{}) {
-	misses := map[*daemon]int{}
-	for {
-		for _, d := range daemons {
-			if d.isReady() {
-				misses[d] = 0
-			} else {
-				misses[d]++
-			}
-			b.mutex.Lock()
-			b.out[d] = misses[d] >= 2
-			b.mutex.Unlock()
-		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(time.Second):
-		}
-	}
-}
-
-// choose returns a daemon that is in.
-func (b *balancer) choose(daemons []*daemon, home int) *daemon {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	for i := range daemons {
-		if d := daemons[(home+i)%len(daemons)]; !b.out[d] {
-			return d
-		}
-	}
-	return daemons[home%len(daemons)]
-}
-
-// run sends requests until stop is closed.
-func (u *uploader) run(stop <-chan struct{}) {
-	body := bytes.Repeat([]byte("reading 12.5 bar\n"), bodyBytes/17)
-	for number := 0; ; {
-		target := u.balance.choose(u.daemons, u.home)
-		u.home++
-		conn, err := net.DialTimeout("tcp", target.frontAddress(), time.Second)
-		if err != nil {
-			time.Sleep(pauseTime)
-			continue
-		}
-		reader := bufio.NewReader(conn)
-		for isKept := false; ; isKept = true {
-			select {
-			case <-stop:
-				_ = conn.Close()
-				return
-			case <-time.After(pauseTime):
-			}
-			number++
-			if !u.send(conn, reader, target, fmt.Sprintf("upload-%d-%d", u.number, number), body, isKept) {
-				break
-			}
+// exchangeStream sends a stream on a channel and reads its answer.
+func exchangeStream(conn net.Conn, path, id string, events int) streamAnswer {
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nX-Api-Key: %s\r\nModel: %s\r\nToken-Counts: 100,%d\r\nPrompt-Prefix: %x:100\r\nDeadline-Ms: %d\r\nContent-Length: 2\r\n\r\n{}",
+		path, hostName, id, apiKey, modelName, events*tokensAnEvent, id, streamTimeout.Milliseconds())
+	if err != nil {
+		return streamAnswer{
+			err: err,
 		}
-		_ = conn.Close()
-		u.home--
-	}
-}
-
-// send sends one request and reads its answer. It reports whether the channel can be used again.
-func (u *uploader) send(conn net.Conn, reader *bufio.Reader, target *daemon, id string, body []byte, isKept bool) bool {
-	_ = conn.SetDeadline(time.Now().Add(deadlineTime + time.Second))
-	err := writeSlowly(conn, id, body)
-	var reply *http.Response
-	if err == nil {
-		reply, err = http.ReadResponse(reader, nil)
 	}
-	u.tally.mutex.Lock()
-	defer u.tally.mutex.Unlock()
+	reply, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		hasRun := u.stage.runs.of(id) > 0
-		u.stage.note("  request %s at %s ends without an answer: %s; kept channel: %t, reached a server: %t", id, target.name, err, isKept, hasRun)
-		if hasRun && isKept {
-			u.tally.lost[target]++
-		} else {
-			u.tally.others++
+		return streamAnswer{
+			err: err,
 		}
-		return false
 	}
-	_, _ = reader.Discard(int(max(0, reply.ContentLength)))
-	u.tally.answered[reply.StatusCode]++
-	return !reply.Close
-}
-
-// writeSlowly writes a request with a large body over some time.
-func writeSlowly(conn net.Conn, id string, body []byte) error {
-	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nX-Api-Key: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
-		unsafePath, hostName, id, apiKey, deadlineTime.Milliseconds(), len(body))
-	for piece := 0; err == nil && piece < uploadPieces; piece++ {
-		from, to := piece*len(body)/uploadPieces, (piece+1)*len(body)/uploadPieces
-		_, err = conn.Write(body[from:to])
-		time.Sleep(uploadTime / uploadPieces)
+	body, err := io.ReadAll(reply.Body)
+	_ = reply.Body.Close()
+	return streamAnswer{
+		status:  reply.StatusCode,
+		seal:    reply.Header.Get("Server-Seal"),
+		events:  strings.Count(string(body), "\n\n"),
+		isWhole: err == nil,
+		err:     err,
 	}
-	return err
 }
 
-// playLargeBodies plays case 5.
-func playLargeBodies(s *stage) (bool, error) {
-	s.writeConfig(1)
-	for i := range 3 {
-		if _, err := s.startRunner(runnerOptions{
-			id:      fmt.Sprintf("i-%d", i),
-			service: plainName,
-			options: []string{"--work-ms", strconv.Itoa(int(workTime.Milliseconds()))},
-		}); err != nil {
-			return false, err
-		}
+// playStop plays case 5.
+func playStop(s *stage) (bool, error) {
+	if err := s.startEngines("--event-ms", "100"); err != nil {
+		return false, err
 	}
 	daemons, err := s.startDaemons(2)
 	if err != nil {
 		return false, err
 	}
-	time.Sleep(time.Second)
-	stop := make(chan struct{})
-	var watchers, clients sync.WaitGroup
-	kills := make([]int, len(daemons))
-	most := make([]int64, len(daemons))
-	paused := make([]chan struct{}, len(daemons))
-	for i, d := range daemons {
-		paused[i] = make(chan struct{})
-		watchers.Go(func() { kills[i], most[i] = d.limitMemory(paused[i]) })
+	if err = s.awaitGroups(); err != nil {
+		return false, err
 	}
-	balance := &balancer{
-		out: map[*daemon]bool{},
+	if err = s.sendShortStreams(daemons); err != nil {
+		return false, err
 	}
-	watchers.Go(func() { balance.run(daemons, stop) })
-	tally := &uploadTally{
-		answered: map[int]int{},
-		lost:     map[*daemon]int{},
+	stoppedAt := time.Now()
+	if s.hasTrouble {
+		s.note("%s gets SIGTERM", daemons[0].name)
+		daemons[0].process.signal(syscall.SIGTERM)
+		kill := time.AfterFunc(graceS*time.Second, func() { daemons[0].process.signal(syscall.SIGKILL) })
+		defer kill.Stop()
 	}
-	for i := range uploadClients {
-		u := &uploader{
-			stage:   s,
-			number:  i,
-			home:    i,
-			daemons: daemons,
-			balance: balance,
-			tally:   tally,
-		}
-		clients.Go(func() { u.run(stop) })
+	streams, err := s.openLate(daemons, stoppedAt)
+	if err != nil {
+		return false, err
 	}
-	time.Sleep(quietSeconds * time.Second)
-	if s.hasTrouble {
-		close(paused[0])
-		s.note("%s is killed, it starts again %s later", daemons[0].name, downTime)
-		daemons[0].process.signal(syscall.SIGKILL)
-		time.Sleep(downTime)
-		if err := daemons[0].start(); err != nil {
-			return false, err
-		}
+	var clients sync.WaitGroup
+	time.Sleep(time.Until(stoppedAt.Add(sentAfter)))
+	for _, l := range streams {
+		clients.Go(l.run)
 	}
-	time.Sleep(playTime - quietSeconds*time.Second)
-	close(stop)
 	clients.Wait()
-	if !s.hasTrouble {
-		close(paused[0])
+	return s.judgeLate(streams, stoppedAt)
+}
+
+// sendShortStreams sends streams with short answers to all daemons, as traffic of an ordinary minute does.
+func (s *stage) sendShortStreams(daemons []*daemon) error {
+	var clients sync.WaitGroup
+	answers := make([]streamAnswer, shortStreams*len(daemons))
+	for i := range answers {
+		clients.Go(func() {
+			id := fmt.Sprintf("short-%d", i)
+			answers[i] = sendStream(daemons[i%len(daemons)].frontAddress(), enginePath+id, id, shortEvents)
+		})
 	}
-	close(paused[1])
-	watchers.Wait()
-	s.note("answers by status: %v; other ends: %d", tally.answered, tally.others)
-	judged := daemons
-	if s.hasTrouble {
-		judged = daemons[1:]
+	clients.Wait()
+	for i, got := range answers {
+		if !got.isWhole || got.events != shortEvents {
+			return fmt.Errorf("short-%d got status %d and %d events: %w", i, got.status, got.events, got.err)
+		}
 	}
-	for i, d := range daemons {
-		s.note("%s: %d MB at most, killed for its memory %d times; %d requests of kept channels reached a server and ended with their channel", d.name, most[i]>>20, kills[i], tally.lost[d])
+	s.note("%d streams with %d events each were served", len(answers), shortEvents)
+	return nil
+}
+
+// openLate opens channels to all daemons while the balancer, which asks once a second and takes a daemon out after two
+// misses, still passes new ones to each.
+func (s *stage) openLate(daemons []*daemon, stoppedAt time.Time) ([]*lateStream, error) {
+	time.Sleep(time.Until(stoppedAt.Add(openedAfter)))
+	var streams []*lateStream
+	for i := range longStreams * len(daemons) {
+		l := &lateStream{
+			id:     fmt.Sprintf("long-%d", i),
+			target: daemons[i%len(daemons)],
+		}
+		var err error
+		if l.conn, err = net.DialTimeout("tcp", l.target.frontAddress(), time.Second); err != nil {
+			return nil, err
+		}
+		s.note("  request %s: channel to %s opened", l.id, l.target.name)
+		streams = append(streams, l)
 	}
-	for _, d := range judged {
-		if tally.lost[d] > maxLost {
-			s.note("LOST: %s", d.name)
-			return true, nil
+	return streams, nil
+}
+
+// judgeLate judges the answers.
+func (s *stage) judgeLate(streams []*lateStream, stoppedAt time.Time) (bool, error) {
+	lost, whole, refused := 0, 0, 0
+	for _, l := range streams {
+		sent, end := l.sentAt.Sub(stoppedAt), l.endAt.Sub(stoppedAt)
+		s.note("  request %s to %s: sent whole at %.2f s, ended at %.2f s with status %d, %d of %d events, complete: %t, run: %d, error: %v",
+			l.id, l.target.name, sent.Seconds(), end.Seconds(), l.got.status, l.got.events, longEvents, l.got.isWhole, s.runs.of(l.id), l.got.err)
+		isCut := !l.got.isWhole && s.runs.of(l.id) > 0 && end-sent < streamTimeout
+		switch {
+		case l.got.isWhole && l.got.events == longEvents:
+			whole++
+		case l.got.isWhole && l.got.status == http.StatusServiceUnavailable:
+			refused++
+		case isCut && sent > excusedBefore:
+			lost++
+			s.note("LOST: %s, sent %.2f s after SIGTERM and run by a server, ends %.2f s after it without a complete answer", l.id, sent.Seconds(), end.Seconds())
 		}
 	}
-	return false, nil
+	s.note("%d long streams: %d whole, %d refused with 503, %d cut", len(streams), whole, refused, lost)
+	if !s.hasTrouble && whole < len(streams) {
+		return false, fmt.Errorf("only %d of %d streams are served without a disruption", whole, len(streams))
+	}
+	return lost > 0, nil
 }
--- a/review/standin-2/daemon.go
+++ b/review/standin-2/daemon.go
@@ -7,8 +7,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
-	"syscall"
 	"time"
 )
 
@@ -169,46 +167,3 @@
 	}
 	return daemons, nil
 }
-
-// memoryBytes returns the anonymous memory of a process.
-func (p *process) memoryBytes() int64 {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(status)) {
-		if value, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			kilobytes, _ := strconv.ParseInt(strings.Fields(value)[0], 10, 64)
-			return kilobytes << 10
-		}
-	}
-	return 0
-}
-
-// limitMemory does what the platform does: it kills the daemon's process once it exceeds MemoryMb,
-// and starts it again after a short delay. It returns how often that happened, and the most memory
-// that was seen.
-func (d *daemon) limitMemory(stop <-chan struct{}) (kills int, most int64) {
-	const interval, restartDelay = 5 * time.Millisecond, 500 * time.Millisecond
-	for {
-		select {
-		case <-stop:
-			return kills, most
-		case <-time.After(interval):
-		}
-		used := d.process.memoryBytes()
-		most = max(most, used)
-		if used <= memoryMb<<20 {
-			continue
-		}
-		d.stage.note("%s uses %d MB, its limit is %d MB: the platform kills it", d.name, used>>20, memoryMb)
-		kills++
-		d.process.signal(syscall.SIGKILL)
-		<-d.process.ended
-		time.Sleep(restartDelay)
-		if err := d.start(); err != nil {
-			d.stage.note("%s does not start again: %s", d.name, err)
-			return kills, most
-		}
-	}
-}
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -1,12 +1,13 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"syscall"
+	"time"
 )
 
 // Names in the configuration.
@@ -15,14 +16,12 @@
 	apiKey      = "key-of-cuenca"
 	modelName   = "model"
 	enginePath  = "/summary/"
-	unsafePath  = "/registry/"
 	engineName  = "redactor"
-	plainName   = "tablero"
 	maxBodySize = 4 << 20
 )
 
 // writeConfig writes the operator's configuration: a service of model servers with a route of
-// streams that may be resumed, and a plain service with an unsafe route.
+// streams that may be resumed.
 func (s *stage) writeConfig(groupSize int) {
 	s.store.put("op", "config", map[string]any{
 		"Version": 1,
@@ -31,10 +30,6 @@
 				"Name": "r-1", "Host": hostName, "PathPrefix": enginePath, "Kind": "stream", "TimeoutMs": 8000, "GoalMs": 500, "Priority": 1,
 				"Service": engineName, "MaxAttempts": 2, "Public": false, "Affinity": true, "Resumable": true, "GapGoalMs": 300,
 			},
-			map[string]any{
-				"Name": "r-2", "Host": hostName, "PathPrefix": unsafePath, "Kind": "unsafe", "TimeoutMs": 8000, "GoalMs": 300, "Priority": 2,
-				"Service": plainName, "MaxAttempts": 1, "Public": false,
-			},
 		},
 		"Services": []any{
 			map[string]any{
@@ -46,13 +41,57 @@
 					"LoadsPerS": 4, "loads_at_once": 6, "usual": map[string]any{"prompt": 1076, "answer": 116}, "CachedPrefixes": 1, "far_x": 3, "FormMs": 300,
 				},
 			},
-			map[string]any{"Name": plainName, "HealthPath": "/health", "MaxConns": 474},
 		},
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": maxBodySize, "HeaderTimeoutMs": 10000, "IdleTimeoutMs": 60000},
 		"Tenants": []any{map[string]any{"Name": "cuenca", "ApiKeys": []any{apiKey}}},
 	})
 }
 
+// engineCount is the number of model servers, in two domains; groups have two.
+const engineCount = 8
+
+// engineID returns the ID of a model server.
+func engineID(number int) string {
+	return fmt.Sprintf("i-%d", number)
+}
+
+// startEngines writes the configuration and starts the model servers.
+func (s *stage) startEngines(options ...string) error {
+	const groupSize, domains = 2, 2
+	s.writeConfig(groupSize)
+	for i := range engineCount {
+		if _, err := s.startRunner(runnerOptions{
+			id:      engineID(i),
+			service: engineName,
+			options: append([]string{"--domain", fmt.Sprintf("rack-%d", i%domains)}, options...),
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// openHeads returns the model servers whose groups are open.
+func (s *stage) openHeads() []string {
+	var open []string
+	for i := range engineCount {
+		if strings.Contains(s.store.entryOf(engineID(i)), `"State":"open"`) {
+			open = append(open, engineID(i))
+		}
+	}
+	return open
+}
+
+// awaitGroups waits until groups are open. More follow; two suffice for a stream to go on elsewhere.
+func (s *stage) awaitGroups() error {
+	const limit, groups = 20 * time.Second, 2
+	if !await(limit, func() bool { return len(s.openHeads()) >= groups }) {
+		return errors.New("the groups are not open")
+	}
+	time.Sleep(time.Second)
+	return nil
+}
+
 // runnerOptions are the options of one backend server.
 type runnerOptions struct {
 	id      string
@@ -111,8 +150,3 @@
 	<-p.ended
 	s.note("%s is killed", id)
 }
-
-// logPath returns the path of a daemon's log.
-func (d *daemon) logPath() string {
-	return filepath.Join(d.stage.folder, d.name+".log")
-}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,7 +24,7 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*stage) (bool, error){
 	"4": playTruncatedStreams,
-	"5": playLargeBodies,
+	"5": playStop,
 }
 
 func main() {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -71,7 +71,6 @@
 	// isUnframed makes answers have neither a length nor chunks: they end with their channel.
 	isUnframed bool
 	eventTime  time.Duration
-	workTime   time.Duration
 	slots      chan struct{}
 
 	mutex       sync.Mutex
@@ -93,7 +92,6 @@
 	capacity := flags.Int("capacity", 26, "requests at once")
 	isUnframed := flags.Bool("unframed", false, "answer without a length")
 	eventMs := flags.Int("event-ms", 100, "time of an event of a stream")
-	workMs := flags.Int("work-ms", 60, "time of a request that is no stream")
 	_ = flags.Parse(arguments)
 	r := &runner{
 		id:         *id,
@@ -101,7 +99,6 @@
 		address:    *address,
 		isUnframed: *isUnframed,
 		eventTime:  time.Duration(*eventMs) * time.Millisecond,
-		workTime:   time.Duration(*workMs) * time.Millisecond,
 		slots:      make(chan struct{}, *capacity),
 		entry: entry{
 			Service:  *service,
@@ -112,17 +109,14 @@
 			State:    "ready",
 		},
 	}
-	if *domain != "" {
-		r.entry.Phase = "both"
-		r.entry.Domain = *domain
-		r.entry.Staged = []string{"model"}
-	}
+	r.entry.Phase = "both"
+	r.entry.Domain = *domain
+	r.entry.Staged = []string{modelName}
 	listener, err := net.Listen("tcp", *address)
 	if err != nil {
 		fmt.Println("listen:", err)
 		os.Exit(exitNotRun)
 	}
-	go r.readCommands()
 	go func() {
 		for {
 			r.report()
@@ -145,20 +139,6 @@
 	fmt.Printf(format+"\n", arguments...)
 }
 
-// readCommands carries out the commands on the standard input: drain.
-func (r *runner) readCommands() {
-	lines := bufio.NewScanner(os.Stdin)
-	for lines.Scan() {
-		if lines.Text() == "drain" {
-			r.mutex.Lock()
-			r.entry.State = "draining"
-			r.mutex.Unlock()
-			r.report()
-			r.say("says that it is draining")
-		}
-	}
-}
-
 // report writes the server's entry into the store.
 func (r *runner) report() {
 	r.mutex.Lock()
@@ -337,7 +317,7 @@
 	}
 	r.mutex.Lock()
 	group := r.entry.Group
-	isServing := r.entry.Domain == "" || (group != nil && group.Rank == 0 && (group.State == "open" || group.State == "closing"))
+	isServing := group != nil && group.Rank == 0 && (group.State == "open" || group.State == "closing")
 	r.mutex.Unlock()
 	select {
 	case r.slots <- struct{}{}:
@@ -354,14 +334,7 @@
 	}()
 	r.say("runs request %s (%d bytes)", id, len(body))
 	headers := "Request-Id: " + id + "\r\nServer-Seal: " + r.id + "." + id + "\r\nWeight-Versions: 1\r\n"
-	if r.entry.Domain != "" {
-		return r.stream(conn, request, id, headers)
-	}
-	time.Sleep(r.workTime)
-	content := []byte("answer to " + id + " " + strings.Repeat("x", 780))
-	isWritten := r.write(conn, http.StatusOK, headers, content)
-	r.say("answered request %s", id)
-	return isWritten
+	return r.stream(conn, request, id, headers)
 }
 
 // changeRunning counts the requests that run.
--- a/review/standin-2/stage.go
+++ b/review/standin-2/stage.go
@@ -91,7 +91,6 @@
 // process is a child process.
 type process struct {
 	command *exec.Cmd
-	stdin   interface{ Write([]byte) (int, error) }
 	ended   chan struct{}
 }
 
@@ -106,22 +105,8 @@
 	_ = p.command.Process.Signal(signal)
 }
 
-// hasEnded reports whether the process has ended.
-func (p *process) hasEnded() bool {
-	select {
-	case <-p.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 // start starts a process. onLine, if set, receives the lines of its standard output.
 func (s *stage) start(command *exec.Cmd, onLine func(string)) (*process, error) {
-	stdin, err := command.StdinPipe()
-	if err != nil {
-		return nil, err
-	}
 	stdout, err := command.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -134,7 +119,6 @@
 	}
 	p := &process{
 		command: command,
-		stdin:   stdin,
 		ended:   make(chan struct{}),
 	}
 	go func() {
