Answers whose status is none are not passed on

Cause: fasthttp takes any three digits for a status and returns 200 for 0, so that 000 was a success by then; 099 and 700 were passed on as they came, 101 was skipped like an interim answer, and versions such as HTTP/2.0 were accepted. Change: http1.ReadHead checks the bytes of a head (RFC 9112, section 4; RFC 9110, section 15) before fasthttp parses them: a version of HTTP/1, a status from 100 to 599 other than 101, lines that end with CRLF. Servers' answers are read with it; connections of the HTTP client for servers' reports and orders, the store and other daemons check each head before the client sees it. A head that is none counts as bad_answer: another server gets the request if it may run again, and else its outcome is unknown (502). Why it works: nothing is decided by the parsed status unless the bytes are one; there is one place for all answers over HTTP/1. Tests: TestAnswerWithInvalidStatusIsNotPassedOn (14 statuses, three kinds of routes) and TestCallFailsWithoutValidStatus failed before; some of the rows only since the reason was connection_broken.

--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -115,10 +115,10 @@
 // ReadHead reads the head of the next answer on the connection and skips interim (1xx) answers.
 func (e *Exchange) ReadHead(head *fasthttp.ResponseHeader) error {
 	for interimAnswers := 0; ; interimAnswers++ {
-		if err := head.Read(e.conn.reader); err != nil {
+		if err := http1.ReadHead(e.conn.reader, head); err != nil {
 			return errors.Wrap(err, "read head of answer")
 		}
-		if status := head.StatusCode(); status < 100 || status >= 200 {
+		if head.StatusCode() >= fasthttp.StatusOK {
 			break
 		}
 		if interimAnswers == maxInterimAnswers {
--- a/io/http1/http1.go
+++ b/io/http1/http1.go
@@ -179,10 +179,10 @@
 			error: err,
 		}
 	}
-	return &timeoutConn{
+	return newAnswerConn(&timeoutConn{
 		Conn:    conn,
 		timeout: orDefault(c.IOTimeout, defaultIOTimeout),
-	}, nil
+	}), nil
 }
 
 // connect opens a connection.
