Answers whose heads hold lines that are no fields are not passed on

Cause: fasthttp takes a name with blanks for a field of its own, and strips blanks before the colon. "Transfer Encoding: chunked" is no framing then, so that the chunks' sizes were passed on as the body; "Content-Length : 3" cut a body of 5 bytes to 3; a line that begins with a blank or tab became a part of the field before it. Evidence: a probe with raw servers on: "X Odd: a" is passed on as it stands; "Transfer Encoding: chunked" gives the 15 bytes of the chunked body as a whole 200; "Content-Length : 3" gives "who"; HTTP/1.0 with chunks gives these as the body; a control character in the reason is accepted. Control bytes inside a name or a value ended in a 502 there; only a leading tab was passed on. Change: each line of a head is checked (RFC 9110, section 5; RFC 9112, section 5): a token, a colon right after it, a value without control characters but tabs, no folded lines, no chunks in HTTP/1.0. Names and values by httpguts of golang.org/x/net, so far an indirect dependency. Why it works: what the parser reads in two ways is refused before it parses; interim and stale answers and all callers of the HTTP client use the same check.

--- a/io/gateway/invalidanswer_test.go
+++ b/io/gateway/invalidanswer_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"headcourse/core/config"
+	"headcourse/platform/wire"
 )
 
 // soundAnswer is an answer that is not a stream.
@@ -55,3 +56,59 @@
 		})
 	}
 }
+
+// invalidFields are lines that are no header fields.
+var invalidFields = []string{
+	"X Odd: a", "X-Odd : a", "Content-Length : 3", "Content Length: 3", "Transfer Encoding: chunked", " Content-Length: 3", "\tX-Odd: a",
+	"X\x01Odd: a", "X\x00: a", "X\tOdd: a", "X\x7f: a", "X\rOdd: a", "X\x80: a", "X(Odd): a", ": a", "X-Odd",
+	"X-Odd: a\x00", "X-Odd: a\x01b", "X-Odd: a\rb", "X-Odd: a\x7f", "X-Odd: a\nX-Other: b",
+}
+
+// Guards against answers in whose heads the name of a field holds a blank or a control byte, which clients got with that line
+// passed on, or with a body that ended elsewhere (MIXED).
+func TestAnswerWithInvalidFieldIsNotPassedOn(t *testing.T) {
+	for _, field := range invalidFields {
+		t.Run(field, func(t *testing.T) {
+			invalid := soundAnswer
+			invalid.header += "\r\n" + field
+			checkNotPassedOn(t, invalid)
+			// The first field of the head, without a length.
+			invalid = rawAnswer{
+				status: "200 OK\r\n" + field,
+				body:   inChunks("whole"),
+			}
+			checkNotPassedOn(t, invalid)
+			invalid.contentType = eventStreamType
+			invalid.body = inChunks(numberedEvents(0))
+			checkNotPassedOn(t, invalid)
+		})
+	}
+}
+
+// Guards against interim and stale answers, which precede an answer, that are none.
+func TestInvalidAnswerBeforeAnswerIsNotSkipped(t *testing.T) {
+	for _, preceding := range []string{
+		"HTTP/1.1 103 Early Hints\r\nX Odd: a\r\n\r\n",
+		"HTTP/1.1 099 Odd\r\n\r\n",
+		"HTTP/1.1 000 OK\r\n" + wire.HeaderID + ": former\r\nContent-Length: 5\r\n\r\nother",
+		"HTTP/1.1 200 OK\r\n" + wire.HeaderID + ": former\r\nContent-Length : 5\r\n\r\nother",
+	} {
+		t.Run(preceding, func(t *testing.T) {
+			invalid := soundAnswer
+			invalid.precedingAnswer = preceding
+			checkNotPassedOn(t, invalid)
+		})
+	}
+}
+
+// Guards against heads that a reader takes to end where they don't: at a bare line feed, or with chunks that HTTP/1.0 has not.
+func TestHeadWithAmbiguousEndIsNotPassedOn(t *testing.T) {
+	ambiguous := soundAnswer
+	ambiguous.header = "Content-Length: 5\r\n\nwh\r\n\r\nle\r\nX-Odd: a"
+	checkNotPassedOn(t, ambiguous)
+	checkNotPassedOn(t, rawAnswer{
+		version: "HTTP/1.0",
+		header:  "Transfer-Encoding: chunked",
+		body:    inChunks("whole"),
+	})
+}
--- a/io/gateway/rawserver_test.go
+++ b/io/gateway/rawserver_test.go
@@ -27,7 +27,8 @@
 type rawAnswer struct {
 	// headAfter, if set, is awaited before the head.
 	headAfter <-chan struct{}
-	// status is the status line without the version; empty: 200.
+	// version is the version in the status line; empty: HTTP/1.1. status is the rest of that line; empty: 200.
+	version     string
 	status      string
 	contentType string
 	// header is a further header field. Without a length or chunks there, only the close of the connection
@@ -92,7 +93,7 @@
 	if answer.headAfter != nil {
 		<-answer.headAfter
 	}
-	head := answer.precedingAnswer + "HTTP/1.1 " + cmp.Or(answer.status, "200 OK") + "\r\n" +
+	head := answer.precedingAnswer + cmp.Or(answer.version, "HTTP/1.1") + " " + cmp.Or(answer.status, "200 OK") + "\r\n" +
 		wire.HeaderID + ": " + cmp.Or(answer.id, request.Header.Get(wire.HeaderID)) + "\r\n" +
 		"Content-Type: " + answer.contentType + "\r\n"
 	if !answer.isUnsigned {
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -5,9 +5,11 @@
 	"bytes"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalidHead reports bytes that are not the head of an answer (RFC 9112, sections 4 and 5).
@@ -40,8 +42,9 @@
 // checkedHead is a head that is buffered whole.
 type checkedHead struct {
 	// length is its size in bytes, with empty lines before it.
-	length int
-	status int
+	length   int
+	status   int
+	isHTTP10 bool
 	// isBegun is set once the status line has been checked, isComplete once the empty line after the fields has.
 	isBegun    bool
 	isComplete bool
@@ -99,8 +102,25 @@
 		h.isComplete = true
 		return nil
 	default:
-		return nil
+		return h.checkField(line)
+	}
+}
+
+// checkField checks a header field: a name that is a token, a colon right after it, and a value without control characters. A
+// line that begins with white space would continue the field before it; what sends answers to a gateway must not fold
+// lines (RFC 9112, section 5.2).
+func (h *checkedHead) checkField(line []byte) error {
+	name, value, hasColon := bytes.Cut(line, []byte(":"))
+	if !hasColon || !httpguts.ValidHeaderFieldName(string(name)) {
+		return invalidLine("no name of a field", line)
 	}
+	if !httpguts.ValidHeaderFieldValue(string(value)) {
+		return invalidLine("no value of a field", line)
+	}
+	if h.isHTTP10 && strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
+		return invalidLine("chunks in HTTP/1.0", line)
+	}
+	return nil
 }
 
 // checkStatusLine checks the first line: a version of HTTP/1, a status, and perhaps a reason.
@@ -110,7 +130,8 @@
 	if !isHTTP1 || len(minor) != 1 || minor[0] < '0' || minor[0] > '9' {
 		return invalidLine("no version of HTTP/1", line)
 	}
-	digits, _, _ := bytes.Cut(rest, []byte(" "))
+	h.isHTTP10 = minor[0] == '0'
+	digits, reason, _ := bytes.Cut(rest, []byte(" "))
 	status, err := strconv.ParseUint(string(digits), 10, 16)
 	if err != nil || len(digits) != statusDigits || status < minStatus || status > maxStatus {
 		return invalidLine("no status", line)
@@ -118,6 +139,9 @@
 	if status == fasthttp.StatusSwitchingProtocols {
 		return invalidLine("other protocol, which was not asked for", line)
 	}
+	if !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return invalidLine("control character in reason", line)
+	}
 	h.status = int(status)
 	return nil
 }
--- a/io/http1/head_test.go
+++ b/io/http1/head_test.go
@@ -29,6 +29,17 @@
 	}
 }
 
+// Guards against fields with blanks or control characters in their names, which callers of daemons, servers and the store took
+// for others or passed over.
+func TestCallFailsWithInvalidField(t *testing.T) {
+	for _, field := range []string{"X Odd: a", "Content-Length : 2", "Content Length: 2", " X-Odd: a", "X\x01Odd: a", "X\x00: a", "X-Odd: a\x01", "X-Odd", ": a", "X-Odd: a\n"} {
+		for _, length := range []string{"", "Content-Length: 2\r\n"} {
+			_, _, err := call(t, "HTTP/1.1 200 OK\r\n"+length+field+"\r\n\r\n{}")
+			qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", field))
+		}
+	}
+}
+
 // Guards against checks that refuse what servers may send.
 func TestCallReadsValidAnswers(t *testing.T) {
 	for _, head := range []string{
