The lines after the last chunk of an answer are checked

What callers saw: not reported; found by the search for the same cause. An answer in chunks that went over into other bytes after its last chunk was passed on as whole (MIXED). Cause: any line of at most two bytes, such as "a" and a line feed, was taken for the empty line that ends the trailers, and what stood before it was passed over whatever it was. Evidence: the new test on the former code: all six kinds of lines end in a 200. Change: a trailer is a field (the check of heads), and only an empty line that ends with CRLF ends the answer (RFC 9112, section 7.1.2). Why it works: the end of an answer in chunks is now as exact as its head; a stream that has begun is resumed, or breaks off visibly. Tests: TestAnswerWithInvalidTrailerIsNotPassedOn failed before.

--- a/io/backend/exchange.go
+++ b/io/backend/exchange.go
@@ -294,7 +294,11 @@
 		if trailerBytes += len(line); trailerBytes > maxTrailerBytes {
 			return n, errors.Errorf("read trailer: more than %d bytes", maxTrailerBytes)
 		}
-		if len(line) <= len("\r\n") {
+		isLast, err := http1.CheckTrailer(line)
+		if err != nil {
+			return n, errors.Wrap(err, "read trailer")
+		}
+		if isLast {
 			break
 		}
 	}
--- a/io/gateway/invalidanswer_test.go
+++ b/io/gateway/invalidanswer_test.go
@@ -1,7 +1,9 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -112,3 +114,25 @@
 		body:    inChunks("whole"),
 	})
 }
+
+// Guards against bytes after the last chunk that are taken for the end of an answer, or passed over, although they are none (MIXED).
+func TestAnswerWithInvalidTrailerIsNotPassedOn(t *testing.T) {
+	for _, trailer := range []string{"a\n", "\n", "X Odd: a\r\n\r\n", "X-Odd\r\n\r\n", "X\x01: a\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"} {
+		t.Run(trailer, func(t *testing.T) {
+			invalid := chunkedAnswer("whole")
+			invalid.contentType = "text/plain"
+			invalid.body = "5\r\nwhole\r\n0\r\n" + trailer
+			checkNotPassedOn(t, invalid)
+		})
+	}
+	// A stream that has begun is resumed, or breaks off.
+	invalid := chunkedAnswer("")
+	invalid.body = strings.TrimSuffix(inChunks("id: 1\ndata: 1\n\n"), "\r\n") + "a\n"
+	respond := firstThen(invalid, wholeStream)
+	answer := requestAnswer(t, streamView(true, startRawServer(t, respond), startRawServer(t, respond)))
+	qt.Check(t, answer.err, qt.IsNil)
+	qt.Check(t, answer.body, qt.Equals, numberedEvents(0))
+	respond = firstThen(invalid, wholeStream)
+	answer = requestAnswer(t, streamView(false, startRawServer(t, respond), startRawServer(t, respond)))
+	qt.Check(t, answer.err, qt.ErrorIs, io.ErrUnexpectedEOF)
+}
--- a/io/http1/head.go
+++ b/io/http1/head.go
@@ -12,7 +12,7 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrInvalidHead reports bytes that are not the head of an answer (RFC 9112, sections 4 and 5).
+// ErrInvalidHead reports bytes that are not the head of an answer, or a trailer (RFC 9112, sections 4, 5 and 7.1.2).
 var ErrInvalidHead = errors.New("invalid head of answer")
 
 // Bounds of statuses (RFC 9110, section 15).
@@ -79,17 +79,26 @@
 			return nil
 		}
 		h.length += len(line) + 1
-		line, isEnded := bytes.CutSuffix(line, []byte("\r"))
-		if !isEnded {
-			return invalidLine("ends without carriage return", line)
+		content, err := withoutEnd(line)
+		if err != nil {
+			return err
 		}
-		if err := h.checkLine(line); err != nil {
+		if err = h.checkLine(content); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// withoutEnd returns a line without the carriage return that must end it before its line feed.
+func withoutEnd(line []byte) ([]byte, error) {
+	content, isEnded := bytes.CutSuffix(line, []byte("\r"))
+	if !isEnded {
+		return nil, invalidLine("ends without carriage return", line)
+	}
+	return content, nil
+}
+
 // checkLine checks a line without its end. Empty lines before a head are skipped, as what a former answer may have left.
 func (h *checkedHead) checkLine(line []byte) error {
 	switch {
@@ -106,21 +115,41 @@
 	}
 }
 
-// checkField checks a header field: a name that is a token, a colon right after it, and a value without control characters. A
-// line that begins with white space would continue the field before it; what sends answers to a gateway must not fold
-// lines (RFC 9112, section 5.2).
+// checkField checks a header field.
 func (h *checkedHead) checkField(line []byte) error {
+	name, err := fieldName(line)
+	if err != nil {
+		return err
+	}
+	if h.isHTTP10 && strings.EqualFold(name, fasthttp.HeaderTransferEncoding) {
+		return invalidLine("chunks in HTTP/1.0", line)
+	}
+	return nil
+}
+
+// fieldName returns the name of a field: a token, with a colon right after it and a value without control characters. A line
+// that begins with white space would continue the field before it; what sends answers to a gateway must not fold
+// lines (RFC 9112, section 5.2).
+func fieldName(line []byte) (string, error) {
 	name, value, hasColon := bytes.Cut(line, []byte(":"))
 	if !hasColon || !httpguts.ValidHeaderFieldName(string(name)) {
-		return invalidLine("no name of a field", line)
+		return "", invalidLine("no name of a field", line)
 	}
 	if !httpguts.ValidHeaderFieldValue(string(value)) {
-		return invalidLine("no value of a field", line)
+		return "", invalidLine("no value of a field", line)
 	}
-	if h.isHTTP10 && strings.EqualFold(string(name), fasthttp.HeaderTransferEncoding) {
-		return invalidLine("chunks in HTTP/1.0", line)
+	return string(name), nil
+}
+
+// CheckTrailer checks a line after the last chunk of an answer, with its line feed. It reports whether that is the empty line
+// that ends the answer, and returns ErrInvalidHead, wrapped, if it is neither that nor a field.
+func CheckTrailer(line []byte) (isLast bool, err error) {
+	content, err := withoutEnd(bytes.TrimSuffix(line, []byte("\n")))
+	if err != nil || len(content) == 0 {
+		return err == nil, err
 	}
-	return nil
+	_, err = fieldName(content)
+	return false, err
 }
 
 // checkStatusLine checks the first line: a version of HTTP/1, a status, and perhaps a reason.
