--- a/io/gateway/invalidanswer_test.go
+++ b/io/gateway/invalidanswer_test.go
@@ -19,9 +19,15 @@
 	body:        "whole",
 }
 
-// checkNotPassedOn checks that a client never gets an answer that is none: its request is run by another server if it may be, and
-// has an unknown outcome otherwise.
+// checkNotPassedOn checks that a client never gets an answer that is none.
 func checkNotPassedOn(t *testing.T, invalid rawAnswer) {
+	t.Helper()
+	checkReplaced(t, invalid, "bad_answer")
+}
+
+// checkReplaced checks that a request is run by another server in place of one with an invalid answer if it may be, and fails with
+// an unknown outcome and a reason otherwise.
+func checkReplaced(t *testing.T, invalid rawAnswer, reason string) {
 	t.Helper()
 	sound := func(int) rawAnswer { return soundAnswer }
 	for kind, want := range map[config.Kind]clientAnswer{
@@ -31,7 +37,7 @@
 		},
 		config.Unsafe: {
 			status: http.StatusBadGateway,
-			body:   "bad_answer\n",
+			body:   reason + "\n",
 		},
 	} {
 		respond := firstThen(invalid, sound)
@@ -136,3 +142,40 @@
 	answer = requestAnswer(t, streamView(false, startRawServer(t, respond), startRawServer(t, respond)))
 	qt.Check(t, answer.err, qt.ErrorIs, io.ErrUnexpectedEOF)
 }
+
+// Guards against a server that stops in the middle of the head of its answer, after which clients get a 200 with an empty or short
+// body that is framed as whole (MIXED, ORDER).
+func TestCutHeadIsNotPassedOn(t *testing.T) {
+	const (
+		reason = "connection_broken"
+		// maxHeadBytes is more than the heads have; longer cuts leave out the last byte.
+		maxHeadBytes = 200
+	)
+	for name, cut := range map[string]rawAnswer{
+		"length": soundAnswer,
+		"chunks": chunkedAnswer("whole"),
+		"close": {
+			contentType: eventStreamType,
+			body:        numberedEvents(0),
+		},
+		"after an interim answer": {
+			precedingAnswer: interimAnswer,
+			header:          "Content-Length: 5",
+			body:            "whole",
+		},
+		"after a stale answer": {
+			precedingAnswer: staleAnswer,
+			header:          "Content-Length: 5",
+			body:            "whole",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const step = 3
+			for cut.headBytes = 1; cut.headBytes < maxHeadBytes; cut.headBytes += step {
+				cut.resets = cut.headBytes%2 == 0
+				checkReplaced(t, cut, reason)
+			}
+		})
+	}
+}
--- a/io/gateway/rawserver_test.go
+++ b/io/gateway/rawserver_test.go
@@ -43,6 +43,8 @@
 	// proceed, if set, is awaited between body and rest.
 	proceed <-chan struct{}
 	rest    string
+	// headBytes, if set, is how much of the head is written before the connection ends.
+	headBytes int
 	// resets makes the connection end with a reset instead of an orderly close.
 	resets bool
 	// stops makes the server stop listening before the connection ends, as a process that crashes does.
@@ -102,7 +104,11 @@
 	if answer.header != "" {
 		head += answer.header + "\r\n"
 	}
-	_, _ = io.WriteString(conn, head+"\r\n"+answer.body)
+	if head += "\r\n"; answer.headBytes > 0 {
+		_, _ = io.WriteString(conn, head[:min(answer.headBytes, len(head)-1)])
+	} else {
+		_, _ = io.WriteString(conn, head+answer.body)
+	}
 	if answer.proceed != nil {
 		<-answer.proceed
 		_, _ = io.WriteString(conn, answer.rest)
--- a/io/http1/head_test.go
+++ b/io/http1/head_test.go
@@ -1,12 +1,17 @@
 package http1_test
 
 import (
+	"bufio"
+	"bytes"
 	"io"
 	"net"
+	"strings"
 	"testing"
+	"testing/iotest"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 
 	"headcourse/io/http1"
 )
@@ -72,3 +77,65 @@
 	}
 	qt.Check(t, p.conns.Load(), qt.Equals, int64(1))
 }
+
+// Guards against a peer that stops in the middle of its answer, after which callers get a 200 with an empty or short body.
+func TestCallFailsIfAnswerIsCut(t *testing.T) {
+	const whole = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: a/b\r\nContent-Length: 2\r\n\r\n{}"
+	for length := range len(whole) {
+		_, _, err := call(t, whole[:length])
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", whole[:length]))
+	}
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"
+	for length := range len(chunked) {
+		_, _, err := call(t, chunked[:length])
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", chunked[:length]))
+	}
+}
+
+// Guards against heads that are read otherwise if they arrive in pieces.
+func TestHeadInPiecesIsRead(t *testing.T) {
+	reader := bufio.NewReader(iotest.OneByteReader(strings.NewReader("\r\nHTTP/1.1 201 OK\r\nX-Any: a\r\nContent-Length: 2\r\n\r\n{}")))
+	var head fasthttp.ResponseHeader
+	qt.Assert(t, http1.ReadHead(reader, &head), qt.IsNil)
+	qt.Check(t, head.StatusCode(), qt.Equals, fasthttp.StatusCreated)
+	qt.Check(t, string(head.Peek("X-Any")), qt.Equals, "a")
+	rest, err := io.ReadAll(reader)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, string(rest), qt.Equals, "{}")
+}
+
+// Guards against errors that do not tell a connection without an answer from one with a part of it.
+func TestEndInsideHeadIsUnexpected(t *testing.T) {
+	var head fasthttp.ResponseHeader
+	read := func(text string) error {
+		return http1.ReadHead(bufio.NewReader(strings.NewReader(text)), &head)
+	}
+	qt.Check(t, read(""), qt.Equals, io.EOF)
+	qt.Check(t, read("HTTP/1.1 200 OK\r\n"), qt.Equals, io.ErrUnexpectedEOF)
+	qt.Check(t, read("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("a", 8<<10)), qt.ErrorIs, http1.ErrInvalidHead)
+}
+
+// FuzzReadHead checks that what is read as a head ends at its first empty line and has a status and names of fields.
+func FuzzReadHead(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+	f.Add([]byte("\r\nHTTP/1.0 404 \r\nX Odd : a\r\n b\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		reader := bufio.NewReaderSize(bytes.NewReader(content), len(content)+1)
+		var head fasthttp.ResponseHeader
+		if http1.ReadHead(reader, &head) != nil {
+			return
+		}
+		rest, err := io.ReadAll(reader)
+		qt.Assert(t, err, qt.IsNil)
+		begun := bytes.TrimLeft(content, "\r\n")
+		_, body, isEnded := bytes.Cut(begun, []byte("\r\n\r\n"))
+		qt.Assert(t, isEnded, qt.IsTrue)
+		qt.Check(t, string(rest), qt.Equals, string(body))
+		qt.Check(t, string(begun[:7]), qt.Equals, "HTTP/1.")
+		qt.Check(t, head.StatusCode(), qt.Equals, int(begun[9]-'0')*100+int(begun[10]-'0')*10+int(begun[11]-'0'))
+		for name := range head.All() {
+			qt.Check(t, httpguts.ValidHeaderFieldName(string(name)), qt.IsTrue)
+		}
+	})
+}
