--- a/io/gateway/answerend.go
+++ b/io/gateway/answerend.go
@@ -12,6 +12,7 @@
 	"headcourse/core/eventstream"
 	"headcourse/core/fleet"
 	"headcourse/core/request"
+	"headcourse/io/logline"
 )
 
 // truncationError is the error of an answer that was broken off although its framing marks it as complete.
@@ -121,3 +122,17 @@
 		zap.String("result", string(verdict)),
 		zap.Int("lines_left_out", suppressed))
 }
+
+// recordInvalidAnswer counts bytes of a server that are no answer, and writes a log line with their first line that is none.
+func (j *job) recordInvalidAnswer(server fleet.Server, err error) {
+	metrics.GetOrRegisterCounter(countInvalidAnswers, j.server.registry).Inc(1)
+	mayWrite, suppressed := j.server.endThrottle.Allow(server.Service + "/invalid")
+	if !mayWrite {
+		return
+	}
+	j.server.log.Warn("servers: bytes that are no answer",
+		zap.String("request_id", j.request.ID),
+		zap.String("server", server.ID),
+		logline.ErrorField(err),
+		zap.Int("lines_left_out", suppressed))
+}
--- a/io/gateway/attempt.go
+++ b/io/gateway/attempt.go
@@ -438,7 +438,10 @@
 		reason = request.ReasonDeadline
 	case errors.As(err, new(*truncationError)):
 		reason = request.ReasonAnswerTruncated
-	case errors.Is(err, errEventTooLong), errors.Is(err, backend.ErrBodyTooLong), errors.Is(err, http1.ErrInvalidHead):
+	case errors.Is(err, http1.ErrInvalidHead):
+		reason = request.ReasonBadAnswer
+		j.recordInvalidAnswer(a.server, err)
+	case errors.Is(err, errEventTooLong), errors.Is(err, backend.ErrBodyTooLong):
 		reason = request.ReasonBadAnswer
 	case errors.Is(err, backend.ErrNoMemory):
 		reason = request.ReasonNoMemory
--- a/io/gateway/drain.go
+++ b/io/gateway/drain.go
@@ -108,8 +108,13 @@
 	if s.isCutOff.Load() {
 		return false
 	}
-	return schedule == nil || schedule.Admits(s.clock.Now(), shutdown.Work{
-		Expected:     s.durations.Expected(sizeOf(j.config, j.route, j.request)),
+	if schedule == nil {
+		return true
+	}
+	expected := s.durations.Expected(sizeOf(j.config, j.route, j.request))
+	j.expectedDuration.Store(int64(expected))
+	return schedule.Admits(s.clock.Now(), shutdown.Work{
+		Expected:     expected,
 		Limit:        j.timeLeft(),
 		IsRepeatable: j.route.Repeatable(),
 	})
--- a/io/gateway/invalidanswer_test.go
+++ b/io/gateway/invalidanswer_test.go
@@ -7,6 +7,9 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"headcourse/core/config"
 	"headcourse/platform/wire"
@@ -179,3 +182,19 @@
 		})
 	}
 }
+
+// Guards against an operator who cannot see which server writes bytes that are no answer.
+func TestInvalidAnswerIsLoggedWithItsLine(t *testing.T) {
+	invalid := soundAnswer
+	invalid.status = "000 OK"
+	options := newOptions(newSource(serversView(config.Unsafe, startRawServer(t, func(int) rawAnswer { return invalid }).address())))
+	core, lines := observer.New(zap.WarnLevel)
+	options.Log = zap.New(core)
+	qt.Check(t, readAnswer(t, startGateway(t, options).Address(), func() {}).status, qt.Equals, http.StatusBadGateway)
+	logged := lines.FilterMessage("servers: bytes that are no answer").All()
+	qt.Assert(t, logged, qt.HasLen, 1)
+	fields := logged[0].ContextMap()
+	qt.Check(t, fields["server"], qt.Equals, "i-0")
+	qt.Check(t, fields["error"], qt.Contains, "HTTP/1.1 000 OK")
+	qt.Check(t, metrics.GetOrRegisterCounter("answers_invalid", options.Registry).Count(), qt.Equals, int64(1))
+}
--- a/io/gateway/job.go
+++ b/io/gateway/job.go
@@ -59,6 +59,8 @@
 	stopClientWatch  func()
 	// run measures how long the request takes; nil until it is taken.
 	run *shutdown.Run
+	// expectedDuration is how long the request was expected to take when a stop judged it last; 0: unknown.
+	expectedDuration atomic.Int64
 
 	// ctx ends when the client has disconnected, when the request is quarantined, and when it is
 	// finished. All exchanges are then aborted.
--- a/io/gateway/metrics.go
+++ b/io/gateway/metrics.go
@@ -24,6 +24,9 @@
 	countTruncated = "answers_truncated."
 )
 
+// countInvalidAnswers counts the answers of servers that were none.
+const countInvalidAnswers = "answers_invalid"
+
 // Names of histograms, in milliseconds.
 const (
 	timeFirstEvent      = "first_event_ms"
--- a/io/gateway/requestlog.go
+++ b/io/gateway/requestlog.go
@@ -144,7 +144,8 @@
 		fields = append(fields, zap.String("route", j.route.Name), zap.String("organisation", j.organisation))
 	}
 	if since, isDuringStop := j.sinceStop(); isDuringStop {
-		fields = append(fields, zap.Int64("taken_after_stop_ms", since.Milliseconds()))
+		fields = append(fields, zap.Int64("taken_after_stop_ms", since.Milliseconds()),
+			zap.Int64("expected_ms", time.Duration(j.expectedDuration.Load()).Milliseconds()))
 	}
 	if j.isRetryBudgetSpent {
 		fields = append(fields, zap.Bool("retry_budget_spent", true))
