Unframed answers of leaving servers that are gone are not complete

Cause: serverState took a server that drains or has no entry for running without a look, since one that leaves as planned may stop listening before its last answers end. A killed one looks the same. Change: each server whose answer ends with its connection is looked at. One that was leaving and is not reached is "gone": the answer is resumed or breaks off visibly. It is no evidence of a crash, so that no request is held for it. Why it works: complete needs a server that is seen to run; doubt ends an answer visibly. Cost: whole answers without a length of a server that has stopped listening break off too, unless they can be resumed.

--- a/core/completeness/completeness.go
+++ b/core/completeness/completeness.go
@@ -21,12 +21,14 @@
 // ServerState is what is known of a server after its answer ended.
 type ServerState int
 
-// Unknown means that the server was not checked yet; Running that it accepts connections, leaves as planned or does not
-// answer a connect; Down that it ended unexpectedly, or that nothing shows that it runs.
+// Unknown means that the server was not checked yet; Running that it accepts connections or does not answer a connect; Down that
+// it ended unexpectedly, or that nothing shows that it runs; Gone that it was leaving and accepts no connections any more: it may
+// have ended its last answers in order, or have been killed in the middle of them.
 const (
 	Unknown ServerState = iota
 	Running
 	Down
+	Gone
 )
 
 // End is the end of an answer that its framing marks as complete.
@@ -51,6 +53,7 @@
 	EndsInsideEvent  Verdict = "ends_inside_event"
 	HasNoEvents      Verdict = "has_no_events"
 	ServerCrashed    Verdict = "server_crashed"
+	ServerGone       Verdict = "server_gone"
 )
 
 // Decide returns the verdict about an end.
@@ -66,6 +69,8 @@
 		return NeedsServerState
 	case e.Server == Down:
 		return ServerCrashed
+	case e.Server == Gone:
+		return ServerGone
 	default:
 		return Complete
 	}
--- a/core/completeness/completeness_test.go
+++ b/core/completeness/completeness_test.go
@@ -70,6 +70,15 @@
 			},
 			want: completeness.ServerCrashed,
 		},
+		"close between events, leaving server gone": {
+			end: completeness.End{
+				Framing:    completeness.FramedByClose,
+				IsStream:   true,
+				EventCount: 3,
+				Server:     completeness.Gone,
+			},
+			want: completeness.ServerGone,
+		},
 		"close of a plain answer, server running": {
 			end: completeness.End{
 				Framing: completeness.FramedByClose,
--- a/io/gateway/answerend.go
+++ b/io/gateway/answerend.go
@@ -27,9 +27,9 @@
 }
 
 // Unwrap returns io.ErrUnexpectedEOF if the server closed the connection, as a crashing process does, and nil
-// otherwise.
+// otherwise. The end of a server that leaves is no evidence of a crash.
 func (e *truncationError) Unwrap() error {
-	if e.framing == completeness.FramedByClose {
+	if e.framing == completeness.FramedByClose && e.verdict != completeness.ServerGone {
 		return io.ErrUnexpectedEOF
 	}
 	return nil
@@ -84,19 +84,19 @@
 	return false
 }
 
-// serverState returns the state of the start of a server whose answer has just ended with its connection. A server
-// that leaves as planned may stop listening before its last answers end. A server that is not reached, be it for this
-// daemon's own links, counts as down: a client must not take an answer for complete that may have been broken off.
+// serverState returns the state of the start of a server whose answer has just ended with its connection. A server that is
+// not reached, be it for this daemon's own links, does not count as running: a client must not take an answer for complete
+// that may have been broken off.
 func (s *Server) serverState(server fleet.Server) completeness.ServerState {
 	entry, isListed := s.source.View().Fleet.Server(server.ID)
-	switch {
-	case !isListed || entry.Draining || s.directives.IsDraining(server.StartID()):
-		return completeness.Running
-	case entry.StartID() != server.StartID() || s.backends.IsUnreached(server.Address):
-		return completeness.Down
-	default:
+	isOtherStart := isListed && entry.StartID() != server.StartID()
+	if !isOtherStart && !s.backends.IsUnreached(server.Address) {
 		return completeness.Running
 	}
+	if !isListed || entry.Draining || s.directives.IsDraining(server.StartID()) {
+		return completeness.Gone
+	}
+	return completeness.Down
 }
 
 // recordEnd counts the end of an answer, and writes a log line about it if framing alone does not show that it is
