Soak: servers that write no answers, and stops beside streams of mixed lengths

Change: four behaviours of servers (status 000, "Transfer Encoding: chunked", bytes after the last chunk, a cut head) as a row of faults and as a check with all servers at once; a row with stops in series beside streams of 8 to 188 events, whose check sends streams of 200 events on the route of learned streams of 30.

--- a/lab/soak/clients.go
+++ b/lab/soak/clients.go
@@ -151,8 +151,8 @@
 // cancelled early, unless cancelsNone is set.
 func (s *soak) sendRequest(ctx context.Context, client *standin.Client, turn int) standin.Answer {
 	const (
-		kinds, cancelEvery                  = 4, 11
-		longStreamEvents, shortStreamEvents = 60, 8
+		kinds, cancelEvery = 4, 11
+		longStreamEvents   = 60
 	)
 	timeout := 8 * time.Second
 	if turn%cancelEvery == 0 && !s.cancelsNone.Load() {
@@ -168,7 +168,7 @@
 	case 2:
 		return client.Stream(ctx, standin.ModelLarge, longStreamEvents)
 	default:
-		return client.Stream(ctx, standin.ModelSmall, shortStreamEvents)
+		return client.Stream(ctx, standin.ModelSmall, s.smallStreamEvents(turn))
 	}
 }
 
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -224,6 +224,14 @@
 		name:  plannedStopRow,
 		begin: stopDaemonsInSeries,
 	},
+	{
+		name:  invalidAnswersRow,
+		begin: writeInvalidAnswers,
+	},
+	{
+		name:  mixedLengthsRow,
+		begin: stopDaemonsInSeries,
+	},
 }
 
 // Range of the times between faults and of their durations.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -141,6 +141,7 @@
 	failures = append(failures, s.checkRetries()...)
 	failures = append(failures, s.checkLinks()...)
 	failures = append(failures, s.checkUnframed()...)
+	failures = append(failures, s.checkInvalidAnswers()...)
 	failures = append(failures, s.checkCrashingParts()...)
 	failures = append(failures, s.checkOverload()...)
 	failures = append(failures, s.checkSilences()...)
--- a/lab/soak/stops.go
+++ b/lab/soak/stops.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,18 +31,38 @@
 	uploadInterval = 100 * time.Millisecond
 	// learnedRequests of each kind tell a daemon how long they take.
 	learnedRequests = 12
+	// learnedEvents and longEvents are the lengths of streams before a stop, and of some during it.
+	learnedEvents = 30
+	longEvents    = 200
 	// stopHeadStart is the time in which the heads of uploads arrive.
 	stopHeadStart = 150 * time.Millisecond
 )
 
+// mixedLengthsRow is the name of the row of faults with planned stops beside streams of several lengths on one route.
+const mixedLengthsRow = "daemons stopped by SIGTERM in series, beside streams of mixed lengths"
+
+// draws reports whether the seed draws from a row of faults.
+func (s *soak) draws(name string) bool {
+	return slices.ContainsFunc(s.faults, func(row fault) bool { return row.name == name })
+}
+
 // drawsPlannedStops reports whether the seed draws planned stops beside slow bodies.
 func (s *soak) drawsPlannedStops() bool {
-	for _, row := range s.faults {
-		if row.name == plannedStopRow {
-			return true
-		}
+	return s.draws(plannedStopRow)
+}
+
+// smallStreamEvents returns the length of a client's stream of the small model.
+func (s *soak) smallStreamEvents(turn int) int {
+	const (
+		usual   = 8
+		kinds   = 4
+		step    = 60
+		lengths = 4
+	)
+	if !s.draws(mixedLengthsRow) {
+		return usual
 	}
-	return false
+	return usual + turn/kinds%lengths*step
 }
 
 // uploadTime returns how long a client pauses in the body of a request.
@@ -93,12 +114,13 @@
 func (s *soak) checkPlannedStop(index int) []string {
 	d := s.daemons[index]
 	for turn := range learnedRequests * len(uploadKinds) {
-		s.sendUpload(index, turn, 0)
+		s.sendUpload(index, uploadKinds[turn%len(uploadKinds)], 0)
 	}
+	kinds := s.stopKinds()
 	answers := make([]standin.Answer, checkedUploads)
 	var uploads sync.WaitGroup
 	for i := range answers {
-		uploads.Go(func() { answers[i] = s.sendUpload(index, i, time.Duration(i)*uploadInterval) })
+		uploads.Go(func() { answers[i] = s.sendUpload(index, kinds[i%len(kinds)], time.Duration(i)*uploadInterval) })
 	}
 	time.Sleep(stopHeadStart)
 	s.exempt(d, stopExemption)
@@ -125,19 +147,34 @@
 	return failures
 }
 
-// uploadKinds send the requests of checkPlannedStop.
-var uploadKinds = []func(ctx context.Context, client *standin.Client) standin.Answer{
-	func(ctx context.Context, client *standin.Client) standin.Answer {
-		const events = 30
+// uploadKind sends a request of checkPlannedStop.
+type uploadKind func(ctx context.Context, client *standin.Client) standin.Answer
+
+// streamOf returns a kind of streams with a number of events.
+func streamOf(events int) uploadKind {
+	return func(ctx context.Context, client *standin.Client) standin.Answer {
 		return client.Stream(ctx, standin.ModelSmall, events)
-	},
+	}
+}
+
+// uploadKinds are the kinds from which a daemon learns before it is stopped.
+var uploadKinds = []uploadKind{
+	streamOf(learnedEvents),
 	func(ctx context.Context, client *standin.Client) standin.Answer {
 		return client.Send(ctx, http.MethodPost, standin.PathUnsafe+"report", nil, strings.Repeat("valve ", 100))
 	},
 }
 
+// stopKinds returns the kinds that a daemon gets while it stops. The long streams come on the route of the learned ones.
+func (s *soak) stopKinds() []uploadKind {
+	if !s.draws(mixedLengthsRow) {
+		return uploadKinds
+	}
+	return append(slices.Clone(uploadKinds), streamOf(longEvents))
+}
+
 // sendUpload sends a request whose body takes some time to a daemon, on a connection of its own.
-func (s *soak) sendUpload(index, turn int, takes time.Duration) standin.Answer {
+func (s *soak) sendUpload(index int, send uploadKind, takes time.Duration) standin.Answer {
 	client := &standin.Client{
 		Platform:   s.platform,
 		Address:    s.daemons[index].clientProxy.Address(),
@@ -147,5 +184,5 @@
 	const timeout = 12 * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return uploadKinds[turn%len(uploadKinds)](ctx, client)
+	return send(ctx, client)
 }
--- a/lab/standin/answers.go
+++ b/lab/standin/answers.go
@@ -57,6 +57,7 @@
 		s.crashOnPart(w, r, *crashingPart)
 	}
 	switch {
+	case writeInvalidAnswer(w, behaviour):
 	case behaviour == Failing:
 		w.WriteHeader(http.StatusInternalServerError)
 	case r.Header.Get(wire.HeaderModel) != "":
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -70,6 +70,7 @@
 // The others affect answers without a length or chunks: Unframed ends them whole; UnframedTruncating closes the
 // connection in order inside an event, UnframedResetting resets it between two events. ChunkedTruncating writes
 // the last chunk inside an event.
+// InvalidStatus, InvalidField, InvalidTrailer and CutHead write bytes that are no answer, and close the connection.
 const (
 	Normal Behaviour = iota
 	Failing
@@ -80,6 +81,10 @@
 	UnframedTruncating
 	UnframedResetting
 	ChunkedTruncating
+	InvalidStatus
+	InvalidField
+	InvalidTrailer
+	CutHead
 )
 
 // startServer starts a server and writes its entry.
