--- a/core/shutdown/durations.go
+++ b/core/shutdown/durations.go
@@ -53,25 +53,25 @@
 func (d *Durations) Begin(request Request) *Run {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	of := d.kinds[request.Kind]
-	if of == nil {
+	known := d.kinds[request.Kind]
+	if known == nil {
 		if len(d.kinds) >= maxKinds {
 			return &Run{}
 		}
 		if d.kinds == nil {
 			d.kinds = map[string]*kind{}
 		}
-		of = &kind{
+		known = &kind{
 			running: map[*Run]struct{}{},
 		}
-		d.kinds[request.Kind] = of
+		d.kinds[request.Kind] = known
 	}
 	run := &Run{
 		durations: d,
 		request:   request,
 		startedAt: time.Now(),
 	}
-	of.running[run] = struct{}{}
+	known.running[run] = struct{}{}
 	return run
 }
 
@@ -97,19 +97,19 @@
 	}
 	r.durations.mutex.Lock()
 	defer r.durations.mutex.Unlock()
-	of := r.durations.kinds[r.request.Kind]
-	if of == nil {
+	known := r.durations.kinds[r.request.Kind]
+	if known == nil {
 		return
 	}
-	if _, isRunning := of.running[r]; !isRunning {
+	if _, isRunning := known.running[r]; !isRunning {
 		return
 	}
-	delete(of.running, r)
+	delete(known.running, r)
 	if isWhole {
-		of.add(r.observe(false))
+		known.add(r.observe(false))
 	}
 	// A client may name any kind.
-	if len(of.running) == 0 && len(of.ended) == 0 {
+	if len(known.running) == 0 && len(known.ended) == 0 {
 		delete(r.durations.kinds, r.request.Kind)
 	}
 }
@@ -129,12 +129,12 @@
 func (d *Durations) Expected(request Request) time.Duration {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	of := d.kinds[request.Kind]
-	if of == nil || len(of.ended) < minEnded {
+	known := d.kinds[request.Kind]
+	if known == nil || len(known.ended) < minEnded {
 		return 0
 	}
-	observations := append([]observation(nil), of.ended...)
-	for run := range of.running {
+	observations := append([]observation(nil), known.ended...)
+	for run := range known.running {
 		observations = append(observations, run.observe(true))
 	}
 	if expected, ok := typicalDuration(observations, request.LargestAnswer); ok {
--- a/io/gateway/drain.go
+++ b/io/gateway/drain.go
@@ -111,7 +111,7 @@
 	if schedule == nil {
 		return true
 	}
-	expected := s.durations.Expected(sizeOf(j.config, j.route, j.request))
+	expected := s.durations.Expected(shutdownRequest(j.config, j.route, j.request))
 	j.expectedDuration.Store(int64(expected))
 	return schedule.Admits(s.clock.Now(), shutdown.Work{
 		Expected:     expected,
@@ -120,8 +120,8 @@
 	})
 }
 
-// sizeOf returns what the duration of a request depends on.
-func sizeOf(current *config.Config, route *config.Route, r *request.Request) shutdown.Request {
+// shutdownRequest returns what the duration of a request depends on.
+func shutdownRequest(current *config.Config, route *config.Route, r *request.Request) shutdown.Request {
 	return shutdown.Request{
 		Kind:          route.Name + "/" + r.Model,
 		LargestAnswer: current.LargestAnswer(route, r.MaxTokens),
@@ -150,7 +150,7 @@
 		return shutdown.Work{}
 	}
 	return shutdown.Work{
-		Expected:     s.durations.Expected(sizeOf(current, route, read)),
+		Expected:     s.durations.Expected(shutdownRequest(current, route, read)),
 		IsRepeatable: route.Repeatable(),
 	}
 }
--- a/io/gateway/handle.go
+++ b/io/gateway/handle.go
@@ -61,7 +61,7 @@
 		j.refuse(ctx, fasthttp.StatusServiceUnavailable, request.ReasonDaemonStopping)
 		return
 	}
-	j.run = s.durations.Begin(sizeOf(j.config, j.route, parsed))
+	j.run = s.durations.Begin(shutdownRequest(j.config, j.route, parsed))
 	j.stopClientWatch = s.clientWatcher.Watch(ctx.Conn(), j.abortForClient)
 	s.budgets.ForName(j.service).RecordRequest()
 	release := j.waitForLateSlot()
