--- a/lab/soak/stops.go
+++ b/lab/soak/stops.go
@@ -33,7 +33,7 @@
 	learnedRequests = 12
 	// learnedEvents and longEvents are the lengths of streams before a stop, and of some during it.
 	learnedEvents = 30
-	longEvents    = 200
+	longEvents    = 280
 	// stopHeadStart is the time in which the heads of uploads arrive.
 	stopHeadStart = 150 * time.Millisecond
 )
