Tests of invalid answers count the runs of unsafe requests

Cause: they asked for the client's 502 only, and not that the request ran once. Change: the servers' requests are counted for the unsafe kind: one in all.

--- a/io/gateway/invalidanswer_test.go
+++ b/io/gateway/invalidanswer_test.go
@@ -44,10 +44,14 @@
 		},
 	} {
 		respond := firstThen(invalid, sound)
-		answer := requestAnswer(t, serversView(kind, startRawServer(t, respond).address(), startRawServer(t, respond).address()))
+		first, second := startRawServer(t, respond), startRawServer(t, respond)
+		answer := requestAnswer(t, serversView(kind, first.address(), second.address()))
 		qt.Check(t, answer.err, qt.IsNil)
 		qt.Check(t, answer.status, qt.Equals, want.status)
 		qt.Check(t, answer.body, qt.Equals, want.body)
+		if kind == config.Unsafe {
+			qt.Check(t, first.requests.Load()+second.requests.Load(), qt.Equals, int64(1))
+		}
 	}
 	respond := firstThen(invalid, wholeStream)
 	answer := requestAnswer(t, streamView(true, startRawServer(t, respond), startRawServer(t, respond)))
